--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small fleet of real processes that shows what flamingovalve does."""
--- /dev/null
+++ b/demo/run.py
@@ -0,0 +1,180 @@
+"""Shows both deployments' shape, small: load, a loss, a payment."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import curio
+
+from demo.load import Load
+from demo.processes import (
+    APPLICATION,
+    Processes,
+    Shape,
+    Vm,
+    get_json,
+)
+from flamingovalve.cmd.tables import table
+
+REQUESTS = int(os.environ.get('DEMO_REQUESTS', '240'))
+RATE = 40.0
+SEED = 7
+
+INDUS_CREST = Shape(
+    'Indus Crest',
+    ('korangi', 'site-area', 'landhi', 'port-qasim'),
+    vms=5,
+    engines=5,
+    service_replicas=2,
+)
+ZAHRADNI_KARTA = Shape(
+    'Zahradní Karta',
+    ('praha-a', 'praha-b', 'brno-c'),
+    vms=4,
+    engines=4,
+    service_replicas=2,
+    fencing=False,
+)
+
+
+def main() -> int:
+    """Run the demo; the exit status tells whether all went well."""
+    rows = []
+    well = True
+    for shape in (INDUS_CREST, ZAHRADNI_KARTA):
+        print(f'{shape.name}: starting {shape.vms} VMs, {shape.engines} '
+              f'engines, {shape.adapters} adapters')
+        with Processes(shape) as fleet:
+            fleet.wait_ready()
+            well &= _show_commands(fleet.vms[0])
+            row, good = _show_load(fleet)
+            rows.append((shape.name, *row))
+            well &= good
+            well &= _show_payment(fleet)
+    head = (
+        'DEPLOYMENT',
+        'REQUESTS',
+        'RIGHT',
+        'WRONG',
+        'FAILED',
+        'TRIES',
+        'P50 S',
+        'P95 S',
+        'NEW OWNER S',
+    )
+    print()
+    print(table(head, rows))
+    print('all is well' if well else 'SOMETHING WENT WRONG')
+    return 0 if well else 1
+
+
+def _show_commands(vm: Vm) -> bool:
+    command = [
+        sys.executable,
+        '-m',
+        'flamingovalve.cmd.flamingovalve',
+        'send',
+        vm.http_address,
+        'hello',
+        '--model',
+        'adapter-00001@1',
+        '--application',
+        APPLICATION,
+    ]
+    print('$ flamingovalve', *command[3:])
+    return subprocess.run(command, check=False).returncode == 0
+
+
+def _show_load(fleet: Processes) -> tuple[tuple[object, ...], bool]:
+    addresses = [vm.http_address for vm in fleet.vms]
+    load = Load(addresses[1:], fleet.shape.adapters, SEED)
+    victim = _an_owner(fleet)
+    killed_at = 0.0
+
+    def kill_owner() -> None:
+        nonlocal killed_at
+        killed_at = time.monotonic()
+        print(f'SIGKILL to {victim.id}, which owns engines')
+        fleet.signal(victim, signal.SIGKILL)
+
+    curio.run(load.run, REQUESTS, RATE, kill_owner)
+    settled = _seconds_to_new_owners(fleet, victim, killed_at)
+    figures = load.figures
+    row = (
+        REQUESTS,
+        figures.answered,
+        figures.wrong,
+        figures.failed,
+        figures.tries,
+        round(figures.percentile(0.5), 2),
+        round(figures.percentile(0.95), 2),
+        f'under {settled:.0f}',
+    )
+    return row, figures.answered == REQUESTS
+
+
+def _an_owner(fleet: Processes) -> Vm:
+    owners = set(fleet.owners().values())
+    return next(vm for vm in fleet.vms[1:] if vm.id in owners)
+
+
+def _seconds_to_new_owners(
+    fleet: Processes,
+    victim: Vm,
+    killed_at: float,
+) -> float:
+    end = time.monotonic() + 30
+    while time.monotonic() < end:
+        if len(fleet.owners()) == fleet.shape.engines:
+            return time.monotonic() - killed_at
+        time.sleep(0.1)
+    raise TimeoutError(f'nobody took over from {victim.id}')
+
+
+def _show_payment(fleet: Processes) -> bool:
+    alive = [vm for vm in fleet.vms if get_json(vm.http_address, '/readyz')]
+    query = f'service=orders&call=pay&application={APPLICATION}'
+    entry = get_json(alive[0].http_address, f'/v1/entry?{query}')
+    assert entry is not None
+    answers = [
+        _pay(vm.http_address, entry['permit']) for vm in (*alive[:3], alive[0])
+    ]
+    runs = sum(
+        _runs(address, entry['permit']) for address in fleet.service_addresses
+    )
+    print(f'one payment sent {len(answers)} times through 3 VMs: ran {runs}x')
+    return runs == 1 and len(set(answers)) == 1
+
+
+def _pay(address: str, permit: str) -> bytes:
+    request = urllib.request.Request(
+        f'http://{address}/v1/services/orders/pay',
+        json.dumps({'order': 'renewal-1'}).encode(),
+        {
+            'authorization': f'Bearer {APPLICATION}',
+            'idempotency-key': permit,
+            'content-type': 'application/json',
+        },
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=30) as answered:
+            return answered.read()
+    except urllib.error.HTTPError as refused:
+        return refused.read()
+
+
+def _runs(address: str, _permit: str) -> int:
+    request = urllib.request.Request(f'http://{address}/control', b'{}')
+    with urllib.request.urlopen(request, timeout=10) as answered:
+        return json.load(answered)['runs']
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/flamingovalve/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run of each non-idempotent request."""
--- /dev/null
+++ b/flamingovalve/claims/holders.py
@@ -0,0 +1,143 @@
+"""Which VMs remember a key, and asking them."""
+
+from __future__ import annotations
+
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from flamingovalve.errors import ConnectionLost, WrongPeer
+from flamingovalve.generated.messages import Incarnation
+from flamingovalve.peer.client import PeerUnreachable
+from flamingovalve.util import clock, hashing
+
+if TYPE_CHECKING:
+    from flamingovalve.generated.settings import ClaimSettings, VmId, VmList
+    from flamingovalve.membership.members import Member, MemberTable
+    from flamingovalve.peer.client import PeerPool
+
+HOLDERS_PER_KEY = 3
+
+
+@dataclass(slots=True)
+class HolderReply:
+    """What asking a holder gave.
+
+    :ivar reply: its answer, if there was one
+    :ivar incarnation: the process that answered
+    :ivar ended: the process that was asked for is provably gone
+    """
+
+    reply: Any = None
+    incarnation: Incarnation = Incarnation(0)
+    ended: bool = False
+
+
+class Holders:
+    """Finds and asks the holders of keys."""
+
+    def __init__(
+        self,
+        members: MemberTable,
+        peers: PeerPool,
+        settings: ClaimSettings,
+    ) -> None:
+        """Ask over ``peers``."""
+        self._members = members
+        self._peers = peers
+        self._settings = settings
+        self._lists: list[tuple[float, list[VmId]]] = []
+
+    def note_list(self, published: VmList) -> None:
+        """Remember a published list for as long as keys made under it live."""
+        moment = clock.wall()
+        horizon = moment - self._settings.key_seconds
+        horizon -= self._settings.skew_seconds
+        names = [vm.id for vm in published.vms]
+        self._lists.append((moment, names))
+        while len(self._lists) > 1 and self._lists[1][0] <= horizon:
+            self._lists.pop(0)
+
+    def of_key(self, key: str) -> list[VmId]:
+        """Give the holders of a caller's own key, in the order to ask.
+
+        They come from the published list and not from who looks live: in
+        two parts of a split fleet the live VMs differ, the list does not.
+        """
+        names = list(self._members.by_id)
+        return _holders(key, names)
+
+    def shared_since(self, key: str, moment: float) -> bool:
+        """Tell whether every list since ``moment`` shares a holder with now.
+
+        If the list has changed so much that the holders of an earlier run
+        are all others, asking today's holders would find no record, and the
+        request would run again.
+        """
+        current = set(self.of_key(key))
+        starts = [at for at, _names in self._lists]
+        if not starts:
+            return False
+        for index, (_at, names) in enumerate(self._lists):
+            ended_at = starts[index + 1] if index + 1 < len(starts) else None
+            if ended_at is not None and ended_at < moment:
+                continue
+            if current.isdisjoint(_holders(key, names)):
+                return False
+        return True
+
+    def witness_for(self, own: Member) -> Member | None:
+        """Choose who shall witness our next permit.
+
+        A VM of another failure domain, so that one switch cannot take both.
+        """
+        candidates = [
+            member
+            for member in self._members.present()
+            if member.vm.id != own.vm.id and member.incarnation
+        ]
+        away = [
+            member
+            for member in candidates
+            if member.vm.failure_domain != own.vm.failure_domain
+        ]
+        chosen = away or candidates
+        if not chosen:
+            return None
+        latest = max(member.heard_at for member in chosen)
+        fresh = [member for member in chosen if member.heard_at > latest - 5]
+        spread = f'{own.vm.id}:{int(clock.wall())}'
+        name = hashing.heaviest(spread, [member.vm.id for member in fresh])
+        return self._members.by_id.get(name) if name else None
+
+    async def ask(
+        self,
+        vm: VmId,
+        message: Any,
+        incarnation: Incarnation = Incarnation(0),
+    ) -> HolderReply:
+        """Ask one holder.
+
+        :param incarnation: the process that is meant; 0 for any
+        """
+        member = self._members.by_id.get(vm)
+        if member is None:
+            return HolderReply()
+        seconds = self._settings.acknowledge_seconds
+        try:
+            answered, reply = await self._peers.ask(
+                member.vm.peer_address,
+                vm,
+                message,
+                seconds,
+            )
+        except PeerUnreachable as unreachable:
+            return HolderReply(ended=unreachable.ended)
+        except (ConnectionLost, WrongPeer):
+            return HolderReply()
+        replaced = bool(incarnation) and answered != incarnation
+        return HolderReply(reply, answered, replaced)
+
+
+def _holders(key: str, names: list[VmId]) -> list[VmId]:
+    return hashing.rank(key, names)[:HOLDERS_PER_KEY]  # type: ignore[return-value]
--- /dev/null
+++ b/flamingovalve/claims/permit.py
@@ -0,0 +1,142 @@
+"""Permits: keys that only one process can ever run."""
+
+from __future__ import annotations
+
+import base64
+import hmac
+import secrets
+
+from dataclasses import dataclass
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from flamingovalve.errors import ErrorKind, ServingError
+from flamingovalve.generated.messages import Incarnation, VmId
+from flamingovalve.util import clock
+from flamingovalve.util.authentication import authentication_code
+
+PREFIX: Final = 'permit.'
+_SEPARATOR: Final = '|'
+_FIELDS: Final = 7
+_NONCE_BYTES: Final = 9
+_KEY_BYTES: Final = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """One permit, as its text names it.
+
+    :ivar scope: application, service and call that it is good for
+    :ivar executor: the VM whose process made it and alone can run it
+    :ivar witness: the VM that must acknowledge the run; empty for none
+    :ivar expires_at: Unix time after which it is refused
+    """
+
+    scope: str
+    executor: VmId
+    executor_incarnation: Incarnation
+    witness: VmId
+    witness_incarnation: Incarnation
+    expires_at: int
+    nonce: str
+
+    def signed_part(self) -> str:
+        """Give the text that the authentication code covers."""
+        return _SEPARATOR.join(
+            (
+                self.scope,
+                self.executor,
+                str(self.executor_incarnation),
+                self.witness,
+                str(self.witness_incarnation),
+                str(self.expires_at),
+                self.nonce,
+            )
+        )
+
+
+class PermitMaker:
+    """Makes and checks the permits of this process.
+
+    The key lives in the memory of this process only. A replaced process
+    has another key, so a permit of the old one is void there and the old
+    one's memory is never needed to refuse it.
+    """
+
+    def __init__(self, vm: VmId, incarnation: Incarnation) -> None:
+        """Make permits that name this process as executor."""
+        self._vm = vm
+        self._incarnation = incarnation
+        self._key = secrets.token_bytes(_KEY_BYTES)
+
+    def make(
+        self,
+        scope: str,
+        witness: tuple[VmId, Incarnation],
+        seconds: float,
+    ) -> str:
+        """Give the text of a new permit, good for ``seconds``."""
+        permit = Permit(
+            scope,
+            self._vm,
+            self._incarnation,
+            *witness,
+            int(clock.wall() + seconds),
+            secrets.token_urlsafe(_NONCE_BYTES),
+        )
+        signed = permit.signed_part().encode()
+        sealed = authentication_code(self._key, signed) + signed
+        return PREFIX + base64.urlsafe_b64encode(sealed).decode('ascii')
+
+    def is_ours(self, text: str) -> bool:
+        """Tell whether this process made the permit."""
+        code, signed = _split(text)
+        return hmac.compare_digest(
+            code,
+            authentication_code(self._key, signed),
+        )
+
+
+def parse_permit(text: str) -> Result[Permit, ServingError]:
+    """Read the text of a permit, without checking its code."""
+    try:
+        _code, signed = _split(text)
+        fields = signed.decode().split(_SEPARATOR)
+    except (ValueError, UnicodeDecodeError):
+        return Error(_bad_permit())
+    if len(fields) != _FIELDS:
+        return Error(_bad_permit())
+    try:
+        numbers = [int(fields[index]) for index in (2, 4, 5)]
+    except ValueError:
+        return Error(_bad_permit())
+    return Ok(
+        Permit(
+            fields[0],
+            VmId(fields[1]),
+            Incarnation(numbers[0]),
+            VmId(fields[3]),
+            Incarnation(numbers[1]),
+            numbers[2],
+            fields[6],
+        ),
+    )
+
+
+def is_permit(text: str) -> bool:
+    """Tell whether an idempotency key is a permit."""
+    return text.startswith(PREFIX)
+
+
+def _split(text: str) -> tuple[bytes, bytes]:
+    encoded = text.removeprefix(PREFIX).encode('ascii')
+    sealed = base64.b64decode(encoded, b'-_', validate=True)
+    return sealed[:16], sealed[16:]
+
+
+def _bad_permit() -> ServingError:
+    return ServingError(
+        ErrorKind.CLAIM_NEEDED,
+        'the permit is damaged; ask /v1/entry for a new one',
+    )
--- /dev/null
+++ b/flamingovalve/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The two commands: the daemon and the command-line tool."""
--- /dev/null
+++ b/flamingovalve/cmd/flamingovalve.py
@@ -0,0 +1,253 @@
+"""The command-line tool of operators and callers."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+import curio
+
+from flamingovalve import VERSION
+from flamingovalve.cmd.tables import state_table
+from flamingovalve.config.inventory import (
+    InventoryBuilder,
+    parse_manifest,
+    parse_page,
+    parse_vm_list,
+)
+from flamingovalve.config.settings import load_settings
+from flamingovalve.errors import ConnectionLost, Fault
+from flamingovalve.generated.settings import RelaySettings
+from flamingovalve.http.client import ConnectionPool, UpstreamCall
+from flamingovalve.http.messages import Response
+from flamingovalve.util.network import Network
+
+EXIT_FAULTS = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EXIT_REFUSED = 4
+
+_DESCRIPTION = """Look after flamingovalve.
+
+Exit status: 0 done, 1 faults found, 2 wrong usage, 3 the VM cannot be
+reached, 4 the VM refused.
+
+Examples:
+  flamingovalve check vm-0.ini
+  flamingovalve check inventory/manifest.json
+  flamingovalve entry 127.0.0.1:8080 --model scarf-1 --application studio
+  flamingovalve send 127.0.0.1:8080 --model scarf-1 --application studio hello
+  flamingovalve state 127.0.0.1:8080 --json
+  flamingovalve drain 127.0.0.1:8080 --secret SECRET
+"""
+
+Address = Annotated[str, cappa.Arg(help='IP:port of a VM')]
+AsJson = Annotated[bool, cappa.Arg(long='--json', help='print JSON')]
+
+
+@dataclass
+class Check:
+    """Check a settings file (.ini) or an exported inventory (.json).
+
+    An inventory is named by its manifest; its pages are read from files
+    beside it, named as in the manifest with their last part only.
+    """
+
+    path: Annotated[Path, cappa.Arg(help='the file')]
+    json: AsJson = False
+
+    def __call__(self) -> None:
+        """Print every fault with its place and remedy."""
+        faults = check_file(self.path)
+        if self.json:
+            listed = [vars(fault) for fault in faults]
+            print(json.dumps({'faults': listed}))
+        else:
+            for fault in faults:
+                print(fault)
+        if faults:
+            raise cappa.Exit(code=EXIT_FAULTS)
+        if not self.json:
+            print(f'{self.path}: no fault')
+
+
+@dataclass
+class Entry:
+    """Ask a VM which addresses to use."""
+
+    address: Address
+    application: Annotated[str, cappa.Arg(long=True, help='who asks')]
+    model: Annotated[
+        str,
+        cappa.Arg(long=True, help='ADAPTER or ADAPTER@VERSION'),
+    ] = ''
+    service: Annotated[str, cappa.Arg(long=True, help='a plain service')] = ''
+    call: Annotated[str, cappa.Arg(long=True, help='a call of it')] = ''
+    json: AsJson = False
+
+    def __call__(self) -> None:
+        """Print the addresses, and the permit if there is one."""
+        query = f'application={self.application}'
+        if self.service:
+            query += f'&service={self.service}&call={self.call}'
+        else:
+            query += f'&model={self.model}'
+        answer = ask_json(
+            self.address, UpstreamCall('GET', f'/v1/entry?{query}', [])
+        )
+        if self.json:
+            print(json.dumps(answer))
+            return
+        for address in answer['addresses']:
+            print(address)
+        if 'permit' in answer:
+            print(f'permit {answer["permit"]}')
+
+
+@dataclass
+class Send:
+    """Send one prompt and print the answer."""
+
+    address: Address
+    prompt: Annotated[str, cappa.Arg(help='text of the prompt')]
+    model: Annotated[
+        str,
+        cappa.Arg(long=True, help='ADAPTER or ADAPTER@VERSION'),
+    ]
+    application: Annotated[str, cappa.Arg(long=True, help='who asks')]
+    json: AsJson = False
+
+    def __call__(self) -> None:
+        """Print the text, or the whole answer as JSON."""
+        content = {
+            'model': self.model,
+            'messages': [{'role': 'user', 'content': self.prompt}],
+        }
+        headers = [('authorization', f'Bearer {self.application}')]
+        call = UpstreamCall.from_json(
+            'POST',
+            '/v1/chat/completions',
+            content,
+            headers,
+        )
+        answer = ask_json(self.address, call)
+        if self.json:
+            print(json.dumps(answer))
+            return
+        print(answer['choices'][0]['message']['content'])
+        print(f'({answer["model"]})', file=sys.stderr)
+
+
+@dataclass
+class State:
+    """Print the state of a VM's process."""
+
+    address: Address
+    json: AsJson = False
+
+    def __call__(self) -> None:
+        """Print a table, or the whole dump as JSON."""
+        state = ask_json(self.address, UpstreamCall('GET', '/state', []))
+        print(json.dumps(state) if self.json else state_table(state))
+
+
+@dataclass
+class Drain:
+    """Have a VM leave the fleet once its work is done."""
+
+    address: Address
+    secret: Annotated[
+        str,
+        cappa.Arg(long=True, help='operators.secret of the VM'),
+    ]
+
+    def __call__(self) -> None:
+        """Ask the VM to leave."""
+        headers = [('x-operator-secret', self.secret)]
+        ask_json(self.address, UpstreamCall('POST', '/v1/drain', headers))
+        print(f'{self.address} is leaving')
+
+
+@cappa.command(name='flamingovalve', description=_DESCRIPTION)
+@dataclass
+class Flamingovalve:
+    """Look after flamingovalve."""
+
+    command: cappa.Subcommands[Check | Entry | Send | State | Drain]
+
+
+def check_file(path: Path) -> list[Fault]:
+    """Give every fault of a settings file or an exported inventory."""
+    if path.suffix == '.ini':
+        outcome = load_settings(path)
+        return outcome.error if outcome.is_error() else []
+    try:
+        content = path.read_bytes()
+    except OSError as failed:
+        return [Fault(str(path), str(failed), 'name a readable file')]
+    if b'"vms"' in content:
+        listed = parse_vm_list(content)
+        return listed.error if listed.is_error() else []
+    return _check_inventory(path, content)
+
+
+def _check_inventory(path: Path, content: bytes) -> list[Fault]:
+    manifest = parse_manifest(content)
+    if manifest.is_error():
+        return manifest.error
+    faults: list[Fault] = []
+    builder = InventoryBuilder(manifest.ok.version)
+    for reference in manifest.ok.pages:
+        page_path = path.parent / Path(reference.key).name
+        try:
+            text = page_path.read_bytes()
+        except OSError as failed:
+            fault = Fault(str(page_path), str(failed), 'export the page')
+            faults.append(fault)
+            continue
+        if hashlib.sha256(text).hexdigest() != reference.sha256:
+            remedy = 'write pages before the manifest'
+            faults.append(Fault(str(page_path), 'has another digest', remedy))
+        page = parse_page(text, str(page_path))
+        if page.is_error():
+            faults.extend(page.error)
+        else:
+            builder.add(page.ok)
+    built = builder.build()
+    return faults + (built.error if built.is_error() else [])
+
+
+def ask_json(address: str, call: UpstreamCall) -> dict[str, Any]:
+    """Make one call and give its JSON answer, or end with its error."""
+    try:
+        response = curio.run(_exchange, address, call)
+    except (OSError, ConnectionLost, ValueError) as failed:
+        message = f'{address}: {failed or "cannot be reached"}'
+        raise cappa.Exit(message, code=EXIT_UNREACHABLE) from failed
+    answer = json.loads(response.body)
+    if response.status >= 400:
+        error = answer.get('error', {})
+        message = f'{error.get("type")}: {error.get("message")}'
+        raise cappa.Exit(message, code=EXIT_REFUSED)
+    return answer
+
+
+async def _exchange(address: str, call: UpstreamCall) -> Response:
+    pool = ConnectionPool(Network(), RelaySettings())
+    response = await pool.exchange(address, call, 120, fresh=True)
+    await pool.close()
+    return response
+
+
+def main() -> None:
+    """Start from the command line."""
+    cappa.invoke(Flamingovalve, version=VERSION)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/flamingovalve/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and the published inventory."""
--- /dev/null
+++ b/flamingovalve/config/adapters.py
@@ -0,0 +1,109 @@
+"""A compact table of adapters: tens of bytes for each, not kilobytes."""
+
+from __future__ import annotations
+
+from array import array
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from flamingovalve.generated.settings import Adapter, AdapterId, ModelId
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable, Iterable, Iterator
+
+
+@dataclass(slots=True, frozen=True)
+class AdapterRecord:
+    """What the inventory says of one adapter."""
+
+    id: AdapterId
+    model: ModelId
+    versions: tuple[str, ...]
+    current: str
+    applications: frozenset[str]
+
+
+class Interner:
+    """Gives equal values one small number."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.entries: list[Hashable] = []
+        self._number_by_entry: dict[Hashable, int] = {}
+
+    def number(self, entry: Hashable) -> int:
+        """Give the number of ``entry``, a new one if it is new."""
+        known = self._number_by_entry.get(entry)
+        if known is None:
+            known = len(self.entries)
+            self._number_by_entry[entry] = known
+            self.entries.append(entry)
+        return known
+
+
+class AdapterTable:
+    """Adapters sorted by id, in arrays and one string of bytes.
+
+    A dict of dataclasses costs about a kilobyte an adapter; 100,000 of them
+    would take three times the memory that a VM may spend on control. Most
+    adapters share their model, versions and applications, so these are kept
+    once and named by number.
+    """
+
+    def __init__(self, adapters: Iterable[Adapter]) -> None:
+        """Build the table; ids must be unique."""
+        ordered = sorted(adapters, key=lambda adapter: adapter.id.encode())
+        names = [adapter.id.encode() for adapter in ordered]
+        self._facts = Interner()
+        self._names = b''.join(names)
+        self._starts = array('I', [0])
+        self._numbers = array('I')
+        for name, adapter in zip(names, ordered, strict=True):
+            self._starts.append(self._starts[-1] + len(name))
+            self._numbers.append(self._facts.number(_facts_of(adapter)))
+
+    def __len__(self) -> int:
+        """Count the adapters."""
+        return len(self._numbers)
+
+    def __iter__(self) -> Iterator[AdapterRecord]:
+        """Give every adapter in the order of ids."""
+        for index in range(len(self)):
+            yield self._record(index)
+
+    def find(self, adapter_id: str) -> AdapterRecord | None:
+        """Give the adapter of that id, if there is one."""
+        wanted = adapter_id.encode()
+        low, high = 0, len(self)
+        while low < high:
+            middle = (low + high) // 2
+            if self._name(middle) < wanted:
+                low = middle + 1
+            else:
+                high = middle
+        if low == len(self) or self._name(low) != wanted:
+            return None
+        return self._record(low)
+
+    def _name(self, index: int) -> bytes:
+        return self._names[self._starts[index] : self._starts[index + 1]]
+
+    def _record(self, index: int) -> AdapterRecord:
+        facts = self._facts.entries[self._numbers[index]]
+        model, versions, current, applications = facts  # type: ignore[misc]
+        return AdapterRecord(
+            AdapterId(self._name(index).decode()),
+            model,
+            versions,
+            current,
+            applications,
+        )
+
+
+def _facts_of(adapter: Adapter) -> Hashable:
+    return (
+        adapter.model,
+        tuple(adapter.versions),
+        adapter.current,
+        frozenset(adapter.applications),
+    )
--- /dev/null
+++ b/flamingovalve/config/checker.py
@@ -0,0 +1,130 @@
+"""Reads untyped values into generated dataclasses and lists every fault."""
+
+from __future__ import annotations
+
+import dataclasses
+from enum import Enum
+from typing import Any, TypeVar, get_args, get_origin, get_type_hints
+
+from expression import Error, Ok, Result
+
+from flamingovalve.errors import Fault
+
+Struct = TypeVar('Struct')
+
+_TRUE_WORDS = frozenset(('1', 'true', 'yes', 'on'))
+_FALSE_WORDS = frozenset(('0', 'false', 'no', 'off'))
+
+
+def read_struct(
+    kind: type[Struct],
+    raw: object,
+    place: str,
+) -> Result[Struct, list[Fault]]:
+    """Build a ``kind`` from a mapping of field names to values.
+
+    :param kind: a generated dataclass
+    :param raw: the mapping, from INI (texts) or JSON (typed values)
+    :param place: where the mapping stands, for messages
+    :returns: the value, or every fault found in it
+    """
+    reader = StructReader(place)
+    built = reader.read(kind, raw, place)
+    return Error(reader.faults) if reader.faults else Ok(built)
+
+
+class StructReader:
+    """Collects the faults met while values are read."""
+
+    def __init__(self, place: str) -> None:
+        """Start without a fault at ``place``."""
+        self.place = place
+        self.faults: list[Fault] = []
+
+    def read(self, kind: type[Any], raw: object, place: str) -> Any:
+        """Read ``raw`` as ``kind``; on a fault give the default."""
+        if dataclasses.is_dataclass(kind):
+            return self._read_dataclass(kind, raw, place)
+        if get_origin(kind) is list:
+            return self._read_list(get_args(kind)[0], raw, place)
+        plain = getattr(kind, '__supertype__', kind)
+        if isinstance(plain, type) and issubclass(plain, Enum):
+            return self._read_enum(plain, raw, place)
+        return self._read_scalar(plain, raw, place)
+
+    def _read_dataclass(self, kind: Any, raw: object, place: str) -> Any:
+        built = kind()
+        if not isinstance(raw, dict):
+            self._fault(place, 'is not an object', 'write one here')
+            return built
+        hints = get_type_hints(kind)
+        known = {entry.name: entry for entry in dataclasses.fields(kind)}
+        for name, found in raw.items():
+            inner = f'{place}.{name}'
+            if name not in known:
+                names = ', '.join(sorted(known))
+                self._fault(inner, 'is not known', f'use one of {names}')
+                continue
+            setattr(built, name, self.read(hints[name], found, inner))
+            self._check_range(known[name], getattr(built, name), inner)
+        return built
+
+    def _read_list(self, kind: Any, raw: object, place: str) -> list[Any]:
+        if isinstance(raw, str):
+            raw = [part.strip() for part in raw.split(',') if part.strip()]
+        if not isinstance(raw, list):
+            self._fault(place, 'is not a list', 'write a list here')
+            return []
+        return [
+            self.read(kind, entry, f'{place}[{index}]')
+            for index, entry in enumerate(raw)
+        ]
+
+    def _read_enum(self, kind: type[Enum], raw: object, place: str) -> Enum:
+        for member in kind:
+            if member.value == raw:
+                return member
+        labels = ', '.join(member.value for member in kind)
+        self._fault(place, f'{raw!r} is not allowed', f'use one of {labels}')
+        return next(iter(kind))
+
+    def _read_scalar(self, kind: type, raw: object, place: str) -> Any:
+        if kind is bool:
+            return self._read_bool(raw, place)
+        if kind is str and isinstance(raw, str):
+            return raw
+        if kind in {int, float} and not isinstance(raw, bool):
+            try:
+                return kind(raw)  # type: ignore[arg-type]
+            except (TypeError, ValueError):
+                self._fault(place, f'{raw!r} is no number', 'write a number')
+                return kind()
+        self._fault(
+            place,
+            f'{raw!r} is not of type {kind.__name__}',
+            f'write a {kind.__name__}',
+        )
+        return kind()
+
+    def _read_bool(self, raw: object, place: str) -> bool:
+        if isinstance(raw, bool):
+            return raw
+        word = str(raw).lower()
+        if word not in _TRUE_WORDS | _FALSE_WORDS:
+            self._fault(place, f'{raw!r} is not yes or no', 'write yes or no')
+        return word in _TRUE_WORDS
+
+    def _check_range(self, entry: Any, found: Any, place: str) -> None:
+        low = entry.metadata.get('low')
+        high = entry.metadata.get('high')
+        if low is None or low <= found <= high:
+            return
+        unit = entry.metadata.get('unit', '')
+        self._fault(
+            place,
+            f'{found} is out of range',
+            f'use {low:g} to {high:g} {unit}'.rstrip(),
+        )
+
+    def _fault(self, place: str, problem: str, remedy: str) -> None:
+        self.faults.append(Fault(place, problem, remedy))
--- /dev/null
+++ b/flamingovalve/config/inventory.py
@@ -0,0 +1,303 @@
+"""One whole, checked version of the inventory."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from expression import Error, Ok, Result
+
+from flamingovalve.config.adapters import AdapterTable
+from flamingovalve.config.checker import read_struct
+from flamingovalve.errors import ErrorKind, Fault, ServingError
+from flamingovalve.generated.settings import (
+    Adapter,
+    Application,
+    ApplicationId,
+    Engine,
+    EngineId,
+    Manifest,
+    ModelId,
+    Page,
+    Service,
+    ServiceCall,
+    ServiceId,
+    VmList,
+)
+from flamingovalve.util.network import split_address
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from flamingovalve.config.adapters import AdapterRecord
+
+MANIFEST_KEY = 'inventory/manifest'
+VM_LIST_KEY = 'fleet/vms'
+
+_EMPTY_TABLE: tuple[Adapter, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """The adapter and version that a request runs on."""
+
+    adapter: str
+    version: str
+    model: ModelId
+
+    @property
+    def name(self) -> str:
+        """Give the name under which engines hold it."""
+        return f'{self.adapter}@{self.version}'
+
+
+@dataclass
+class Inventory:
+    """Everything that operators publish, by its ids."""
+
+    version: int = 0
+    applications_by_id: dict[ApplicationId, Application] = field(
+        default_factory=dict,
+    )
+    engines_by_id: dict[EngineId, Engine] = field(default_factory=dict)
+    services_by_id: dict[ServiceId, Service] = field(default_factory=dict)
+    adapters: AdapterTable = field(
+        default_factory=lambda: AdapterTable(_EMPTY_TABLE),
+    )
+    engine_ids_by_model: dict[ModelId, list[EngineId]] = field(
+        default_factory=dict,
+    )
+
+    @classmethod
+    def from_pages(
+        cls,
+        version: int,
+        pages: Iterable[Page],
+    ) -> Result[Inventory, list[Fault]]:
+        """Join pages into one version, or give every fault found."""
+        builder = InventoryBuilder(version)
+        for page in pages:
+            builder.add(page)
+        return builder.build()
+
+    def authorise(self, credential: str) -> Result[Application, ServingError]:
+        """Give the application that ``credential`` proves.
+
+        :param credential: ``APPLICATION`` or ``APPLICATION:SECRET``
+        """
+        name, _separator, secret = credential.partition(':')
+        application = self.applications_by_id.get(ApplicationId(name))
+        if application is None:
+            return Error(_unknown_application(name))
+        wanted = application.secret_sha256
+        if wanted and hashlib.sha256(secret.encode()).hexdigest() != wanted:
+            return Error(_unknown_application(name))
+        return Ok(application)
+
+    def resolve(
+        self,
+        model: str,
+        application: Application,
+    ) -> Result[Target, ServingError]:
+        """Give the adapter version that ``application`` asks for.
+
+        :param model: ``ADAPTER@VERSION`` or ``ADAPTER``
+        """
+        name, _separator, version = model.partition('@')
+        record = self.adapters.find(name)
+        if record is None:
+            return Error(_unknown_adapter(name))
+        if application.id not in record.applications:
+            return Error(_not_allowed(application.id, f'adapter {name!r}'))
+        chosen = version or record.current
+        if chosen not in record.versions:
+            return Error(_unknown_version(record, chosen))
+        return Ok(Target(record.id, chosen, record.model))
+
+    def find_call(
+        self,
+        service_id: str,
+        call_id: str,
+        application: Application,
+    ) -> Result[tuple[Service, ServiceCall], ServingError]:
+        """Give a call of a plain service that ``application`` may make."""
+        service = self.services_by_id.get(ServiceId(service_id))
+        if service is None:
+            return Error(_unknown_service(service_id))
+        if application.id not in service.applications:
+            place = f'service {service_id!r}'
+            return Error(_not_allowed(application.id, place))
+        for call in service.calls:
+            if call.id == call_id:
+                return Ok((service, call))
+        return Error(_unknown_service(f'{service_id}/{call_id}'))
+
+
+class InventoryBuilder:
+    """Joins pages and checks what spans them."""
+
+    def __init__(self, version: int) -> None:
+        """Build version ``version``."""
+        self._version = version
+        self._faults: list[Fault] = []
+        self._adapters: list[Adapter] = []
+        self._adapter_ids: set[str] = set()
+        self._inventory = Inventory(version)
+
+    def add(self, page: Page) -> None:
+        """Take the content of one page."""
+        inventory = self._inventory
+        self._index(page.applications, inventory.applications_by_id)
+        self._index(page.engines, inventory.engines_by_id)
+        self._index(page.services, inventory.services_by_id)
+        for adapter in page.adapters:
+            if adapter.id in self._adapter_ids:
+                self._duplicate(adapter)
+            self._adapter_ids.add(adapter.id)
+            self._adapters.append(adapter)
+
+    def build(self) -> Result[Inventory, list[Fault]]:
+        """Give the inventory, or the faults that forbid it."""
+        for engine in self._inventory.engines_by_id.values():
+            self._check_address(f'engine {engine.id!r}', engine.address)
+            by_model = self._inventory.engine_ids_by_model
+            by_model.setdefault(engine.model, []).append(engine.id)
+        for service in self._inventory.services_by_id.values():
+            self._check_service(service)
+        for adapter in self._adapters:
+            self._check_adapter(adapter)
+        if self._faults:
+            return Error(self._faults)
+        self._inventory.adapters = AdapterTable(self._adapters)
+        return Ok(self._inventory)
+
+    def _index(self, entries: Iterable[Any], by_id: dict[Any, Any]) -> None:
+        for entry in entries:
+            if entry.id in by_id:
+                self._duplicate(entry)
+            by_id[entry.id] = entry
+
+    def _duplicate(self, entry: Any) -> None:
+        place = f'{type(entry).__name__.lower()} {entry.id!r}'
+        self._fault(place, 'stands twice', 'keep one of them')
+
+    def _check_service(self, service: Service) -> None:
+        place = f'service {service.id!r}'
+        for address in service.addresses:
+            self._check_address(place, address)
+        if not service.addresses:
+            self._fault(place, 'has no address', 'name its replicas')
+        self._check_applications(place, service.applications)
+
+    def _check_adapter(self, adapter: Adapter) -> None:
+        place = f'adapter {adapter.id!r}'
+        if not adapter.id or '@' in adapter.id:
+            self._fault(place, 'is no valid name', "name it without '@'")
+        if adapter.current not in adapter.versions:
+            self._fault(
+                place,
+                f'current version {adapter.current!r} is not among versions',
+                'add it to versions or make another one current',
+            )
+        if adapter.model not in self._inventory.engine_ids_by_model:
+            self._fault(
+                place,
+                f'no engine runs its model {adapter.model!r}',
+                'add an engine or mend the model name',
+            )
+        self._check_applications(place, adapter.applications)
+
+    def _check_applications(self, place: str, names: list[str]) -> None:
+        for name in names:
+            if name not in self._inventory.applications_by_id:
+                self._fault(
+                    place,
+                    f'names the unknown application {name!r}',
+                    'add the application or drop the name',
+                )
+
+    def _check_address(self, place: str, address: str) -> None:
+        try:
+            split_address(address)
+        except ValueError as bad:
+            self._fault(place, str(bad), 'write IP:port')
+
+    def _fault(self, place: str, problem: str, remedy: str) -> None:
+        self._faults.append(Fault(place, problem, remedy))
+
+
+def parse_manifest(content: bytes) -> Result[Manifest, list[Fault]]:
+    """Read the manifest."""
+    return _parse(Manifest, content, MANIFEST_KEY)
+
+
+def parse_page(content: bytes, key: str) -> Result[Page, list[Fault]]:
+    """Read the page that stands at ``key``."""
+    return _parse(Page, content, key)
+
+
+def parse_vm_list(content: bytes) -> Result[VmList, list[Fault]]:
+    """Read the published list of VMs."""
+    return _parse(VmList, content, VM_LIST_KEY)
+
+
+def _parse(
+    kind: type[Any],
+    content: bytes,
+    place: str,
+) -> Result[Any, list[Fault]]:
+    try:
+        raw = json.loads(content)
+    except (ValueError, RecursionError) as bad:
+        return Error([Fault(place, f'is not JSON ({bad})', 'export it anew')])
+    outcome = read_struct(kind, raw, place)
+    if outcome.is_ok() and kind is not Page and not _number(outcome.ok):
+        return Error([Fault(place, 'has no number', 'number it from 1')])
+    return outcome
+
+
+def _number(parsed: Manifest | VmList) -> int:
+    if isinstance(parsed, Manifest):
+        return parsed.version
+    return parsed.revision
+
+
+def _unknown_application(name: str) -> ServingError:
+    return ServingError(
+        ErrorKind.UNKNOWN_APPLICATION,
+        f'application {name!r} is not known or its secret is wrong; send '
+        "'Authorization: Bearer APPLICATION:SECRET' as in the inventory",
+    )
+
+
+def _not_allowed(application: str, place: str) -> ServingError:
+    return ServingError(
+        ErrorKind.APPLICATION_NOT_ALLOWED,
+        f'application {application!r} may not use {place}; add it to the '
+        'applications of that entry in the inventory',
+    )
+
+
+def _unknown_adapter(name: str) -> ServingError:
+    return ServingError(
+        ErrorKind.UNKNOWN_ADAPTER,
+        f'adapter {name!r} is not in the inventory; check the name or '
+        'export the inventory with it',
+    )
+
+
+def _unknown_version(record: AdapterRecord, version: str) -> ServingError:
+    names = ', '.join(record.versions)
+    return ServingError(
+        ErrorKind.UNKNOWN_VERSION,
+        f'adapter {record.id!r} has no version {version!r}; use one of {names}',
+    )
+
+
+def _unknown_service(name: str) -> ServingError:
+    return ServingError(
+        ErrorKind.UNKNOWN_SERVICE,
+        f'no service call {name!r} in the inventory; check the name',
+    )
--- /dev/null
+++ b/flamingovalve/config/keeper.py
@@ -0,0 +1,441 @@
+"""Keeps the newest accepted inventory and VM list of this VM.
+
+A version is accepted whole or not at all, and never a lower one than
+before. A few VMs of each failure domain watch the service; all others, and
+those whose service is down or stale, learn from peers.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+import zlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+import curio
+
+from flamingovalve.config.inventory import (
+    MANIFEST_KEY,
+    VM_LIST_KEY,
+    Inventory,
+    InventoryBuilder,
+    parse_manifest,
+    parse_page,
+    parse_vm_list,
+)
+from flamingovalve.config.service import (
+    ConfigurationService,
+    ServiceUnavailable,
+)
+from flamingovalve.errors import ConnectionLost, Fault, WrongPeer
+from flamingovalve.generated.messages import (
+    ConfigurationAsk,
+    ConfigurationReply,
+    VersionRumour,
+    VmId,
+)
+from flamingovalve.peer.client import PeerUnreachable
+from flamingovalve.util import clock, hashing
+from flamingovalve.util.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from flamingovalve.generated.settings import (
+        Manifest,
+        PageReference,
+        Settings,
+        VmList,
+    )
+    from flamingovalve.membership.members import MemberTable
+    from flamingovalve.peer.client import PeerPool
+
+logger = get_logger(__name__)
+
+# Digest and zlib-compressed content of one value.
+StoredPage = tuple[str, bytes]
+
+_PEER_SECONDS: Final = 3.0
+_STARTUP_PEERS: Final = 3
+_LONGEST_RETRY_FACTOR: Final = 16
+
+
+@dataclass
+class KeeperCounts:
+    """What happened to the configuration since this process started."""
+
+    accepted: int = 0
+    refused: int = 0
+    older: int = 0
+    pages_from_service: int = 0
+    pages_from_peers: int = 0
+    failed_fetches: int = 0
+
+
+class InvalidConfiguration(Exception):
+    """A published value cannot be accepted.
+
+    :ivar faults: every fault found
+    :ivar transient: reading again may give something else
+    """
+
+    def __init__(
+        self,
+        faults: list[Fault],
+        *,
+        transient: bool = False,
+    ) -> None:
+        """Name the faults."""
+        super().__init__('; '.join(str(fault) for fault in faults[:5]))
+        self.faults = faults
+        self.transient = transient
+
+
+class Origin:
+    """Where values are read from: the service or one peer."""
+
+    name = ''
+
+    async def read(self, key: str, sha256: str) -> bytes:
+        """Give the value at ``key``.
+
+        :param sha256: digest of the page that is wanted; empty for any
+        :raises ServiceUnavailable: when there is none to be had
+        """
+        raise NotImplementedError
+
+
+class ServiceOrigin(Origin):
+    """Reads from the configuration service."""
+
+    name = 'service'
+
+    def __init__(self, service: ConfigurationService) -> None:
+        """Read from ``service``."""
+        self._service = service
+
+    async def read(self, key: str, sha256: str) -> bytes:
+        """Give the value at ``key``."""
+        published = await self._service.read(key)
+        return published.content
+
+
+class PeerOrigin(Origin):
+    """Reads from another VM."""
+
+    name = 'peer'
+
+    def __init__(self, peers: PeerPool, address: str, vm: VmId) -> None:
+        """Read from the VM at ``address``."""
+        self._peers = peers
+        self._address = address
+        self._vm = vm
+
+    async def read(self, key: str, sha256: str) -> bytes:
+        """Give the value that the VM holds at ``key``."""
+        ask = ConfigurationAsk(key, sha256)
+        try:
+            _incarnation, reply = await self._peers.ask(
+                self._address,
+                self._vm,
+                ask,
+                _PEER_SECONDS,
+            )
+        except (PeerUnreachable, ConnectionLost, WrongPeer) as failed:
+            raise ServiceUnavailable(str(failed)) from failed
+        if not isinstance(reply, ConfigurationReply) or not reply.found:
+            raise ServiceUnavailable(f'{self._vm} holds no {key}')
+        return zlib.decompress(reply.content)
+
+
+class ConfigurationKeeper:
+    """The accepted configuration of one VM and how it is renewed."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        service: ConfigurationService,
+        peers: PeerPool,
+        members: MemberTable,
+        chance: random.Random,
+    ) -> None:
+        """Renew from ``service`` and ``peers``."""
+        self.inventory = Inventory()
+        self.vm_list: VmList | None = None
+        self.counts = KeeperCounts()
+        self.faults: list[Fault] = []
+        self.refreshed_at = float('-inf')
+        self.accepted_listeners: list[Callable[[], Awaitable[None]]] = []
+        self._settings = settings
+        self._service = service
+        self._peers = peers
+        self._members = members
+        self._chance = chance
+        self._stored_by_key: dict[str, tuple[str, bytes]] = {}
+        self._refused_digests: set[str] = set()
+        self._fetching = curio.Lock()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether an inventory and a list have been accepted."""
+        return self.inventory.version > 0 and self.vm_list is not None
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether something is being fetched at the moment."""
+        return self._fetching.locked()
+
+    def own_rumour(self) -> VersionRumour:
+        """Give the rumour that states what we hold."""
+        revision = self.vm_list.revision if self.vm_list else 0
+        own_id = VmId(self._settings.vm.id)
+        return VersionRumour(own_id, self.inventory.version, revision)
+
+    async def answer(self, ask: ConfigurationAsk) -> ConfigurationReply:
+        """Answer a peer that asks for a value."""
+        stored = self._stored_by_key.get(ask.key)
+        if stored is None or ask.sha256 not in {'', stored[0]}:
+            return ConfigurationReply(False)
+        return ConfigurationReply(True, stored[1])
+
+    async def start(self) -> None:
+        """Learn the first configuration.
+
+        Peers are asked before the service is believed: a service that lost
+        its newest version while this VM was away would otherwise turn a
+        restart into a step back.
+        """
+        while not self.is_ready:
+            await self._learn_list()
+            await self._learn_inventory()
+            if not self.is_ready:
+                await self._pause(1)
+
+    async def watch_forever(self, key: str) -> None:
+        """Watch ``key`` while this VM is one of the watchers."""
+        revision = 0
+        failures = 0
+        while True:
+            if not self.is_watcher():
+                await self._pause(1)
+                continue
+            try:
+                published = await self._service.watch(key, revision)
+            except ServiceUnavailable as failed:
+                failures += 1
+                logger.debug('cannot watch {}: {}', key, failed)
+                await self._pause(failures)
+                continue
+            failures = 0
+            self.refreshed_at = clock.now()
+            if published is not None:
+                revision = published.revision
+                origin = ServiceOrigin(self._service)
+                taking = self._take(key, published.content, origin)
+                if not await self._try(taking):
+                    # A page may have been missing or stale: read again.
+                    revision = 0
+                    await self._pause(1)
+
+    def is_watcher(self) -> bool:
+        """Tell whether this VM watches the service for its domain."""
+        own = self._members.by_id.get(self._members.own_id)
+        if own is None:
+            return True
+        domain = own.vm.failure_domain
+        names = [
+            member.vm.id
+            for member in self._members.present()
+            if member.vm.failure_domain == domain
+        ]
+        count = self._settings.configuration.watchers_per_domain
+        chosen = hashing.rank(f'watch {domain}', names)[:count]
+        return own.vm.id in chosen or not names
+
+    async def hear(self, rumour: VersionRumour) -> None:
+        """Fetch from the VM that holds something newer."""
+        member = self._members.by_id.get(rumour.vm)
+        if member is None or not self.is_behind(rumour):
+            return
+        address = member.vm.peer_address
+        origin = PeerOrigin(self._peers, address, rumour.vm)
+        await self._try(self._fetch_newer(rumour, origin))
+
+    def is_behind(self, rumour: VersionRumour) -> bool:
+        """Tell whether another VM holds something newer than we do."""
+        own = self.own_rumour()
+        newer_list = rumour.list_revision > own.list_revision
+        return rumour.version > own.version or newer_list
+
+    async def _fetch_newer(
+        self,
+        rumour: VersionRumour,
+        origin: Origin,
+    ) -> None:
+        own = self.own_rumour()
+        if rumour.list_revision > own.list_revision:
+            content = await origin.read(VM_LIST_KEY, '')
+            await self._take(VM_LIST_KEY, content, origin)
+        if rumour.version > own.version:
+            content = await origin.read(MANIFEST_KEY, '')
+            await self._take(MANIFEST_KEY, content, origin)
+
+    async def _learn_list(self) -> None:
+        origin = ServiceOrigin(self._service)
+        await self._try(self._read_and_take(VM_LIST_KEY, origin))
+        for seed in self._settings.fleet.seeds:
+            peer = PeerOrigin(self._peers, seed, VmId(''))
+            await self._try(self._read_and_take(VM_LIST_KEY, peer))
+
+    async def _learn_inventory(self) -> None:
+        origins: list[Origin] = [
+            PeerOrigin(self._peers, address, VmId(''))
+            for address in self._startup_peers()
+        ]
+        origins.append(ServiceOrigin(self._service))
+        for origin in origins:
+            await self._try(self._read_and_take(MANIFEST_KEY, origin))
+
+    def _startup_peers(self) -> list[str]:
+        addresses = [
+            member.vm.peer_address for member in self._members.others()
+        ]
+        count = min(_STARTUP_PEERS, len(addresses))
+        return [
+            *self._settings.fleet.seeds,
+            *self._chance.sample(addresses, count),
+        ]
+
+    async def _read_and_take(self, key: str, origin: Origin) -> None:
+        content = await origin.read(key, '')
+        await self._take(key, content, origin)
+
+    async def _try(self, work: Awaitable[None]) -> bool:
+        try:
+            await work
+            return True
+        except ServiceUnavailable as failed:
+            self.counts.failed_fetches += 1
+            logger.debug('no configuration: {}', failed)
+        except InvalidConfiguration as refused:
+            self.counts.refused += 1
+            self.faults = refused.faults
+            logger.warning('configuration refused: {}', refused)
+        return False
+
+    async def _take(self, key: str, content: bytes, origin: Origin) -> None:
+        async with self._fetching:
+            if key == VM_LIST_KEY:
+                changed = self._take_list(content)
+            else:
+                changed = await self._take_manifest(content, origin)
+        if changed:
+            for listener in self.accepted_listeners:
+                await listener()
+
+    def _take_list(self, content: bytes) -> bool:
+        published = _accepted(parse_vm_list(content))
+        known = self.vm_list.revision if self.vm_list else 0
+        if published.revision <= known:
+            self.counts.older += published.revision < known
+            return False
+        self.vm_list = published
+        self._store(VM_LIST_KEY, content)
+        return True
+
+    async def _take_manifest(self, content: bytes, origin: Origin) -> bool:
+        manifest = _accepted(parse_manifest(content))
+        if manifest.version <= self.inventory.version:
+            self.counts.older += manifest.version < self.inventory.version
+            return False
+        digest = _digest(content)
+        if digest in self._refused_digests:
+            return False
+        try:
+            stored = await self._fetch_pages(manifest, origin)
+            inventory = _build(manifest, stored)
+        except InvalidConfiguration as refused:
+            # Not fetched again until something else is published.
+            self._refused_digests = set() if refused.transient else {digest}
+            raise
+        self._stored_by_key = stored | {
+            key: kept
+            for key, kept in self._stored_by_key.items()
+            if key == VM_LIST_KEY
+        }
+        self._store(MANIFEST_KEY, content)
+        self.inventory = inventory
+        self.faults = []
+        self.counts.accepted += 1
+        logger.info('inventory version {} is in force', manifest.version)
+        return True
+
+    async def _fetch_pages(
+        self,
+        manifest: Manifest,
+        origin: Origin,
+    ) -> dict[str, StoredPage]:
+        """Give every page of a version; those unchanged are not read again."""
+        stored: dict[str, StoredPage] = {}
+        for reference in manifest.pages:
+            known = self._stored_by_key.get(reference.key)
+            if known is None or known[0] != reference.sha256:
+                known = await self._read_page(reference, origin)
+            stored[reference.key] = known
+        return stored
+
+    async def _read_page(
+        self,
+        reference: PageReference,
+        origin: Origin,
+    ) -> StoredPage:
+        if isinstance(origin, ServiceOrigin):
+            self.counts.pages_from_service += 1
+        else:
+            self.counts.pages_from_peers += 1
+        content = await origin.read(reference.key, reference.sha256)
+        page = _compressed(content)
+        if page[0] != reference.sha256:
+            fault = _wrong_digest(reference)
+            raise InvalidConfiguration([fault], transient=True)
+        return page
+
+    def _store(self, key: str, content: bytes) -> None:
+        self._stored_by_key[key] = _compressed(content)
+
+    async def _pause(self, failures: int) -> None:
+        base = self._settings.configuration.retry_seconds
+        factor = min(2 ** (failures - 1), _LONGEST_RETRY_FACTOR)
+        await curio.sleep(base * factor * self._chance.uniform(0.5, 1))
+
+
+def _compressed(content: bytes) -> StoredPage:
+    # Kept so that peers can be answered; compressed, because the pages of
+    # 100,000 adapters would not fit the memory budget otherwise.
+    return _digest(content), zlib.compress(content)
+
+
+def _build(manifest: Manifest, stored: dict[str, StoredPage]) -> Inventory:
+    builder = InventoryBuilder(manifest.version)
+    for key, (_sha256, compressed) in stored.items():
+        builder.add(_accepted(parse_page(zlib.decompress(compressed), key)))
+    return _accepted(builder.build())
+
+
+def _digest(content: bytes) -> str:
+    return hashlib.sha256(content).hexdigest()
+
+
+def _accepted(outcome: Any) -> Any:
+    if outcome.is_error():
+        raise InvalidConfiguration(outcome.error)
+    return outcome.ok
+
+
+def _wrong_digest(reference: PageReference) -> Fault:
+    return Fault(
+        reference.key,
+        'does not have the digest that the manifest names',
+        'publish pages before the manifest, and never change a page in place',
+    )
--- /dev/null
+++ b/flamingovalve/config/service.py
@@ -0,0 +1,83 @@
+"""Reads and watches the configuration service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from flamingovalve.errors import ConnectionLost
+from flamingovalve.http.client import UpstreamCall
+
+if TYPE_CHECKING:
+    from flamingovalve.generated.settings import ConfigurationSettings
+    from flamingovalve.http.client import ConnectionPool
+
+_OK = 200
+_UNCHANGED = 304
+
+
+class ServiceUnavailable(Exception):
+    """The configuration service gave no usable answer."""
+
+
+@dataclass(slots=True)
+class Published:
+    """One value and the service's revision of it."""
+
+    content: bytes
+    revision: int
+
+
+class ConfigurationService:
+    """Calls of the configuration service: only reads and watches."""
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        settings: ConfigurationSettings,
+    ) -> None:
+        """Call the service at the address of ``settings``."""
+        self.calls = 0
+        self.failures = 0
+        self._pool = pool
+        self._settings = settings
+
+    async def read(self, key: str) -> Published:
+        """Read the value at ``key``.
+
+        :raises ServiceUnavailable: when there is none to be had
+        """
+        published = await self._get(f'/v1/keys/{key}', 0)
+        if published is None:
+            raise ServiceUnavailable(f'no value at {key}')
+        return published
+
+    async def watch(self, key: str, revision: int) -> Published | None:
+        """Wait for a revision of ``key`` other than ``revision``.
+
+        :returns: nothing when it did not change within the watch time
+        :raises ServiceUnavailable: when the service does not answer
+        """
+        wait = self._settings.watch_seconds
+        target = f'/v1/keys/{key}?after={revision}&wait={wait:g}'
+        return await self._get(target, wait)
+
+    async def _get(self, target: str, wait: float) -> Published | None:
+        self.calls += 1
+        try:
+            response = await self._pool.exchange(
+                self._settings.address,
+                UpstreamCall('GET', target, []),
+                wait + self._settings.timeout_seconds,
+            )
+        except (OSError, ConnectionLost) as failed:
+            self.failures += 1
+            await self._pool.drop(self._settings.address)
+            raise ServiceUnavailable(str(failed)) from failed
+        if response.status == _UNCHANGED:
+            return None
+        revision = response.header('x-revision') or ''
+        if response.status != _OK or not revision.isdigit():
+            self.failures += 1
+            raise ServiceUnavailable(f'{target} gave {response.status}')
+        return Published(response.body, int(revision))
--- /dev/null
+++ b/flamingovalve/daemon.py
@@ -0,0 +1,487 @@
+"""One entry VM: all its parts, put together."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any, Final, Self
+
+import curio
+
+from flamingovalve.api import Api
+from flamingovalve.claims.executor import CallExecutor
+from flamingovalve.claims.holders import Holders
+from flamingovalve.config.inventory import MANIFEST_KEY, VM_LIST_KEY, Target
+from flamingovalve.config.keeper import ConfigurationKeeper
+from flamingovalve.config.service import ConfigurationService
+from flamingovalve.engines.store import StoreShare
+from flamingovalve.errors import ErrorKind, ServingError
+from flamingovalve.generated import messages
+from flamingovalve.generated.messages import Incarnation, VmId
+from flamingovalve.http.client import ConnectionPool
+from flamingovalve.http.server import HttpServer
+from flamingovalve.membership.gossip import Gossip, News
+from flamingovalve.membership.members import MemberTable
+from flamingovalve.metrics import DaemonMetrics
+from flamingovalve.peer.client import PeerPool
+from flamingovalve.peer.server import PeerServer
+from flamingovalve.relay.breaker import BreakerSet, RetryBudget
+from flamingovalve.relay.completion import CompletionRelay
+from flamingovalve.relay.quarantine import Quarantine
+from flamingovalve.relay.services import ServiceRelay, ServiceRequest
+from flamingovalve.relay.work import CompletionWork
+from flamingovalve.routing.engines import OwnedEngines
+from flamingovalve.routing.entry import EntryAnswers
+from flamingovalve.routing.forward import Forwarder
+from flamingovalve.routing.heat import Heat
+from flamingovalve.routing.ownership import Ownership
+from flamingovalve.routing.placement import Placement
+from flamingovalve.routing.router import Router
+from flamingovalve.state import state_of
+from flamingovalve.util import clock
+from flamingovalve.util.logs import get_logger
+from flamingovalve.util.tasks import TaskSet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from flamingovalve.config.inventory import Inventory
+    from flamingovalve.generated.settings import (
+        Service,
+        ServiceCall,
+        Settings,
+    )
+    from flamingovalve.http.messages import Response
+    from flamingovalve.peer.server import Sink
+    from flamingovalve.util.network import Network
+
+logger = get_logger(__name__)
+
+_TICK_SECONDS: Final = 0.25
+_STORE_GOSSIP_VMS: Final = 64
+_MICROSECONDS: Final = 1_000_000
+
+
+class Daemon:
+    """Everything that one process of flamingovalved does."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        chance: random.Random,
+        incarnation: Incarnation,
+    ) -> None:
+        """Put the parts together; nothing runs yet."""
+        self.settings = settings
+        self.incarnation = incarnation
+        self.network = network
+        self.chance = chance
+        self.in_progress = 0
+        self.is_leaving = False
+        self.refuses_work = False
+        self.stopped = curio.Event()
+        own_id = VmId(settings.vm.id)
+        self.members = MemberTable(own_id, incarnation)
+        self.pool = ConnectionPool(network, settings.relay)
+        self.peers = PeerPool(network, settings, incarnation)
+        self.gossip = Gossip(network, self.members, settings.fleet, chance)
+        self.service = ConfigurationService(self.pool, settings.configuration)
+        self.keeper = ConfigurationKeeper(
+            settings,
+            self.service,
+            self.peers,
+            self.members,
+            chance,
+        )
+        self.background = TaskSet()
+        self._build_serving(own_id)
+        self._build_servers()
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        network: Network,
+        seed: int | None = None,
+    ) -> Self:
+        """Build the daemon of ``settings``.
+
+        :param seed: of random choices; none for real randomness
+        """
+        incarnation = Incarnation(int(clock.wall() * _MICROSECONDS))
+        return cls(settings, network, random.Random(seed), incarnation)
+
+    def _build_serving(self, own_id: VmId) -> None:
+        settings, chance = self.settings, self.chance
+        scheduling = settings.scheduling
+        self.breakers = BreakerSet(settings.relay)
+        self.budget = RetryBudget(settings.relay)
+        self.quarantine = Quarantine(settings.relay)
+        self.store = StoreShare(own_id, scheduling)
+        self.placement = Placement(scheduling.placement, chance)
+        self.ownership = Ownership(self.members)
+        self.forwarder = Forwarder(self.members, self.peers)
+        self.engines = OwnedEngines(
+            settings,
+            self.incarnation,
+            self.members,
+            self.ownership,
+            self.pool,
+            self.peers,
+            self.store,
+            self.quarantine,
+            chance,
+        )
+        self.entries = EntryAnswers(
+            settings,
+            self.members,
+            self.placement,
+            self.ownership,
+        )
+        self.heat = Heat(self.engines, self.placement, scheduling)
+        self.relay = CompletionRelay(
+            self.pool,
+            settings.relay,
+            self.quarantine,
+            self.background,
+        )
+        self.router = Router(
+            own_id,
+            self.placement,
+            self.ownership,
+            self.engines,
+            self.relay,
+            self.forwarder,
+            self.breakers,
+            self.budget,
+            chance,
+        )
+        self.router.inventory = self.inventory
+        self.services = ServiceRelay(
+            self.pool,
+            self.breakers,
+            self.budget,
+            settings.relay,
+            chance,
+        )
+        self.holders = Holders(self.members, self.peers, settings.claims)
+        self.executor = CallExecutor(
+            settings,
+            self.incarnation,
+            self.members,
+            self.holders,
+            self.services,
+            self.forwarder.call,
+        )
+
+    def _build_servers(self) -> None:
+        settings = self.settings
+        self.http = HttpServer(self.network, Api(self), settings.limits)
+        self.peer_server = PeerServer(
+            self.network,
+            settings,
+            self.incarnation,
+        )
+        self.metrics = DaemonMetrics(self)
+        server = self.peer_server
+        table = self.executor.table
+        own = self.incarnation
+        server.on_ask(
+            messages.ClaimAsk,
+            _replying(lambda ask: table.acknowledge(ask, own)),
+        )
+        server.on_ask(messages.ClaimTell, _awaiting(table.tell))
+        server.on_ask(
+            messages.SealAsk,
+            _awaiting(lambda ask: table.seal(ask, own)),
+        )
+        server.on_ask(messages.ConfigurationAsk, _awaiting(self.keeper.answer))
+        server.on_ask(messages.TakeoverAsk, self.engines.answer_takeover)
+        server.on_work(messages.ForwardCompletion, self._forwarded_work)
+        server.on_work(messages.ForwardCall, self._forwarded_call)
+        self.gossip.rumour_listener = self._hear
+        self.gossip.standing_rumours = self._standing_rumours
+        self.gossip.late_listeners.append(self.engines.suspect_leases)
+        self.keeper.accepted_listeners.append(self._accepted)
+
+    # -- Life
+
+    async def run(self) -> None:
+        """Serve until :meth:`stop`, or until cancelled."""
+        settings = self.settings
+        http = self.network.listen(settings.vm.http_address)
+        peer = self.network.listen(settings.vm.peer_address)
+        self.gossip.open(settings.vm.peer_address)
+        spawn = self.background.spawn
+        try:
+            await spawn(self.http.serve, http)
+            await spawn(self.peer_server.serve, peer)
+            await spawn(self._start)
+            await self.stopped.wait()
+        finally:
+            await self._close()
+
+    async def begin_leaving(self) -> None:
+        """Leave the fleet: no new work, finish what is in progress, stop."""
+        if self.is_leaving:
+            return
+        logger.info('this VM is leaving')
+        self.is_leaving = True
+        self.members.leave()
+        await self.gossip.push(self.members.own_rumour())
+        await self.background.spawn(self._leave)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.stopped.set()
+
+    async def _start(self) -> None:
+        spawn = self.background.spawn
+        await self.keeper.start()
+        await spawn(self.gossip.receive_forever)
+        await spawn(self.gossip.probe_forever)
+        await spawn(self.engines.follow_forever)
+        await spawn(self.keeper.watch_forever, MANIFEST_KEY)
+        await spawn(self.keeper.watch_forever, VM_LIST_KEY)
+        await spawn(self._tick_forever)
+        logger.info('VM {} is ready', self.settings.vm.id)
+
+    async def _leave(self) -> None:
+        await curio.sleep(self.settings.fleet.leave_seconds)
+        self.refuses_work = True
+        await self.engines.close()
+        patience = clock.now() + self.settings.fleet.drain_seconds
+        while self._is_busy() and clock.now() < patience:
+            await curio.sleep(_TICK_SECONDS)
+        logger.info('nothing is in progress any more')
+        await self.stop()
+
+    def _is_busy(self) -> bool:
+        return self.in_progress > 0 or len(self.executor.running) > 0
+
+    async def _close(self) -> None:
+        await self.engines.close()
+        await self.background.cancel()
+        await self.executor.running.cancel()
+        await self.http.close()
+        await self.peer_server.close()
+        await self.gossip.close()
+        await self.peers.close()
+        await self.pool.close()
+
+    # -- Serving
+
+    def inventory(self) -> Inventory:
+        """Give the inventory in force.
+
+        :raises ServingError: when there is none yet
+        """
+        if not self.keeper.is_ready:
+            raise ServingError(
+                ErrorKind.NOT_READY,
+                'this VM has no configuration yet; try another one',
+                retry_after=1,
+            )
+        return self.keeper.inventory
+
+    async def serve(self, work: CompletionWork, sink: Sink) -> None:
+        """Serve a completion of a caller."""
+        started_at = clock.now()
+        self.in_progress += 1
+        try:
+            await self.router.serve(work, sink)
+        finally:
+            self.in_progress -= 1
+        self.metrics.answer_seconds.observe(clock.now() - started_at)
+
+    async def call(
+        self,
+        request: ServiceRequest,
+        service: Service,
+        call: ServiceCall,
+    ) -> Response:
+        """Make a call of a plain service for a caller or another VM."""
+        self.in_progress += 1
+        try:
+            if call.idempotent:
+                return await self.services.call_idempotent(
+                    request,
+                    service.addresses,
+                )
+            return await self.executor.handle(request, service.addresses)
+        finally:
+            self.in_progress -= 1
+
+    def next_request_id(self) -> str:
+        """Give a name for a request that no other request has."""
+        return secrets.token_hex(8)
+
+    async def _forwarded_work(
+        self,
+        message: messages.ForwardCompletion,
+        sink: Sink,
+    ) -> None:
+        target = Target(message.adapter, message.version, message.model)
+        work = CompletionWork.from_forward(message, target)
+        self.in_progress += 1
+        try:
+            await self.router.serve_forwarded(work, message.engine, sink)
+        finally:
+            self.in_progress -= 1
+
+    async def _forwarded_call(
+        self,
+        message: messages.ForwardCall,
+        sink: Sink,
+    ) -> None:
+        service = self.inventory().services_by_id.get(message.service)
+        if service is None:
+            raise ServingError(
+                ErrorKind.UNKNOWN_SERVICE,
+                f'service {message.service!r} is not in the inventory here; '
+                'try again shortly',
+                retry_after=1,
+            )
+        request = ServiceRequest(
+            message.request_id,
+            message.application,
+            message.service,
+            message.call,
+            message.content_type,
+            message.body,
+            clock.now() + message.remaining,
+            message.key,
+            message.key_time,
+            message.hops,
+        )
+        self.in_progress += 1
+        try:
+            response = await self.executor.handle(request, service.addresses)
+        finally:
+            self.in_progress -= 1
+        await sink.send(response)
+
+    # -- News
+
+    @singledispatchmethod
+    async def _hear(self, rumour: Any) -> News:
+        raise TypeError(f'{type(rumour).__name__} is not a rumour')
+
+    @_hear.register(messages.VersionRumour)
+    async def _hear_version(self, rumour: messages.VersionRumour) -> News:
+        # Not passed on as it is: once we hold that version ourselves, we
+        # say so, and those we tell fetch it from us.
+        if self.keeper.is_behind(rumour) and not self.keeper.is_busy:
+            await self.background.spawn(self.keeper.hear, rumour)
+        return News.NONE
+
+    @_hear.register(messages.PoisonRumour)
+    async def _hear_poison(self, rumour: messages.PoisonRumour) -> News:
+        heard = self.quarantine.hear(rumour)
+        return News.URGENT if heard else News.NONE
+
+    @_hear.register(messages.StoreRumour)
+    async def _hear_store(self, rumour: messages.StoreRumour) -> News:
+        heard = self.store.hear(rumour)
+        return News.ORDINARY if heard else News.NONE
+
+    @_hear.register(messages.SpreadRumour)
+    async def _hear_spread(self, rumour: messages.SpreadRumour) -> News:
+        heard = self.placement.hear(rumour)
+        return News.URGENT if heard else News.NONE
+
+    def _standing_rumours(self) -> list[Any]:
+        return [self.keeper.own_rumour()]
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await curio.sleep(_TICK_SECONDS)
+            for rumour in self.quarantine.take_news():
+                await self.gossip.push(rumour)
+            for rumour in self.heat.rumours():
+                await self.gossip.push(rumour)
+            self._tell_store_use()
+            await self.engines.pump()
+
+    def _tell_store_use(self) -> None:
+        # With many VMs this news would crowd out the rest; each then takes
+        # its share from the store's slowness alone.
+        if len(self.members.by_id) > _STORE_GOSSIP_VMS:
+            return
+        rumour = self.store.changed_rumour()
+        if rumour is not None:
+            self.gossip.rumours.add(rumour)
+
+    async def _accepted(self) -> None:
+        keeper = self.keeper
+        if keeper.vm_list is not None:
+            self.members.replace_list(keeper.vm_list)
+            self.holders.note_list(keeper.vm_list)
+        self.placement.replace_inventory(keeper.inventory)
+        self.engines.inventory = keeper.inventory
+        await self.gossip.push(keeper.own_rumour())
+
+    # -- What others may see
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether this VM has a configuration."""
+        return self.keeper.is_ready
+
+    def state_dump(self) -> dict[str, Any]:
+        """Give the state of this process as JSON values."""
+        return state_of(self)
+
+    def all_counts(self) -> dict[str, Any]:
+        """Give the counts of every part by its name."""
+        return {
+            'http': self.http.counts,
+            'gossip': self.gossip.counts,
+            'peer': self.peers.counts,
+            'peer_server': self.peer_server.counts,
+            'router': self.router.counts,
+            'forward': self.forwarder.counts,
+            'configuration': self.keeper.counts,
+            'claims': self.executor.counts,
+            'quarantine': self.quarantine.counts,
+        }
+
+    def gauges(self) -> dict[str, float]:
+        """Give the gauges by their name."""
+        members = self.members
+        return {
+            'ready': self.is_ready,
+            'leaving': self.is_leaving,
+            'requests_in_progress': self.in_progress,
+            'configuration_version': self.keeper.inventory.version,
+            'configuration_faults': len(self.keeper.faults),
+            'configuration_service_calls': self.service.calls,
+            'members_present': len(members.present()),
+            'members_indirect': sum(
+                not member.direct for member in members.others()
+            ),
+            'engines_owned': len(self.engines),
+            'claims_records': len(self.executor.table),
+            'breakers_open': len(self.breakers.open_addresses()),
+            'quarantined': len(self.quarantine),
+            'store_loading': self.store.loading,
+            'store_share': self.store.share,
+        }
+
+
+def _replying(decide: Callable[[Any], Any]) -> Callable[..., Awaitable[Any]]:
+    async def answer(message: Any, _remote: object) -> Any:
+        return decide(message)
+
+    return answer
+
+
+def _awaiting(
+    decide: Callable[[Any], Awaitable[Any]],
+) -> Callable[..., Awaitable[Any]]:
+    async def answer(message: Any, _remote: object) -> Any:
+        return await decide(message)
+
+    return answer
--- /dev/null
+++ b/flamingovalve/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Owning model engines: orders, scheduling, reports."""
--- /dev/null
+++ b/flamingovalve/engines/scheduler.py
@@ -0,0 +1,358 @@
+"""Decides what one engine runs next, loads next and evicts next.
+
+One scheduler runs at the owner of each engine. All requests for the engine
+pass through it, so it knows exactly which adapters are in use.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import curio
+
+from flamingovalve.engines.queue import Ticket, TicketQueue
+from flamingovalve.engines.residents import Resident, Residents, ResidentState
+from flamingovalve.errors import ErrorKind, ServingError
+from flamingovalve.util import clock
+from flamingovalve.util.rates import SmoothedSeconds
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from flamingovalve.engines.store import StoreShare
+    from flamingovalve.generated.settings import (
+        Engine,
+        LimitSettings,
+        SchedulingSettings,
+    )
+
+_LOAD_GUESS_SECONDS: Final = 0.25
+_SERVICE_GUESS_SECONDS: Final = 1.0
+_LOAD_BACKOFF_SECONDS: Final = 0.5
+_LONGEST_BACKOFF_SECONDS: Final = 30.0
+
+
+@dataclass
+class SchedulerCounts:
+    """What a scheduler did since it started.
+
+    ``busy_seat_seconds`` over ``wanted_seat_seconds`` is the batch
+    efficiency: seats used over seats that could have been used while work
+    was waiting.
+    """
+
+    dispatched: int = 0
+    refused: int = 0
+    stalled: int = 0
+    stall_seconds: float = 0
+    loads: int = 0
+    failed_loads: int = 0
+    evictions: int = 0
+    busy_seat_seconds: float = 0
+    wanted_seat_seconds: float = 0
+
+
+@dataclass(slots=True)
+class LoadOrder:
+    """A decision to load an adapter.
+
+    :ivar victim: the adapter that gives up its slot; none if one is free
+    """
+
+    name: str
+    victim: str | None
+
+
+@dataclass(slots=True)
+class Backoff:
+    """When a load that failed may be tried again."""
+
+    failures: int
+    until: float
+
+
+class EngineScheduler:
+    """Queue, slots and batch of one engine."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        scheduling: SchedulingSettings,
+        limits: LimitSettings,
+        store: StoreShare,
+        start_load: Callable[[LoadOrder], Awaitable[object]],
+    ) -> None:
+        """Schedule ``engine``; carry out loads by ``start_load``."""
+        self.engine = engine
+        self.counts = SchedulerCounts()
+        self.queue = TicketQueue(scheduling.starvation_seconds)
+        self.residents = Residents(engine.slots, scheduling.eviction)
+        self.running = 0
+        self.loads = SmoothedSeconds(_LOAD_GUESS_SECONDS)
+        self.services = SmoothedSeconds(_SERVICE_GUESS_SECONDS)
+        self.may_dispatch: Callable[[], bool] = _always
+        self.may_evict: Callable[[Resident], bool] = _always_evict
+        self._settings = scheduling
+        self._limits = limits
+        self._store = store
+        self._start_load = start_load
+        self._isolated = False
+        self._backoffs: dict[str, Backoff] = {}
+        self._accounted_at = clock.now()
+
+    async def enter(self, ticket: Ticket) -> None:
+        """Wait until the request may be sent to the engine.
+
+        :raises ServingError: when it is refused; it has not run then
+        """
+        self._check_admission(ticket)
+        self.residents.popularity.add(ticket.name)
+        self._account()
+        self.queue.add(ticket)
+        try:
+            await self._wait_for_seat(ticket)
+        except BaseException:
+            await self._withdraw(ticket)
+            raise
+        if ticket.refused is not None:
+            self.counts.refused += 1
+            raise ticket.refused
+
+    async def leave(self, ticket: Ticket, *, served: bool) -> None:
+        """Give back the seat of a dispatched request and its pin.
+
+        :param served: the request ended well; its duration is typical
+        """
+        self._account()
+        self.running -= 1
+        if ticket.isolated:
+            self._isolated = False
+        resident = self.residents.by_name.get(ticket.name)
+        if resident is not None:
+            resident.unpin()
+        if served:
+            self.services.add(clock.now() - ticket.granted_at)
+        await self.pump()
+
+    async def pump(self) -> None:
+        """Dispatch what can be dispatched and load what is waited for."""
+        while await self._dispatch_one():
+            self._account()
+        await self._start_loads()
+
+    async def load_ended(
+        self,
+        order: LoadOrder,
+        error: ServingError | None,
+        seconds: float,
+    ) -> None:
+        """Take the outcome of a load that was started."""
+        self._store.ended(seconds)
+        if order.name in self.residents.by_name:
+            await self._place(order, error, seconds)
+        await self.pump()
+
+    async def evict_all(self) -> None:
+        """Forget every adapter: the engine restarted with empty slots."""
+        for resident in list(self.residents.by_name.values()):
+            if resident.state is not ResidentState.LOADING:
+                self.residents.remove(resident.name)
+
+    async def refuse_all(self, error: ServingError) -> None:
+        """Refuse every waiting request."""
+        for ticket in list(self.queue):
+            await self._refuse(ticket, error)
+
+    def expected_wait(self, name: str) -> float:
+        """Estimate the seconds until a new request would be dispatched."""
+        seats = max(self.engine.batch, 1)
+        rounds = (len(self.queue) + max(self.running - seats + 1, 0)) / seats
+        wait = rounds * self.services.mean
+        if self.residents.ready(name) is None:
+            wait += self.loads.mean
+        return wait
+
+    def _check_admission(self, ticket: Ticket) -> None:
+        if len(self.queue) >= self._limits.queue_requests:
+            self.counts.refused += 1
+            raise _queue_full(self.engine.id, self.services.mean)
+        remaining = ticket.deadline - clock.now()
+        wait = self._wait_of(ticket)
+        if wait > remaining:
+            # Work that cannot be done in time would only delay the rest.
+            self.counts.refused += 1
+            raise _cannot_meet_deadline(wait, remaining)
+
+    def _wait_of(self, ticket: Ticket) -> float:
+        ticket.entered_at = clock.now()
+        seats = max(self.engine.batch, 1)
+        ahead = self.queue.ahead_of(ticket)
+        if self.running < seats and not ahead:
+            return 0
+        return ahead / seats * self.services.mean
+
+    async def _wait_for_seat(self, ticket: Ticket) -> None:
+        remaining = max(ticket.deadline - clock.now(), 0)
+        try:
+            async with curio.timeout_after(remaining):
+                await self.pump()
+                await ticket.called.wait()
+        except curio.TaskTimeout as late:
+            raise _deadline_passed() from late
+
+    async def _withdraw(self, ticket: Ticket) -> None:
+        self._account()
+        if not self.queue.remove(ticket) and ticket.granted_at >= 0:
+            await self.leave(ticket, served=False)
+
+    async def _refuse(self, ticket: Ticket, error: ServingError) -> None:
+        if self.queue.remove(ticket):
+            ticket.refused = error
+            await ticket.called.set()
+
+    async def _dispatch_one(self) -> bool:
+        if self.running >= self.engine.batch or self._isolated:
+            return False
+        if not self.may_dispatch():
+            return False
+        ticket = self.queue.first(self._is_ready)
+        if ticket is None:
+            return False
+        if ticket.isolated and self.running:
+            # It waits until the engine is empty; nothing overtakes it, or
+            # a busy engine would never be empty.
+            return False
+        await self._dispatch(ticket)
+        return True
+
+    def _is_ready(self, name: str) -> bool:
+        return self.residents.ready(name) is not None
+
+    async def _dispatch(self, ticket: Ticket) -> None:
+        self._account()
+        self.queue.remove(ticket)
+        self.residents.by_name[ticket.name].pin()
+        ticket.granted_at = clock.now()
+        self.running += 1
+        self._isolated = ticket.isolated
+        self.counts.dispatched += 1
+        if ticket.stalled:
+            self.counts.stalled += 1
+            self.counts.stall_seconds += ticket.stall_seconds
+        await ticket.called.set()
+
+    async def _start_loads(self) -> None:
+        for name in self._wanted_loads():
+            if not await self._try_load(name):
+                break
+        self._store.waiting(self, len(self._wanted_loads()))
+
+    def _wanted_loads(self) -> list[str]:
+        moment = clock.now()
+        wanted = []
+        for name in self.queue.names():
+            if name in self.residents.by_name:
+                continue
+            backoff = self._backoffs.get(name)
+            if backoff is None or backoff.until <= moment:
+                wanted.append(name)
+            for ticket in self.queue.waiting(name):
+                ticket.stalled = True
+        return sorted(wanted, key=self._load_urgency)
+
+    def _load_urgency(self, name: str) -> tuple[int, int, float]:
+        # One load serves everyone who waits for that adapter, so among
+        # equals the one with most waiting saves most waiting.
+        rank, entered_at = self.queue.urgency(self.queue.head(name))
+        return rank, -len(self.queue.waiting(name)), entered_at
+
+    async def _try_load(self, name: str) -> bool:
+        if not self.may_dispatch():
+            return False
+        victim = None
+        if not self.residents.has_free_slot():
+            victim = self._choose_victim()
+            if victim is None:
+                return False
+        if not self._store.start():
+            return False
+        if victim is not None:
+            victim.state = ResidentState.UNLOADING
+            self.counts.evictions += 1
+        self.residents.add(name, ResidentState.LOADING)
+        self.counts.loads += 1
+        order = LoadOrder(name, victim.name if victim else None)
+        await self._start_load(order)
+        return True
+
+    def _choose_victim(self) -> Resident | None:
+        return self.residents.victim(self.queue.names(), self.may_evict)
+
+    async def _place(
+        self,
+        order: LoadOrder,
+        error: ServingError | None,
+        seconds: float,
+    ) -> None:
+        if error is None:
+            self.loads.add(seconds)
+            self._backoffs.pop(order.name, None)
+            self.residents.by_name[order.name].state = ResidentState.READY
+            for ticket in self.queue.waiting(order.name):
+                ticket.stall_seconds = clock.now() - ticket.entered_at
+            return
+        self.residents.remove(order.name)
+        self.counts.failed_loads += 1
+        self._back_off(order.name)
+        for ticket in list(self.queue.waiting(order.name)):
+            await self._refuse(ticket, error)
+
+    def _back_off(self, name: str) -> None:
+        known = self._backoffs.get(name)
+        failures = known.failures + 1 if known else 1
+        pause = _LOAD_BACKOFF_SECONDS * 2 ** (failures - 1)
+        pause = min(pause, _LONGEST_BACKOFF_SECONDS)
+        self._backoffs[name] = Backoff(failures, clock.now() + pause)
+
+    def _account(self) -> None:
+        moment = clock.now()
+        elapsed = moment - self._accounted_at
+        self._accounted_at = moment
+        busy = min(self.running, self.engine.batch)
+        wanted = min(self.running + len(self.queue), self.engine.batch)
+        self.counts.busy_seat_seconds += busy * elapsed
+        self.counts.wanted_seat_seconds += wanted * elapsed
+
+
+def _always() -> bool:
+    return True
+
+
+def _always_evict(_resident: Resident) -> bool:
+    return True
+
+
+def _queue_full(engine: str, seconds: float) -> ServingError:
+    return ServingError(
+        ErrorKind.OVERLOADED,
+        f'too many requests wait for engine {engine!r}; come back later',
+        retry_after=seconds,
+    )
+
+
+def _cannot_meet_deadline(wait: float, remaining: float) -> ServingError:
+    return ServingError(
+        ErrorKind.DEADLINE_TOO_SHORT,
+        f'the wait is about {wait:.1f} s and the deadline is in '
+        f'{remaining:.1f} s; come back later or allow more time',
+        retry_after=wait,
+    )
+
+
+def _deadline_passed() -> ServingError:
+    return ServingError(
+        ErrorKind.DEADLINE_PASSED,
+        'the deadline passed while the request waited; it was not run',
+        retry_after=1,
+    )
--- /dev/null
+++ b/flamingovalve/errors.py
@@ -0,0 +1,127 @@
+"""Every error that flamingovalve reports, as typed kinds."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Final
+
+
+class Ran(Enum):
+    """What is known about the run of a request that failed."""
+
+    NO = 'no'
+    YES = 'yes'
+    UNKNOWN = 'unknown'
+
+
+class ErrorKind(Enum):
+    """Kinds of failure, each with the HTTP status that reports it."""
+
+    MALFORMED_REQUEST = ('malformed_request', 400)
+    REQUEST_TOO_LARGE = ('request_too_large', 413)
+    HEADERS_TOO_LARGE = ('headers_too_large', 431)
+    CALLER_TOO_SLOW = ('caller_too_slow', 408)
+    UNKNOWN_PATH = ('unknown_path', 404)
+    METHOD_NOT_ALLOWED = ('method_not_allowed', 405)
+    UNKNOWN_ADAPTER = ('unknown_adapter', 404)
+    UNKNOWN_VERSION = ('unknown_version', 404)
+    UNKNOWN_SERVICE = ('unknown_service', 404)
+    UNKNOWN_APPLICATION = ('unknown_application', 401)
+    APPLICATION_NOT_ALLOWED = ('application_not_allowed', 403)
+    RATE_LIMITED = ('rate_limited', 429)
+    OVERLOADED = ('overloaded', 503)
+    DEADLINE_TOO_SHORT = ('deadline_too_short', 503)
+    DEADLINE_PASSED = ('deadline_passed', 504)
+    NOT_READY = ('not_ready', 503)
+    LEAVING = ('leaving', 503)
+    NOT_OWNER = ('not_owner', 503)
+    NO_UPSTREAM = ('no_upstream', 503)
+    UPSTREAM_UNREACHABLE = ('upstream_unreachable', 502)
+    UPSTREAM_FAILED = ('upstream_failed', 502)
+    UPSTREAM_CRASHED = ('upstream_crashed', 502)
+    UPSTREAM_SILENT = ('upstream_silent', 504)
+    UPSTREAM_REFUSED = ('upstream_refused', 502)
+    WRONG_ANSWER = ('wrong_answer', 502)
+    FRAGMENT = ('fragment', 502)
+    LOAD_FAILED = ('load_failed', 503)
+    POISON_REQUEST = ('poison_request', 422)
+    CLAIM_NEEDED = ('claim_needed', 428)
+    CLAIM_REUSED = ('claim_reused', 422)
+    CLAIM_EXPIRED = ('claim_expired', 410)
+    CLAIM_BLOCKED = ('claim_blocked', 503)
+    CLAIM_SEALED = ('claim_sealed', 409)
+    ANSWER_NOT_KEPT = ('answer_not_kept', 410)
+    OUTCOME_UNKNOWN = ('outcome_unknown', 502)
+    INVALID_SETTINGS = ('invalid_settings', 500)
+    INVALID_INVENTORY = ('invalid_inventory', 500)
+    PEER_REFUSED = ('peer_refused', 502)
+    INTERNAL = ('internal', 500)
+
+    def __init__(self, label: str, status: int) -> None:
+        """Split the value into its label and its HTTP status."""
+        self.label = label
+        self.status = status
+
+
+BY_LABEL: Final = {kind.label: kind for kind in ErrorKind}
+
+
+class ServingError(Exception):
+    """A failure with its kind, its remedy and whether the request ran.
+
+    Travels as the error side of a ``Result`` where a decision is made, and
+    is raised where a task unwinds.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        ran: Ran = Ran.NO,
+        retry_after: float | None = None,
+    ) -> None:
+        """Describe the failure.
+
+        :param kind: what sort of failure it is
+        :param message: what happened and what the reader can do about it
+        :param ran: whether an upstream may have run the request
+        :param retry_after: seconds after which a new try makes sense
+        """
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+        self.ran = ran
+        self.retry_after = retry_after
+
+    def to_json(self) -> dict[str, object]:
+        """Give the JSON object that callers receive."""
+        return {
+            'error': {
+                'type': self.kind.label,
+                'message': self.message,
+                'ran': self.ran.value,
+            },
+        }
+
+
+class Fault:
+    """One mistake in settings or inventory: where, what, and the remedy."""
+
+    def __init__(self, place: str, problem: str, remedy: str) -> None:
+        """Describe the mistake found at ``place``."""
+        self.place = place
+        self.problem = problem
+        self.remedy = remedy
+
+    def __str__(self) -> str:
+        """Give the line that operators read."""
+        return f'{self.place}: {self.problem}; {self.remedy}'
+
+
+class ConnectionLost(Exception):
+    """A connection ended or broke before the exchange on it was complete."""
+
+
+class WrongPeer(Exception):
+    """A peer failed authentication or answered out of protocol."""
--- /dev/null
+++ b/flamingovalve/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP over curio sockets, by h11."""
--- /dev/null
+++ b/flamingovalve/http/messages.py
@@ -0,0 +1,112 @@
+"""HTTP requests and responses as values."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from functools import cached_property
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs, urlsplit
+
+from flamingovalve.errors import ErrorKind, ServingError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+JSON_TYPE = 'application/json'
+EVENT_STREAM_TYPE = 'text/event-stream'
+
+HeaderList = list[tuple[str, str]]
+
+
+def header_map(
+    raw: Iterable[tuple[bytes, bytes]],
+) -> dict[str, str]:
+    """Give headers by their lower-case name; the last of a name wins."""
+    return {
+        name.decode('latin-1').lower(): text.decode('latin-1')
+        for name, text in raw
+    }
+
+
+@dataclass
+class Request:
+    """One request as it was read from a caller.
+
+    :ivar target: path and query as sent
+    :ivar headers: header texts by lower-case name
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+
+    @cached_property
+    def path(self) -> str:
+        """Give the path without the query."""
+        return urlsplit(self.target).path
+
+    @cached_property
+    def query(self) -> dict[str, str]:
+        """Give the query's parameters; the last of a name wins."""
+        parsed = parse_qs(urlsplit(self.target).query)
+        return {name: texts[-1] for name, texts in parsed.items()}
+
+    def json_object(self) -> dict[str, Any]:
+        """Give the body as a JSON object.
+
+        :raises ServingError: when it is not one
+        """
+        try:
+            parsed = json.loads(self.body)
+        except (ValueError, RecursionError) as bad:
+            raise ServingError(
+                ErrorKind.MALFORMED_REQUEST,
+                f'the body is not JSON ({bad}); send one JSON object',
+            ) from bad
+        if not isinstance(parsed, dict):
+            raise ServingError(
+                ErrorKind.MALFORMED_REQUEST,
+                'the body is JSON but not an object; send one JSON object',
+            )
+        return parsed
+
+
+@dataclass
+class Response:
+    """One whole response."""
+
+    status: int
+    headers: HeaderList = field(default_factory=list)
+    body: bytes = b''
+
+    @classmethod
+    def from_json(
+        cls,
+        content: object,
+        status: int = 200,
+        headers: HeaderList | None = None,
+    ) -> Response:
+        """Build a response whose body is ``content`` as JSON."""
+        return cls(
+            status,
+            [('content-type', JSON_TYPE), *(headers or [])],
+            json.dumps(content, separators=(',', ':')).encode(),
+        )
+
+    @classmethod
+    def from_error(cls, error: ServingError) -> Response:
+        """Build the response that reports ``error``."""
+        headers: HeaderList = []
+        if error.retry_after is not None:
+            whole = max(1, int(error.retry_after + 0.999))
+            headers.append(('retry-after', str(whole)))
+        return cls.from_json(error.to_json(), error.kind.status, headers)
+
+    def header(self, name: str) -> str | None:
+        """Give the text of the header ``name``, given in lower case."""
+        for candidate, text in self.headers:
+            if candidate == name:
+                return text
+        return None
--- /dev/null
+++ b/flamingovalve/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs are there, by gossip and the published list."""
--- /dev/null
+++ b/flamingovalve/membership/members.py
@@ -0,0 +1,248 @@
+"""What this VM believes of the others."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from flamingovalve.generated.messages import Incarnation, MemberRumour
+from flamingovalve.generated.messages import MemberState as State
+from flamingovalve.generated.settings import VmState
+from flamingovalve.util import clock
+from flamingovalve.util.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from flamingovalve.generated.settings import PublishedVm, VmId, VmList
+
+logger = get_logger(__name__)
+
+# A VM that keeps dying and coming back would move ownership at each turn.
+# Each return within the memory below doubles the wait before it counts again.
+_FLAP_MEMORY_SECONDS = 120
+_FIRST_HOLD_SECONDS = 0.5
+_LONGEST_HOLD_SECONDS = 60
+
+_SEVERITY = {
+    State.ALIVE: 0,
+    State.SUSPECT: 1,
+    State.LEAVING: 2,
+    State.DEAD: 3,
+}
+
+
+@dataclass(slots=True)
+class Member:
+    """One VM of the published list, as this VM sees it.
+
+    :ivar incarnation: number of the process last heard of; 0 before that
+    :ivar counter: raised by the VM itself to refute a suspicion
+    :ivar changed_at: when the state last changed, on our clock
+    :ivar heard_at: when a datagram last came straight from it
+    :ivar direct: whether the direct path to it works
+    :ivar held_until: when it counts as present again after it flapped
+    """
+
+    vm: PublishedVm
+    incarnation: Incarnation = Incarnation(0)
+    counter: int = 0
+    state: State = State.ALIVE
+    changed_at: float = 0
+    heard_at: float = -1
+    direct: bool = True
+    returns: list[float] = field(default_factory=list)
+    held_until: float = 0
+
+    def is_present(self) -> bool:
+        """Tell whether it takes part in the division of work."""
+        if self.vm.state is VmState.LEAVING:
+            return False
+        if self.state not in {State.ALIVE, State.SUSPECT}:
+            return False
+        return clock.now() >= self.held_until
+
+
+class MemberTable:
+    """All VMs of the published list with what gossip says of them."""
+
+    def __init__(self, own_id: VmId, own_incarnation: Incarnation) -> None:
+        """Start with no member but ourselves, known by the list alone."""
+        self.own_id = own_id
+        self.own_incarnation = own_incarnation
+        self.own_counter = 0
+        self.own_state = State.ALIVE
+        self.by_id: dict[VmId, Member] = {}
+        self.epoch = 0
+        self._rumours_by_id: dict[VmId, MemberRumour] = {}
+        self._present: list[Member] | None = None
+        self._present_until = 0.0
+
+    def replace_list(self, published: VmList) -> None:
+        """Take a new published list; keep what gossip said of each VM."""
+        previous = self.by_id
+        self.by_id = {}
+        for vm in published.vms:
+            member = previous.get(vm.id) or Member(vm, changed_at=clock.now())
+            member.vm = vm
+            self.by_id[vm.id] = member
+        self._touch()
+        for vm_id, rumour in list(self._rumours_by_id.items()):
+            # A VM can be heard of before the lagging list names it.
+            if vm_id in self.by_id:
+                del self._rumours_by_id[vm_id]
+                self.apply(rumour)
+
+    def others(self) -> list[Member]:
+        """Give every member but ourselves."""
+        return [
+            member
+            for vm_id, member in self.by_id.items()
+            if vm_id != self.own_id
+        ]
+
+    def present(self) -> list[Member]:
+        """Give the members that share the work, ourselves included."""
+        if self._present is None or clock.now() >= self._present_until:
+            self._present = [
+                member for member in self.by_id.values() if self._counts(member)
+            ]
+            self._present_until = self._next_release()
+        return self._present
+
+    def present_ids(self) -> list[VmId]:
+        """Give the ids of :meth:`present`."""
+        return [member.vm.id for member in self.present()]
+
+    def is_present(self, vm_id: VmId) -> bool:
+        """Tell whether a VM shares the work."""
+        member = self.by_id.get(vm_id)
+        return member is not None and self._counts(member)
+
+    def apply(self, rumour: MemberRumour) -> bool:
+        """Take a rumour about another VM.
+
+        :returns: whether it was news
+        """
+        member = self.by_id.get(rumour.vm)
+        if member is None:
+            self._remember(rumour)
+            return False
+        if not _is_newer(member, rumour):
+            return False
+        if rumour.incarnation != member.incarnation:
+            self._replaced(member)
+        member.incarnation = rumour.incarnation
+        member.counter = rumour.counter
+        self.change(member, rumour.state)
+        return True
+
+    def change(self, member: Member, state: State) -> None:
+        """Move a member to ``state``."""
+        if member.state is state:
+            return
+        if member.state is State.DEAD:
+            self._hold(member)
+        logger.info(
+            'VM {} was {} and is {}',
+            member.vm.id,
+            member.state.value,
+            state.value,
+        )
+        member.state = state
+        member.changed_at = clock.now()
+        self._touch()
+
+    def rumour_of(self, member: Member) -> MemberRumour:
+        """Give the rumour that states what we believe of a member."""
+        return MemberRumour(
+            member.vm.id,
+            member.incarnation,
+            member.counter,
+            member.state,
+        )
+
+    def own_rumour(self) -> MemberRumour:
+        """Give the rumour that states how we are."""
+        return MemberRumour(
+            self.own_id,
+            self.own_incarnation,
+            self.own_counter,
+            self.own_state,
+        )
+
+    def leave(self) -> None:
+        """Count ourselves as leaving."""
+        self.own_state = State.LEAVING
+        self.own_counter += 1
+        self._touch()
+
+    def refute(self, rumour: MemberRumour) -> bool:
+        """Answer a rumour that says we are suspected or dead.
+
+        :returns: whether there was something to refute
+        """
+        if rumour.incarnation != self.own_incarnation:
+            return False
+        harmless = rumour.state is self.own_state
+        if harmless or rumour.counter < self.own_counter:
+            return False
+        self.own_counter = rumour.counter + 1
+        return True
+
+    def _counts(self, member: Member) -> bool:
+        if member.vm.id == self.own_id:
+            published = member.vm.state is VmState.LIVE
+            return published and self.own_state is State.ALIVE
+        return member.is_present()
+
+    def _next_release(self) -> float:
+        moment = clock.now()
+        releases = [
+            member.held_until
+            for member in self.by_id.values()
+            if member.held_until > moment
+        ]
+        return min(releases, default=float('inf'))
+
+    def _replaced(self, member: Member) -> None:
+        # A new process at a known name shares nothing with the old one:
+        # whoever divides work by these members must notice the change.
+        if member.incarnation:
+            logger.info('VM {} runs a new process', member.vm.id)
+        member.direct = True
+        self._touch()
+
+    def _hold(self, member: Member) -> None:
+        moment = clock.now()
+        recent = [
+            at for at in member.returns if moment - at < _FLAP_MEMORY_SECONDS
+        ]
+        wait = _FIRST_HOLD_SECONDS * 2 ** len(recent) if recent else 0
+        member.held_until = moment + min(wait, _LONGEST_HOLD_SECONDS)
+        member.returns = [*recent, moment]
+
+    def _remember(self, rumour: MemberRumour) -> None:
+        known = self._rumours_by_id.get(rumour.vm)
+        if known is None or rumour.incarnation >= known.incarnation:
+            self._rumours_by_id[rumour.vm] = rumour
+
+    def _touch(self) -> None:
+        self.epoch += 1
+        self._present = None
+
+
+def _is_newer(member: Member, rumour: MemberRumour) -> bool:
+    if rumour.incarnation != member.incarnation:
+        return rumour.incarnation > member.incarnation
+    if rumour.counter != member.counter:
+        return rumour.counter > member.counter
+    return _SEVERITY[rumour.state] > _SEVERITY[member.state]
+
+
+def by_domain(members: Iterable[Member]) -> dict[str, list[Member]]:
+    """Group members by their failure domain."""
+    grouped: dict[str, list[Member]] = {}
+    for member in members:
+        grouped.setdefault(member.vm.failure_domain, []).append(member)
+    return grouped
--- /dev/null
+++ b/flamingovalve/membership/rumours.py
@@ -0,0 +1,89 @@
+"""Which news still has to be told, and how often it was."""
+
+from __future__ import annotations
+
+import math
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from flamingovalve.generated import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+_TELLINGS_FACTOR = 3
+
+
+@singledispatch
+def subject(rumour: Any) -> Hashable:
+    """Give what a rumour is about; a newer one replaces it."""
+    raise TypeError(f'{type(rumour).__name__} is not a rumour')
+
+
+@subject.register(messages.MemberRumour)
+def _member(rumour: messages.MemberRumour) -> Hashable:
+    return ('member', rumour.vm)
+
+
+@subject.register(messages.VersionRumour)
+def _version(rumour: messages.VersionRumour) -> Hashable:
+    return 'version'
+
+
+@subject.register(messages.PoisonRumour)
+def _poison(rumour: messages.PoisonRumour) -> Hashable:
+    return ('poison', rumour.fingerprint)
+
+
+@subject.register(messages.StoreRumour)
+def _store(rumour: messages.StoreRumour) -> Hashable:
+    return ('store', rumour.vm)
+
+
+@subject.register(messages.SpreadRumour)
+def _spread(rumour: messages.SpreadRumour) -> Hashable:
+    return ('spread', rumour.adapter)
+
+
+class RumourQueue:
+    """News to piggyback, least told first.
+
+    Each piece of news is told O(log n) times by each VM that has it, which
+    reaches all of n VMs with high probability; a datagram carries a bounded
+    number, so the cost of a VM does not grow with the fleet.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing to tell."""
+        self._by_subject: dict[Hashable, tuple[int, int, Any]] = {}
+        self._added = 0
+
+    def __len__(self) -> int:
+        """Count the news still to be told."""
+        return len(self._by_subject)
+
+    def add(self, rumour: Any) -> None:
+        """Tell ``rumour`` from now on, in place of older news of its kind."""
+        self._added += 1
+        self._by_subject[subject(rumour)] = (0, -self._added, rumour)
+
+    def take(self, count: int, fleet_size: int) -> list[Any]:
+        """Give up to ``count`` rumours for one datagram.
+
+        :param fleet_size: number of VMs, which bounds the tellings of each
+        """
+        if not self._by_subject:
+            return []
+        limit = _TELLINGS_FACTOR * math.ceil(math.log2(fleet_size + 2))
+        ordered = sorted(
+            self._by_subject.items(),
+            key=lambda entry: entry[1][:2],
+        )
+        chosen = []
+        for key, (told, order, rumour) in ordered[:count]:
+            chosen.append(rumour)
+            if told + 1 >= limit:
+                del self._by_subject[key]
+            else:
+                self._by_subject[key] = (told + 1, order, rumour)
+        return chosen
--- /dev/null
+++ b/flamingovalve/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between VMs."""
--- /dev/null
+++ b/flamingovalve/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to upstreams and the checks on their answers."""
--- /dev/null
+++ b/flamingovalve/relay/work.py
@@ -0,0 +1,143 @@
+"""One completion on its way to an engine."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Self
+
+from flamingovalve.errors import ErrorKind, ServingError
+from flamingovalve.generated.messages import (
+    AdapterId,
+    ApplicationId,
+    EngineId,
+    Fingerprint,
+    ForwardCompletion,
+    ModelId,
+    RequestId,
+    VersionId,
+)
+from flamingovalve.generated.settings import Priority
+from flamingovalve.util import clock, hashing
+
+if TYPE_CHECKING:
+    from flamingovalve.config.inventory import Target
+    from flamingovalve.generated.settings import Application
+    from flamingovalve.http.messages import Request
+
+PATHS = frozenset(('/v1/chat/completions', '/v1/completions'))
+
+
+@dataclass
+class CompletionWork:
+    """A completion with everything that serving it needs.
+
+    :ivar body: JSON whose ``model`` names adapter and version
+    :ivar deadline: on our clock
+    :ivar offset: events of the answer that the caller already has
+    :ivar isolated: run it apart from every other request
+    :ivar hops: VMs that have passed it on
+    :ivar engine: the engine that was tried last
+    :ivar avoided: engines that failed it already
+    """
+
+    request_id: RequestId
+    application: ApplicationId
+    priority: Priority
+    target: Target
+    path: str
+    body: bytes
+    stream: bool
+    deadline: float
+    offset: int = 0
+    isolated: bool = False
+    hops: int = 0
+    engine: EngineId = EngineId('')
+    avoided: set[EngineId] = field(default_factory=set)
+
+    @classmethod
+    def from_request(
+        cls,
+        request: Request,
+        content: dict[str, Any],
+        application: Application,
+        target: Target,
+        deadline: float,
+    ) -> Self:
+        """Build the work of a caller's request, already checked."""
+        content['model'] = target.name
+        return cls(
+            RequestId(''),
+            ApplicationId(application.id),
+            application.priority,
+            target,
+            request.path,
+            json.dumps(content, separators=(',', ':')).encode(),
+            content.get('stream') is True,
+            deadline,
+        )
+
+    @classmethod
+    def from_forward(cls, message: ForwardCompletion, target: Target) -> Self:
+        """Build the work that another VM passed on."""
+        return cls(
+            message.request_id,
+            message.application,
+            Priority(message.priority),
+            target,
+            message.path,
+            message.body,
+            message.stream,
+            clock.now() + message.remaining,
+            message.offset,
+            message.isolated,
+            message.hops,
+        )
+
+    def to_forward(self, engine: EngineId) -> ForwardCompletion:
+        """Give the message that passes the work on."""
+        return ForwardCompletion(
+            self.request_id,
+            self.application,
+            self.priority.value,
+            AdapterId(self.target.adapter),
+            VersionId(self.target.version),
+            ModelId(self.target.model),
+            engine,
+            self.path,
+            self.body,
+            self.stream,
+            self.offset,
+            self.isolated,
+            self.remaining(),
+            self.hops + 1,
+        )
+
+    def remaining(self) -> float:
+        """Give the seconds left until the deadline."""
+        return self.deadline - clock.now()
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Give what tells a resend of this request from other requests."""
+        digest = hashing.fingerprint(
+            self.application,
+            self.target.name,
+            self.body,
+        )
+        return Fingerprint(digest)
+
+
+def requested_model(content: dict[str, Any]) -> str:
+    """Give the model that a request's body names.
+
+    :raises ServingError: when it names none
+    """
+    model = content.get('model')
+    if not isinstance(model, str) or not model:
+        raise ServingError(
+            ErrorKind.MALFORMED_REQUEST,
+            "the body names no model; set 'model' to ADAPTER or "
+            'ADAPTER@VERSION',
+        )
+    return model
--- /dev/null
+++ b/flamingovalve/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which VM and which engine serve a request."""
--- /dev/null
+++ b/flamingovalve/schema/__init__.py
@@ -0,0 +1,1 @@
+"""The schemas and the generator that reads them."""
--- /dev/null
+++ b/flamingovalve/schema/peer.capnp
@@ -0,0 +1,241 @@
+@0xc7a2d4f1e6b38057;
+
+using import "annotations.capnp".doc;
+using import "annotations.capnp".unit;
+using import "annotations.capnp".ident;
+
+# ---- Shared parts ----
+
+enum MemberState $doc("What a VM believes of another.") {
+  alive @0;
+  suspect @1;
+  dead @2;
+  leaving @3;
+}
+
+enum ClaimState $doc("What a holder knows of a claim key.") {
+  absent @0 $doc("No record.");
+  claimed @1 $doc("An executor may have sent it upstream.");
+  finished @2 $doc("The answer is recorded.");
+  sealed @3 $doc("It can never run.");
+  unknown @4 $doc("It may have run; the outcome is lost.");
+  refused @5 $doc("The holder will not acknowledge this claim.");
+}
+
+struct Header $doc("One HTTP header.") {
+  name @0 :Text;
+  text @1 :Text;
+}
+
+# ---- Rumours, carried by membership datagrams ----
+
+struct MemberRumour $doc("The state of one VM.") {
+  vm @0 :Text $ident("VmId");
+  incarnation @1 :UInt64 $ident("Incarnation");
+  counter @2 :UInt32 $doc("Raised by the VM itself to refute a suspicion.");
+  state @3 :MemberState;
+}
+
+struct VersionRumour $doc("The highest inventory version and VM list that a VM holds.") {
+  vm @0 :Text $ident("VmId");
+  version @1 :UInt64 $doc("Version of the inventory.");
+  listRevision @2 :UInt64 $doc("Revision of the published list of VMs.");
+}
+
+struct PoisonRumour $doc("A request that was running when an engine crashed.") {
+  fingerprint @0 :UInt64 $ident("Fingerprint");
+  crashes @1 :UInt32 $doc("Crashes at which it was the only suspect or present again.");
+  remaining @2 :Float64 $unit("seconds") $doc("Time until the record expires.");
+}
+
+struct StoreRumour $doc("Use of the weight store by one VM.") {
+  vm @0 :Text $ident("VmId");
+  loading @1 :UInt32 $doc("Loads in flight.");
+  waiting @2 :UInt32 $doc("Loads wanted and not yet started.");
+  sequence @3 :UInt64 $doc("Raised with each change.");
+}
+
+struct SpreadRumour $doc("How many engines a hot adapter may use.") {
+  adapter @0 :Text $ident("AdapterId");
+  engines @1 :UInt32;
+  sequence @2 :UInt64 $unit("milliseconds") $doc("Raised with each change.");
+}
+
+struct Rumour $doc("One piece of news.") {
+  union {
+    member @0 :MemberRumour;
+    version @1 :VersionRumour;
+    poison @2 :PoisonRumour;
+    store @3 :StoreRumour;
+    spread @4 :SpreadRumour;
+  }
+}
+
+# ---- Membership datagrams ----
+
+struct Ping $doc("Asks a VM whether it is there.") {
+  target @0 :Text $ident("VmId");
+  origin @1 :Text $ident("VmId") $doc("Who wants to know; differs from the sender in an indirect probe.");
+  probe @2 :UInt64 $doc("Number of the probe at its origin.");
+}
+
+struct Ack $doc("Answers a ping, straight or by way of the VM that relayed it.") {
+  target @0 :Text $ident("VmId") $doc("The VM that answered.");
+  origin @1 :Text $ident("VmId");
+  probe @2 :UInt64;
+}
+
+struct PingRequest $doc("Asks a third VM to probe for the sender.") {
+  target @0 :Text $ident("VmId");
+  probe @1 :UInt64;
+}
+
+struct Datagram $doc("One membership message.") {
+  sender @0 :Text $ident("VmId");
+  incarnation @1 :UInt64 $ident("Incarnation");
+  sequence @2 :UInt64 $doc("Raised with each datagram; a repeat is refused.");
+  rumours @3 :List(Rumour);
+  union {
+    ping @4 :Ping;
+    ack @5 :Ack;
+    pingRequest @6 :PingRequest;
+  }
+}
+
+# ---- Frames on a TCP connection between two VMs ----
+
+struct Hello $doc("First frame of each side: who speaks and a fresh number.") {
+  vm @0 :Text $ident("VmId");
+  incarnation @1 :UInt64 $ident("Incarnation");
+  nonce @2 :Data;
+}
+
+struct Heartbeat $doc("Says that the answer is still being worked on.") {
+  sequence @0 :UInt32;
+}
+
+struct ForwardCompletion $doc("A completion, passed to the owner of its engine.") {
+  requestId @0 :Text $ident("RequestId");
+  application @1 :Text $ident("ApplicationId");
+  priority @2 :Text;
+  adapter @3 :Text $ident("AdapterId");
+  version @4 :Text $ident("VersionId");
+  model @5 :Text $ident("ModelId");
+  engine @6 :Text $ident("EngineId");
+  path @7 :Text;
+  body @8 :Data;
+  stream @9 :Bool;
+  offset @10 :UInt32 $unit("events") $doc("Events of the answer that the caller already has.");
+  isolated @11 :Bool $doc("Run apart from every other request.");
+  remaining @12 :Float64 $unit("seconds") $doc("Time left until the deadline.");
+  hops @13 :UInt32 $doc("VMs that have passed it on.");
+}
+
+struct ForwardCall $doc("A call of a plain service, passed to its executor.") {
+  requestId @0 :Text $ident("RequestId");
+  application @1 :Text $ident("ApplicationId");
+  service @2 :Text $ident("ServiceId");
+  call @3 :Text $ident("CallId");
+  contentType @4 :Text;
+  body @5 :Data;
+  key @6 :Text $doc("The idempotency key as the caller sent it.");
+  keyTime @7 :Float64 $unit("seconds") $doc("When the key was made, as Unix time; 0 for a permit.");
+  remaining @8 :Float64 $unit("seconds");
+  hops @9 :UInt32;
+}
+
+struct Refusal $doc("A typed error in place of an answer.") {
+  kind @0 :Text;
+  message @1 :Text;
+  ran @2 :Text;
+  retryAfter @3 :Float64 $unit("seconds") $doc("0 when there is nothing to wait for.");
+}
+
+struct ResponseHead $doc("Status and headers of an answer.") {
+  status @0 :UInt32;
+  headers @1 :List(Header);
+}
+
+struct Chunk $doc("A part of an answer's body.") {
+  payload @0 :Data;
+}
+
+struct ResponseEnd $doc("The answer is complete.") {
+  complete @0 :Bool = true;
+}
+
+struct ClaimAsk $doc("An executor asks a holder to acknowledge its claim.") {
+  key @0 :Text $ident("ClaimKey");
+  executor @1 :Text $ident("VmId");
+  incarnation @2 :UInt64 $ident("Incarnation");
+  holder @3 :UInt64 $ident("Incarnation") $doc("Incarnation of the holder that is meant; 0 for any.");
+  bodyDigest @4 :Data;
+}
+
+struct ClaimTell $doc("An executor tells a holder how a claim ended.") {
+  key @0 :Text $ident("ClaimKey");
+  executor @1 :Text $ident("VmId");
+  incarnation @2 :UInt64 $ident("Incarnation");
+  state @3 :ClaimState;
+  status @4 :UInt32;
+  contentType @5 :Text;
+  answer @6 :Data;
+}
+
+struct SealAsk $doc("Asks a holder to see to it that an unclaimed key never runs.") {
+  key @0 :Text $ident("ClaimKey");
+  holder @1 :UInt64 $ident("Incarnation");
+  bodyDigest @2 :Data;
+}
+
+struct ClaimReply $doc("What a holder knows of a key after it was asked.") {
+  state @0 :ClaimState;
+  acknowledged @1 :Bool = false;
+  executor @2 :Text $ident("VmId");
+  incarnation @3 :UInt64 $ident("Incarnation");
+  status @4 :UInt32;
+  contentType @5 :Text;
+  answer @6 :Data;
+  sameBody @7 :Bool = true;
+}
+
+struct TakeoverAsk $doc("An owner asks its deputy whether it has taken over an engine.") {
+  engine @0 :Text $ident("EngineId");
+  incarnation @1 :UInt64 $ident("Incarnation");
+}
+
+struct TakeoverReply $doc("The deputy's answer.") {
+  takenOver @0 :Bool;
+  validity @1 :Float64 $unit("seconds") $doc("How long the answer may be relied on.");
+}
+
+struct ConfigurationAsk $doc("Asks for one value that the peer holds.") {
+  key @0 :Text;
+  sha256 @1 :Text $doc("SHA-256, in hex, of the page that is wanted; empty for any.");
+}
+
+struct ConfigurationReply $doc("A value of the configuration.") {
+  found @0 :Bool;
+  content @1 :Data $doc("The value, compressed by zlib.");
+}
+
+struct Frame $doc("One message on a connection between two VMs.") {
+  union {
+    hello @0 :Hello;
+    heartbeat @1 :Heartbeat;
+    responseHead @2 :ResponseHead;
+    chunk @3 :Chunk;
+    responseEnd @4 :ResponseEnd;
+    claimAsk @5 :ClaimAsk;
+    claimTell @6 :ClaimTell;
+    sealAsk @7 :SealAsk;
+    claimReply @8 :ClaimReply;
+    takeoverAsk @9 :TakeoverAsk;
+    takeoverReply @10 :TakeoverReply;
+    configurationAsk @11 :ConfigurationAsk;
+    configurationReply @12 :ConfigurationReply;
+    forwardCompletion @13 :ForwardCompletion;
+    forwardCall @14 :ForwardCall;
+    refusal @15 :Refusal;
+  }
+}
--- /dev/null
+++ b/flamingovalve/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that know nothing of serving."""
--- /dev/null
+++ b/flamingovalve/util/authentication.py
@@ -0,0 +1,92 @@
+"""Message authentication codes by keyed BLAKE2b, and replay windows."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from flamingovalve.generated.settings import FleetSettings
+
+CODE_BYTES: Final = 16
+_WINDOW_BITS: Final = 256
+
+
+def authentication_code(key: bytes, content: bytes) -> bytes:
+    """Give the code of ``content`` under ``key``, 16 bytes."""
+    digest = hashlib.blake2b(content, digest_size=CODE_BYTES, key=key)
+    return digest.digest()
+
+
+class Keyring:
+    """The key that we sign with and the keys that we accept.
+
+    While a key is rotated, VMs with the old and with the new settings file
+    must understand each other: each accepts both and signs with its current.
+    """
+
+    def __init__(self, keys: list[bytes]) -> None:
+        """Sign with the first of ``keys`` and accept all."""
+        self._keys = keys
+
+    @classmethod
+    def from_settings(cls, settings: FleetSettings) -> Keyring:
+        """Build the ring from the two keys of the settings file."""
+        texts = [settings.key_current, settings.key_previous]
+        return cls(
+            [hashlib.blake2b(text.encode()).digest() for text in texts if text]
+        )
+
+    @property
+    def current(self) -> bytes:
+        """Give the key that we sign with."""
+        return self._keys[0]
+
+    def seal(self, content: bytes) -> bytes:
+        """Give ``content`` with its code before it."""
+        return authentication_code(self.current, content) + content
+
+    def open(self, sealed: bytes) -> bytes | None:
+        """Give the content of a sealed message, or nothing if it is forged."""
+        code, content = sealed[:CODE_BYTES], sealed[CODE_BYTES:]
+        if self.key_for(code, content) is None:
+            return None
+        return content
+
+    def key_for(self, code: bytes, content: bytes) -> bytes | None:
+        """Give the accepted key under which ``code`` holds, if any."""
+        for key in self._keys:
+            if hmac.compare_digest(code, authentication_code(key, content)):
+                return key
+        return None
+
+
+class ReplayWindow:
+    """Accepts each sequence number of one sender once.
+
+    A recorded datagram that is sent again would carry a valid code; old
+    rumours or acknowledgements would then count as new. Numbers far below
+    the highest seen are refused because the window no longer knows them.
+    """
+
+    __slots__ = ('_highest', '_seen')
+
+    def __init__(self) -> None:
+        """Accept any first number."""
+        self._highest = -1
+        self._seen = 0
+
+    def accept(self, sequence: int) -> bool:
+        """Tell whether ``sequence`` is new, and remember it."""
+        if sequence > self._highest:
+            shift = min(sequence - self._highest, _WINDOW_BITS)
+            mask = (1 << _WINDOW_BITS) - 1
+            self._seen = ((self._seen << shift) | 1) & mask
+            self._highest = sequence
+            return True
+        age = self._highest - sequence
+        if age >= _WINDOW_BITS or self._seen >> age & 1:
+            return False
+        self._seen |= 1 << age
+        return True
--- /dev/null
+++ b/flamingovalve/util/clock.py
@@ -0,0 +1,42 @@
+"""The clocks that every module reads.
+
+The curio kernel reads ``time.monotonic``; so does this module, so that both
+agree. Tests replace the sources by a clock that they pause and advance.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class _Source:
+    monotonic: Callable[[], float] = staticmethod(time.monotonic)
+    wall: Callable[[], float] = staticmethod(time.time)
+
+
+def now() -> float:
+    """Give the monotonic time in seconds."""
+    return _Source.monotonic()
+
+
+def wall() -> float:
+    """Give the Unix time in seconds, as this VM believes it to be."""
+    return _Source.wall()
+
+
+def replace_source(
+    monotonic: Callable[[], float],
+    wall_time: Callable[[], float],
+) -> None:
+    """Read both clocks from other sources from now on (tests only)."""
+    _Source.monotonic = staticmethod(monotonic)
+    _Source.wall = staticmethod(wall_time)
+
+
+def restore_source() -> None:
+    """Read the clocks of the operating system again."""
+    replace_source(time.monotonic, time.time)
--- /dev/null
+++ b/flamingovalve/util/hashing.py
@@ -0,0 +1,66 @@
+"""Rendezvous (highest random weight) hashing."""
+
+from __future__ import annotations
+
+import heapq
+from functools import lru_cache
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_CACHE_ENTRIES = 65536
+
+
+@lru_cache(maxsize=_CACHE_ENTRIES)
+def weight(key: str, candidate: str) -> int:
+    """Give the weight of ``candidate`` for ``key``, a 64-bit integer."""
+    return xxhash.xxh3_64_intdigest(f'{key}\0{candidate}'.encode())
+
+
+def rank(key: str, candidates: Iterable[str]) -> list[str]:
+    """Order ``candidates`` by their weight for ``key``, heaviest first.
+
+    A candidate that leaves changes the place of no other, so only the keys
+    that it led move, and they move to their second.
+    """
+    return sorted(
+        candidates,
+        key=lambda candidate: (weight(key, candidate), candidate),
+        reverse=True,
+    )
+
+
+def first(key: str, candidates: Iterable[str], count: int) -> list[str]:
+    """Give the first ``count`` of :func:`rank`.
+
+    Weighs without the cache: for thousands of candidates the entries would
+    push out those of short lists that are asked for often.
+    """
+    prefix = f'{key}\0'
+    weighed = [
+        (xxhash.xxh3_64_intdigest((prefix + candidate).encode()), candidate)
+        for candidate in candidates
+    ]
+    return [name for _weight, name in heapq.nlargest(count, weighed)]
+
+
+def heaviest(key: str, candidates: Iterable[str]) -> str | None:
+    """Give the first of :func:`rank` without sorting the rest."""
+    return max(
+        candidates,
+        key=lambda candidate: (weight(key, candidate), candidate),
+        default=None,
+    )
+
+
+def fingerprint(*parts: str | bytes) -> int:
+    """Give a 64-bit digest of ``parts``, each framed by its length."""
+    digest = xxhash.xxh3_64()
+    for part in parts:
+        encoded = part.encode() if isinstance(part, str) else part
+        digest.update(len(encoded).to_bytes(8, 'big'))
+        digest.update(encoded)
+    return digest.intdigest()
--- /dev/null
+++ b/flamingovalve/util/network.py
@@ -0,0 +1,92 @@
+"""Opens every socket of a daemon, so that tests can cut or silence links."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, NewType
+
+import curio
+from curio import socket
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+Address = NewType('Address', str)
+
+_BACKLOG = 1024
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:port`` into its two parts.
+
+    :raises ValueError: when the text is not of that form
+    """
+    host, separator, port = address.rpartition(':')
+    if not separator or not port.isdigit():
+        raise ValueError(f'{address!r} is not of the form IP:port')
+    return host, int(port)
+
+
+class Network:
+    """Opens listening, connected and datagram sockets."""
+
+    async def connect(self, address: str, seconds: float) -> Socket:
+        """Connect to ``address`` within ``seconds``.
+
+        :raises OSError: when the address refuses or does not answer in time
+        """
+        opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            async with curio.timeout_after(seconds):
+                await opened.connect(split_address(address))
+        except curio.TaskTimeout as late:
+            await self.discard(opened)
+            raise TimeoutError(f'no answer from {address}') from late
+        except BaseException:
+            await self.discard(opened)
+            raise
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return opened
+
+    def listen(self, address: str) -> Socket:
+        """Accept connections at ``address``."""
+        opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        opened.bind(split_address(address))
+        opened.listen(_BACKLOG)
+        return opened
+
+    def datagrams(self, address: str) -> Socket:
+        """Send and receive datagrams at ``address``."""
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.bind(split_address(address))
+        return opened
+
+    async def accept(self, listening: Socket) -> Socket:
+        """Wait for the next connection on ``listening``."""
+        accepted, _origin = await listening.accept()
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return accepted
+
+    async def discard(self, opened: Socket) -> None:
+        """Close a socket whose other end no longer matters."""
+        with contextlib.suppress(OSError):
+            await opened.close()
+
+
+def has_ended(opened: Socket) -> bool:
+    """Tell whether the other end has closed, without waiting.
+
+    An idle connection whose other end has gone shows it by being readable
+    and at its end. A link that went silent shows nothing here.
+    """
+    if opened.fileno() < 0:
+        return True
+    try:
+        with opened.blocking() as raw:
+            peeked = raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return not peeked
--- /dev/null
+++ b/flamingovalve/util/rates.py
@@ -0,0 +1,84 @@
+"""Smoothed rates and token buckets."""
+
+from __future__ import annotations
+
+import math
+
+from flamingovalve.util import clock
+
+
+class DecayingRate:
+    """Events a second, averaged with exponentially fading weights."""
+
+    __slots__ = ('_at', '_half_life', '_rate')
+
+    def __init__(self, half_life: float) -> None:
+        """Fade by half every ``half_life`` seconds."""
+        self._half_life = half_life
+        self._rate = 0.0
+        self._at = clock.now()
+
+    def add(self, amount: float = 1) -> None:
+        """Count ``amount`` events now."""
+        self._fade()
+        self._rate += amount * math.log(2) / self._half_life
+
+    def per_second(self) -> float:
+        """Give the rate as of now."""
+        self._fade()
+        return self._rate
+
+    def _fade(self) -> None:
+        moment = clock.now()
+        elapsed = moment - self._at
+        if elapsed > 0:
+            self._rate *= 0.5 ** (elapsed / self._half_life)
+            self._at = moment
+
+
+class TokenBucket:
+    """Allows a sustained rate and a burst above it."""
+
+    __slots__ = ('_at', '_burst', '_rate', '_tokens')
+
+    def __init__(self, rate: float, burst: float) -> None:
+        """Allow ``rate`` events a second and ``burst`` at once."""
+        self._rate = rate
+        self._burst = burst
+        self._tokens = float(burst)
+        self._at = clock.now()
+
+    def take(self) -> float:
+        """Take one token, or give the seconds until one is there.
+
+        :returns: 0 when the token was taken
+        """
+        moment = clock.now()
+        gained = (moment - self._at) * self._rate
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._at = moment
+        if self._tokens >= 1:
+            self._tokens -= 1
+            return 0
+        return (1 - self._tokens) / self._rate
+
+
+class SmoothedSeconds:
+    """A smoothed duration and its mean deviation, as TCP keeps them."""
+
+    __slots__ = ('deviation', 'mean')
+
+    def __init__(self, first_guess: float) -> None:
+        """Start from ``first_guess`` seconds."""
+        self.mean = first_guess
+        self.deviation = first_guess / 2
+
+    def add(self, seconds: float) -> None:
+        """Take one measured duration into account."""
+        error = seconds - self.mean
+        self.mean += error / 8
+        self.deviation += (abs(error) - self.deviation) / 4
+
+    def high(self) -> float:
+        """Give a duration that few measurements exceed."""
+        return self.mean + 4 * self.deviation
--- /dev/null
+++ b/flamingovalve/util/signals.py
@@ -0,0 +1,43 @@
+"""Signals of the operating system as something a task can wait for."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from typing import TYPE_CHECKING, Self
+
+from curio.io import Socket
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from types import FrameType
+
+
+class SignalQueue:
+    """Gives signals in the order in which they came.
+
+    The interpreter writes the number of each signal to a socket, so a
+    kernel that waits for descriptors wakes up without polling.
+    """
+
+    def __init__(self, numbers: Iterable[signal.Signals]) -> None:
+        """Catch the signals of ``numbers`` from now on."""
+        reading, self._writing = socket.socketpair()
+        self._reading = Socket(reading)
+        self._writing.setblocking(False)
+        signal.set_wakeup_fd(self._writing.fileno())
+        for number in numbers:
+            signal.signal(number, _ignore)
+
+    def __aiter__(self) -> Self:
+        """Give the signals one by one."""
+        return self
+
+    async def __anext__(self) -> signal.Signals:
+        """Wait for the next signal."""
+        received = await self._reading.recv(1)
+        return signal.Signals(received[0])
+
+
+def _ignore(_number: int, _frame: FrameType | None) -> None:
+    """Leave it to the task that waits."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests and the demo."""
--- /dev/null
+++ b/standins/plain_service.py
@@ -0,0 +1,74 @@
+"""Stand-in of a plain service: counts how often each call ran."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import curio
+
+from flamingovalve.errors import ConnectionLost
+from flamingovalve.http.messages import Request, Response
+from standins.base import StandIn
+
+if TYPE_CHECKING:
+    from flamingovalve.http.server import Responder
+    from flamingovalve.util.network import Network
+
+
+class PlainServiceStandIn(StandIn):
+    """Runs calls and remembers each run.
+
+    :ivar run_seconds: how long a run takes
+    :ivar drop_before_run: break that many next connections before the run
+    :ivar drop_after_run: break that many next connections after the run
+    """
+
+    def __init__(self, network: Network, address: str) -> None:
+        """Start without any run."""
+        super().__init__(network, address)
+        self.runs_by_key: Counter[str] = Counter()
+        self.runs_by_order: Counter[str] = Counter()
+        self.run_seconds = 0.01
+        self.drop_before_run = 0
+        self.drop_after_run = 0
+
+    def figures(self) -> dict[str, Any]:
+        """Give the number of runs."""
+        return {
+            'keys': len(self.runs_by_key),
+            'runs': sum(self.runs_by_key.values()),
+            'most_runs_of_a_key': max(self.runs_by_key.values(), default=0),
+        }
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Run one call."""
+        if self.drop_before_run:
+            self.drop_before_run -= 1
+            raise ConnectionLost('dropped before the run')
+        key = request.headers.get('idempotency-key', '')
+        self.runs_by_key[key] += 1
+        order = _order_name(request.body)
+        self.runs_by_order[order] += 1
+        await curio.sleep(self.run_seconds)
+        if self.drop_after_run:
+            self.drop_after_run -= 1
+            raise ConnectionLost('dropped after the run')
+        await responder.send(
+            Response.from_json(
+                {
+                    'call': request.path.strip('/'),
+                    'order': order,
+                    'run': self.runs_by_key[key],
+                },
+            ),
+        )
+
+
+def _order_name(body: bytes) -> str:
+    try:
+        parsed = json.loads(body)
+    except ValueError:
+        return ''
+    return str(parsed.get('order', '')) if isinstance(parsed, dict) else ''
--- /dev/null
+++ b/standins/run.py
@@ -0,0 +1,75 @@
+"""Runs one stand-in as a program: ``python -m standins.run KIND ADDRESS``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import curio
+
+from flamingovalve.generated.settings import RelaySettings
+from flamingovalve.http.client import ConnectionPool, UpstreamCall
+from flamingovalve.util.network import Network
+from standins.base import StandIn
+from standins.configuration_service import ConfigurationServiceStandIn
+from standins.engine import EngineStandIn
+from standins.plain_service import PlainServiceStandIn
+from standins.weight_store import WeightStoreStandIn
+
+_LOAD_SECONDS = 60
+
+
+@dataclass
+class Arguments:
+    """Arguments of a stand-in program."""
+
+    kind: Annotated[str, cappa.Arg(help='configuration, store, engine, service')]
+    address: Annotated[str, cappa.Arg(help='IP:port to listen at')]
+    name: Annotated[str, cappa.Arg(long=True, help='name of an engine')] = ''
+    store: Annotated[str, cappa.Arg(long=True, help='weight store')] = ''
+    slots: Annotated[int, cappa.Arg(long=True, help='adapter slots')] = 4
+    batch: Annotated[int, cappa.Arg(long=True, help='seats')] = 8
+    no_fencing: Annotated[
+        bool,
+        cappa.Arg(long='--no-fencing', help='ignore fencing numbers'),
+    ] = False
+
+
+def build(arguments: Arguments) -> StandIn:
+    """Build the stand-in that the arguments name."""
+    network = Network()
+    if arguments.kind == 'configuration':
+        return ConfigurationServiceStandIn(network, arguments.address)
+    if arguments.kind == 'store':
+        return WeightStoreStandIn(network, arguments.address)
+    if arguments.kind == 'service':
+        return PlainServiceStandIn(network, arguments.address)
+    if arguments.kind == 'engine':
+        return _engine(arguments, network)
+    raise cappa.Exit(f'no stand-in {arguments.kind!r}', code=2)
+
+
+def _engine(arguments: Arguments, network: Network) -> EngineStandIn:
+    pool = ConnectionPool(network, RelaySettings())
+
+    async def load(adapter: str) -> None:
+        call = UpstreamCall('POST', f'/load/{adapter}', [])
+        await pool.exchange(arguments.store, call, _LOAD_SECONDS)
+
+    engine = EngineStandIn(network, arguments.address, arguments.name, load)
+    engine.configure(
+        arguments.slots,
+        arguments.batch,
+        fencing=not arguments.no_fencing,
+    )
+    return engine
+
+
+def run(arguments: Arguments) -> None:
+    """Run until the process is ended."""
+    curio.run(build(arguments).run)
+
+
+if __name__ == '__main__':
+    cappa.invoke(cappa.command(name='standin', invoke=run)(Arguments))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of flamingovalve."""
--- /dev/null
+++ b/tests/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Whole daemons on loopback sockets under a virtual clock."""
