--- a/demo/processes.py
+++ b/demo/processes.py
@@ -11,11 +11,10 @@
 import sys
 import tempfile
 import time
-import urllib.error
-import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Self
+from urllib import request as http_request
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -227,19 +226,10 @@
             }
             for index, address in enumerate(self.engine_addresses)
         ]
-        service = {
-            'id': 'orders',
-            'addresses': self.service_addresses,
-            'calls': [
-                {'id': 'pay', 'idempotent': False},
-                {'id': 'status', 'idempotent': True, 'priority': 'urgent'},
-            ],
-            'applications': [APPLICATION],
-        }
         base = {
             'applications': [{'id': APPLICATION}],
             'engines': engines,
-            'services': [service],
+            'services': [_service(self.service_addresses)],
         }
         pages: list[tuple[str, dict[str, Any]]] = [('inventory/1/base', base)]
         for start in range(0, shape.adapters, _PAGE_ADAPTERS):
@@ -255,6 +245,18 @@
     return f'adapter-{index:05d}'
 
 
+def _service(addresses: list[str]) -> dict[str, Any]:
+    return {
+        'id': 'orders',
+        'addresses': addresses,
+        'calls': [
+            {'id': 'pay', 'idempotent': False},
+            {'id': 'status', 'idempotent': True, 'priority': 'urgent'},
+        ],
+        'applications': [APPLICATION],
+    }
+
+
 def _adapter(index: int) -> dict[str, Any]:
     return {
         'id': adapter_name(index),
@@ -292,18 +294,18 @@
 
 def put(address: str, key: str, content: bytes) -> None:
     """Publish a value at the stand-in of the configuration service."""
-    request = urllib.request.Request(
+    request = http_request.Request(
         f'http://{address}/v1/keys/{key}',
         content,
         method='PUT',
     )
-    urllib.request.urlopen(request, timeout=10).close()
+    http_request.urlopen(request, timeout=10).close()
 
 
 def get_json(address: str, path: str) -> dict[str, Any] | None:
     """Give a JSON answer; nothing when there is none."""
     try:
-        with urllib.request.urlopen(f'http://{address}{path}', timeout=2) as got:
+        with http_request.urlopen(f'http://{address}{path}', timeout=2) as got:
             return json.load(got)
     except (OSError, ValueError):
         return None
--- a/demo/run.py
+++ b/demo/run.py
@@ -8,8 +8,8 @@
 import subprocess
 import sys
 import time
-import urllib.error
-import urllib.request
+from urllib import error as http_error
+from urllib import request as http_request
 
 import curio
 
@@ -49,8 +49,10 @@
     rows = []
     well = True
     for shape in (INDUS_CREST, ZAHRADNI_KARTA):
-        print(f'{shape.name}: starting {shape.vms} VMs, {shape.engines} '
-              f'engines, {shape.adapters} adapters')
+        print(
+            f'{shape.name}: starting {shape.vms} VMs, {shape.engines} '
+            f'engines, {shape.adapters} adapters'
+        )
         with Processes(shape) as fleet:
             fleet.wait_ready()
             well &= _show_commands(fleet.vms[0])
@@ -154,7 +156,7 @@
 
 
 def _pay(address: str, permit: str) -> bytes:
-    request = urllib.request.Request(
+    request = http_request.Request(
         f'http://{address}/v1/services/orders/pay',
         json.dumps({'order': 'renewal-1'}).encode(),
         {
@@ -164,15 +166,15 @@
         },
     )
     try:
-        with urllib.request.urlopen(request, timeout=30) as answered:
+        with http_request.urlopen(request, timeout=30) as answered:
             return answered.read()
-    except urllib.error.HTTPError as refused:
+    except http_error.HTTPError as refused:
         return refused.read()
 
 
 def _runs(address: str, _permit: str) -> int:
-    request = urllib.request.Request(f'http://{address}/control', b'{}')
-    with urllib.request.urlopen(request, timeout=10) as answered:
+    request = http_request.Request(f'http://{address}/control', b'{}')
+    with http_request.urlopen(request, timeout=10) as answered:
         return json.load(answered)['runs']
 
 
--- a/flamingovalve/api.py
+++ b/flamingovalve/api.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import json
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 
 from flamingovalve.errors import ErrorKind, ServingError
-from flamingovalve.generated.settings import ApplicationId
 from flamingovalve.http.messages import Response
 from flamingovalve.relay.services import ServiceRequest
 from flamingovalve.relay.work import PATHS, CompletionWork, requested_model
@@ -18,6 +18,7 @@
 
     from flamingovalve.config.inventory import Inventory
     from flamingovalve.daemon import Daemon
+    from flamingovalve.generated.ids import ApplicationId
     from flamingovalve.generated.settings import (
         Application,
         Service,
@@ -35,6 +36,7 @@
 _SERVICE_PREFIX: Final = '/v1/services/'
 _BEARER: Final = 'Bearer '
 _LONGEST_KEY: Final = 512
+_LARGEST_NUMBER: Final = 1_000_000_000_000
 
 
 class Api:
@@ -84,7 +86,7 @@
         content = request.json_object()
         application = self._application(request)
         model = requested_model(content)
-        target = _value(self._inventory.resolve(model, application))
+        target = _expect(self._inventory.resolve(model, application))
         self._take_token(application)
         work = CompletionWork.from_request(
             request,
@@ -118,12 +120,12 @@
     async def _entry(self, request: Request) -> Response:
         query = request.query
         credential = query.get('application') or _credential(request)
-        application = _value(self._inventory.authorise(credential))
+        application = _expect(self._inventory.authorise(credential))
         if 'service' in query:
             return self._service_entry(query, application)
         if 'model' not in query:
             raise _missing_parameter()
-        target = _value(self._inventory.resolve(query['model'], application))
+        target = _expect(self._inventory.resolve(query['model'], application))
         answers = self._daemon.entries
         return Response.from_json(
             answers.for_target(target, self._inventory),
@@ -166,16 +168,21 @@
 
     async def _readiness(self, _request: Request) -> Response:
         ready = self._daemon.is_ready and not self._daemon.is_leaving
-        return Response.from_json({'ready': ready}, 200 if ready else 503)
+        return Response.from_json(
+            {'ready': ready},
+            HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE,
+        )
 
     async def _metrics(self, _request: Request) -> Response:
         headers = [('content-type', _METRICS_TYPE)]
-        return Response(200, headers, self._daemon.metrics.exposition())
+        return Response(
+            HTTPStatus.OK, headers, self._daemon.metrics.exposition()
+        )
 
     async def _state(self, _request: Request) -> Response:
         headers = [('content-type', 'application/json')]
         body = json.dumps(self._daemon.state_dump(), indent=1).encode()
-        return Response(200, headers, body)
+        return Response(HTTPStatus.OK, headers, body)
 
     async def _drain(self, request: Request) -> Response:
         wanted = self._settings.operators.secret
@@ -186,7 +193,7 @@
                 'or send SIGTERM to the process',
             )
         await self._daemon.begin_leaving()
-        return Response.from_json({'leaving': True}, 202)
+        return Response.from_json({'leaving': True}, HTTPStatus.ACCEPTED)
 
     # -- Checks
 
@@ -203,7 +210,7 @@
             )
 
     def _application(self, request: Request) -> Application:
-        return _value(self._inventory.authorise(_credential(request)))
+        return _expect(self._inventory.authorise(_credential(request)))
 
     def _find_call(
         self,
@@ -211,7 +218,7 @@
         call_id: str,
         application: Application,
     ) -> tuple[Service, ServiceCall]:
-        return _value(
+        return _expect(
             self._inventory.find_call(service_id, call_id, application),
         )
 
@@ -256,7 +263,7 @@
         )
 
 
-def _value(outcome: Any) -> Any:
+def _expect(outcome: Any) -> Any:
     if outcome.is_error():
         raise outcome.error
     return outcome.ok
@@ -304,7 +311,7 @@
         parsed = float(text)
     except ValueError as bad:
         raise _bad_number(name) from bad
-    if not 0 <= parsed < 1e12:
+    if not 0 <= parsed < _LARGEST_NUMBER:
         raise _bad_number(name)
     return parsed
 
--- a/flamingovalve/claims/holders.py
+++ b/flamingovalve/claims/holders.py
@@ -2,21 +2,22 @@
 
 from __future__ import annotations
 
-
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from flamingovalve.errors import ConnectionLost, WrongPeer
-from flamingovalve.generated.messages import Incarnation
+from flamingovalve.generated.ids import Incarnation
 from flamingovalve.peer.client import PeerUnreachable
 from flamingovalve.util import clock, hashing
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.settings import ClaimSettings, VmId, VmList
+    from flamingovalve.generated.ids import VmId
+    from flamingovalve.generated.settings import ClaimSettings, VmList
     from flamingovalve.membership.members import Member, MemberTable
     from flamingovalve.peer.client import PeerPool
 
 HOLDERS_PER_KEY = 3
+ANY_INCARNATION = Incarnation(0)
 
 
 @dataclass(slots=True)
@@ -114,7 +115,7 @@
         self,
         vm: VmId,
         message: Any,
-        incarnation: Incarnation = Incarnation(0),
+        incarnation: Incarnation = ANY_INCARNATION,
     ) -> HolderReply:
         """Ask one holder.
 
--- a/flamingovalve/claims/permit.py
+++ b/flamingovalve/claims/permit.py
@@ -5,16 +5,18 @@
 import base64
 import hmac
 import secrets
-
 from dataclasses import dataclass
 from typing import Final
 
 from expression import Error, Ok, Result
 
 from flamingovalve.errors import ErrorKind, ServingError
-from flamingovalve.generated.messages import Incarnation, VmId
+from flamingovalve.generated.ids import Incarnation, VmId
 from flamingovalve.util import clock
-from flamingovalve.util.authentication import authentication_code
+from flamingovalve.util.authentication import (
+    CODE_BYTES,
+    authentication_code,
+)
 
 PREFIX: Final = 'permit.'
 _SEPARATOR: Final = '|'
@@ -103,7 +105,7 @@
     try:
         _code, signed = _split(text)
         fields = signed.decode().split(_SEPARATOR)
-    except (ValueError, UnicodeDecodeError):
+    except ValueError:
         return Error(_bad_permit())
     if len(fields) != _FIELDS:
         return Error(_bad_permit())
@@ -132,7 +134,7 @@
 def _split(text: str) -> tuple[bytes, bytes]:
     encoded = text.removeprefix(PREFIX).encode('ascii')
     sealed = base64.b64decode(encoded, b'-_', validate=True)
-    return sealed[:16], sealed[16:]
+    return sealed[:CODE_BYTES], sealed[CODE_BYTES:]
 
 
 def _bad_permit() -> ServingError:
--- /dev/null
+++ b/flamingovalve/claims/refusals.py
@@ -0,0 +1,133 @@
+"""What callers are told when a non-idempotent call gets no answer."""
+
+from __future__ import annotations
+
+from flamingovalve.errors import ErrorKind, Ran, ServingError
+
+
+def claim_needed() -> ServingError:
+    """Give the error of a call that must not run twice and has no key."""
+    return ServingError(
+        ErrorKind.CLAIM_NEEDED,
+        'this call must not run twice: send the permit that /v1/entry gives '
+        "for it, or a UUIDv7 of your own, in 'Idempotency-Key'",
+    )
+
+
+def key_without_time() -> ServingError:
+    """Give the error of a key that does not tell its age."""
+    return ServingError(
+        ErrorKind.CLAIM_NEEDED,
+        'the idempotency key does not tell when it was made: use a UUIDv7, '
+        "send 'X-Idempotency-Time' with its Unix time, or use a permit",
+    )
+
+
+def clock_ahead() -> ServingError:
+    """Give the error of a key from the future."""
+    return ServingError(
+        ErrorKind.CLAIM_NEEDED,
+        'the idempotency key was made in the future; set the clock of the '
+        'caller, or use a permit from /v1/entry, which needs no clock',
+    )
+
+
+def forged_permit() -> ServingError:
+    """Give the error of a permit that its executor did not make."""
+    return ServingError(
+        ErrorKind.CLAIM_NEEDED,
+        'this VM did not make the permit; ask /v1/entry for a new one',
+    )
+
+
+def key_reused() -> ServingError:
+    """Give the error of a key that was used for another body."""
+    return ServingError(
+        ErrorKind.CLAIM_REUSED,
+        'the key was used for another body, and this one was not run; use '
+        'one key for each call',
+    )
+
+
+def key_too_old(seconds: float) -> ServingError:
+    """Give the error of a key whose record may be gone."""
+    return ServingError(
+        ErrorKind.CLAIM_EXPIRED,
+        f'the key is older than {seconds:g} s, and what became of it is no '
+        'longer known; check at the service before you send a new one',
+        ran=Ran.UNKNOWN,
+    )
+
+
+def expired(ran: Ran) -> ServingError:
+    """Give the error of a permit past its time."""
+    return ServingError(
+        ErrorKind.CLAIM_EXPIRED,
+        'the permit has expired; ask /v1/entry for a new one',
+        ran=ran,
+    )
+
+
+def holders_changed() -> ServingError:
+    """Give the error of a key whose holders were all replaced."""
+    return ServingError(
+        ErrorKind.OUTCOME_UNKNOWN,
+        'the VMs that remember this key were all replaced since it was '
+        'made; check at the service, then use a permit from /v1/entry',
+        ran=Ran.UNKNOWN,
+    )
+
+
+def holder_silent() -> ServingError:
+    """Give the error of a call that a silent holder blocks."""
+    return ServingError(
+        ErrorKind.CLAIM_BLOCKED,
+        'a VM that remembers this key does not answer, so the call was not '
+        'run and never will be under this key; send it with a permit',
+        retry_after=1,
+    )
+
+
+def table_full() -> ServingError:
+    """Give the error of a call for which there is no room."""
+    return ServingError(
+        ErrorKind.OVERLOADED,
+        'this VM holds too many records of calls; the call was not run; ask '
+        '/v1/entry again and use the new permit',
+        retry_after=5,
+    )
+
+
+def sealed() -> ServingError:
+    """Give the error of a call that can never run."""
+    return ServingError(
+        ErrorKind.CLAIM_SEALED,
+        'the call was not run and never will be under this key; ask '
+        '/v1/entry for a new permit and send it again',
+        retry_after=1,
+    )
+
+
+def answer_not_kept() -> ServingError:
+    """Give the error of a call that ran and whose answer is gone."""
+    return ServingError(
+        ErrorKind.ANSWER_NOT_KEPT,
+        'the call ran, but its answer is no longer kept; read the outcome '
+        'at the service and do not send the call again',
+        ran=Ran.DONE,
+    )
+
+
+def outcome_unknown(
+    reason: str,
+    retry_after: float | None = None,
+) -> ServingError:
+    """Give the error of a call that may have run."""
+    return ServingError(
+        ErrorKind.OUTCOME_UNKNOWN,
+        f'whether the call ran is unknown: {reason}; it will not run again '
+        'under this key; send it again with the same key to ask, or check '
+        'at the service',
+        ran=Ran.UNKNOWN,
+        retry_after=retry_after,
+    )
--- a/flamingovalve/claims/table.py
+++ b/flamingovalve/claims/table.py
@@ -8,15 +8,13 @@
 
 import curio
 
+from flamingovalve.generated.ids import ClaimKey, Incarnation, VmId
 from flamingovalve.generated.messages import (
     ClaimAsk,
-    ClaimKey,
     ClaimReply,
     ClaimState,
     ClaimTell,
-    Incarnation,
     SealAsk,
-    VmId,
 )
 from flamingovalve.util import clock
 
--- a/flamingovalve/cmd/flamingovalve.py
+++ b/flamingovalve/cmd/flamingovalve.py
@@ -6,6 +6,7 @@
 import json
 import sys
 from dataclasses import dataclass
+from http import HTTPStatus
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -32,6 +33,8 @@
 EXIT_UNREACHABLE = 3
 EXIT_REFUSED = 4
 
+_ANSWER_SECONDS = 120
+
 _DESCRIPTION = """Look after flamingovalve.
 
 Exit status: 0 done, 1 faults found, 2 wrong usage, 3 the VM cannot be
@@ -94,9 +97,9 @@
         """Print the addresses, and the permit if there is one."""
         query = f'application={self.application}'
         if self.service:
-            query += f'&service={self.service}&call={self.call}'
+            query = f'{query}&service={self.service}&call={self.call}'
         else:
-            query += f'&model={self.model}'
+            query = f'{query}&model={self.model}'
         answer = ask_json(
             self.address, UpstreamCall('GET', f'/v1/entry?{query}', [])
         )
@@ -105,8 +108,9 @@
             return
         for address in answer['addresses']:
             print(address)
-        if 'permit' in answer:
-            print(f'permit {answer["permit"]}')
+        permit = answer.get('permit')
+        if permit is not None:
+            print(f'permit {permit}')
 
 
 @dataclass
@@ -219,7 +223,9 @@
         else:
             builder.add(page.ok)
     built = builder.build()
-    return faults + (built.error if built.is_error() else [])
+    if built.is_error():
+        faults.extend(built.error)
+    return faults
 
 
 def ask_json(address: str, call: UpstreamCall) -> dict[str, Any]:
@@ -230,7 +236,7 @@
         message = f'{address}: {failed or "cannot be reached"}'
         raise cappa.Exit(message, code=EXIT_UNREACHABLE) from failed
     answer = json.loads(response.body)
-    if response.status >= 400:
+    if response.status >= HTTPStatus.BAD_REQUEST:
         error = answer.get('error', {})
         message = f'{error.get("type")}: {error.get("message")}'
         raise cappa.Exit(message, code=EXIT_REFUSED)
@@ -239,7 +245,7 @@
 
 async def _exchange(address: str, call: UpstreamCall) -> Response:
     pool = ConnectionPool(Network(), RelaySettings())
-    response = await pool.exchange(address, call, 120, fresh=True)
+    response = await pool.exchange(address, call, _ANSWER_SECONDS, fresh=True)
     await pool.close()
     return response
 
--- a/flamingovalve/config/adapters.py
+++ b/flamingovalve/config/adapters.py
@@ -6,11 +6,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from flamingovalve.generated.settings import Adapter, AdapterId, ModelId
+from flamingovalve.generated.ids import AdapterId, ModelId
 
 if TYPE_CHECKING:
     from collections.abc import Hashable, Iterable, Iterator
 
+    from flamingovalve.generated.settings import Adapter
+
 
 @dataclass(slots=True, frozen=True)
 class AdapterRecord:
@@ -68,8 +70,7 @@
 
     def __iter__(self) -> Iterator[AdapterRecord]:
         """Give every adapter in the order of ids."""
-        for index in range(len(self)):
-            yield self._record(index)
+        yield from map(self._record, range(len(self)))
 
     def find(self, adapter_id: str) -> AdapterRecord | None:
         """Give the adapter of that id, if there is one."""
--- a/flamingovalve/config/inventory.py
+++ b/flamingovalve/config/inventory.py
@@ -12,18 +12,20 @@
 from flamingovalve.config.adapters import AdapterTable
 from flamingovalve.config.checker import read_struct
 from flamingovalve.errors import ErrorKind, Fault, ServingError
+from flamingovalve.generated.ids import (
+    ApplicationId,
+    EngineId,
+    ModelId,
+    ServiceId,
+)
 from flamingovalve.generated.settings import (
     Adapter,
     Application,
-    ApplicationId,
     Engine,
-    EngineId,
     Manifest,
-    ModelId,
     Page,
     Service,
     ServiceCall,
-    ServiceId,
     VmList,
 )
 from flamingovalve.util.network import split_address
--- a/flamingovalve/config/keeper.py
+++ b/flamingovalve/config/keeper.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import hashlib
-import random
 import zlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
@@ -29,17 +28,18 @@
     ServiceUnavailable,
 )
 from flamingovalve.errors import ConnectionLost, Fault, WrongPeer
+from flamingovalve.generated.ids import VmId
 from flamingovalve.generated.messages import (
     ConfigurationAsk,
     ConfigurationReply,
     VersionRumour,
-    VmId,
 )
 from flamingovalve.peer.client import PeerUnreachable
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Awaitable, Callable
 
     from flamingovalve.generated.settings import (
@@ -192,7 +192,7 @@
         own_id = VmId(self._settings.vm.id)
         return VersionRumour(own_id, self.inventory.version, revision)
 
-    async def answer(self, ask: ConfigurationAsk) -> ConfigurationReply:
+    def answer(self, ask: ConfigurationAsk) -> ConfigurationReply:
         """Answer a peer that asks for a value."""
         stored = self._stored_by_key.get(ask.key)
         if stored is None or ask.sha256 not in {'', stored[0]}:
@@ -221,22 +221,26 @@
                 await self._pause(1)
                 continue
             try:
-                published = await self._service.watch(key, revision)
+                revision = await self._watch_once(key, revision)
             except ServiceUnavailable as failed:
                 failures += 1
                 logger.debug('cannot watch {}: {}', key, failed)
                 await self._pause(failures)
-                continue
-            failures = 0
-            self.refreshed_at = clock.now()
-            if published is not None:
-                revision = published.revision
-                origin = ServiceOrigin(self._service)
-                taking = self._take(key, published.content, origin)
-                if not await self._try(taking):
-                    # A page may have been missing or stale: read again.
-                    revision = 0
-                    await self._pause(1)
+            else:
+                failures = 0
+                self.refreshed_at = clock.now()
+
+    async def _watch_once(self, key: str, revision: int) -> int:
+        """Wait for a change and take it; give the revision to watch from."""
+        published = await self._service.watch(key, revision)
+        if published is None:
+            return revision
+        origin = ServiceOrigin(self._service)
+        if await self._try(self._take(key, published.content, origin)):
+            return published.revision
+        # A page may have been missing or stale: read again.
+        await self._pause(1)
+        return 0
 
     def is_watcher(self) -> bool:
         """Tell whether this VM watches the service for its domain."""
--- a/flamingovalve/config/settings.py
+++ b/flamingovalve/config/settings.py
@@ -16,6 +16,9 @@
     from pathlib import Path
 
 
+_SHORTEST_KEY = 16
+
+
 def load_settings(path: Path) -> Result[Settings, list[Fault]]:
     """Read the settings file at ``path``."""
     try:
@@ -64,10 +67,11 @@
 
 
 def _missing(settings: Settings) -> list[Fault]:
-    faults = []
-    for name in ('id', 'failure_domain'):
-        if not getattr(settings.vm, name):
-            faults.append(Fault(f'vm.{name}', 'is missing', 'name it'))
+    faults = [
+        Fault(f'vm.{name}', 'is missing', 'name it')
+        for name in ('id', 'failure_domain')
+        if not getattr(settings.vm, name)
+    ]
     addresses = {
         'vm.http_address': settings.vm.http_address,
         'vm.peer_address': settings.vm.peer_address,
@@ -80,11 +84,11 @@
             split_address(address)
         except ValueError as bad:
             faults.append(Fault(place, str(bad), 'write IP:port'))
-    if len(settings.fleet.key_current) < 16:
+    if len(settings.fleet.key_current) < _SHORTEST_KEY:
         faults.append(
             Fault(
                 'fleet.key_current',
-                'is shorter than 16 characters',
+                f'is shorter than {_SHORTEST_KEY} characters',
                 'write a long random key, the same on every VM',
             ),
         )
--- a/flamingovalve/daemon.py
+++ b/flamingovalve/daemon.py
@@ -18,7 +18,7 @@
 from flamingovalve.engines.store import StoreShare
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.generated import messages
-from flamingovalve.generated.messages import Incarnation, VmId
+from flamingovalve.generated.ids import Incarnation, VmId
 from flamingovalve.http.client import ConnectionPool
 from flamingovalve.http.server import HttpServer
 from flamingovalve.membership.gossip import Gossip, News
@@ -44,8 +44,6 @@
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from flamingovalve.config.inventory import Inventory
     from flamingovalve.generated.settings import (
         Service,
@@ -186,18 +184,16 @@
         )
         self.metrics = DaemonMetrics(self)
         server = self.peer_server
-        table = self.executor.table
-        own = self.incarnation
         server.on_ask(
             messages.ClaimAsk,
-            _replying(lambda ask: table.acknowledge(ask, own)),
+            self._acknowledge,
         )
-        server.on_ask(messages.ClaimTell, _awaiting(table.tell))
+        server.on_ask(messages.ClaimTell, self._tell)
         server.on_ask(
             messages.SealAsk,
-            _awaiting(lambda ask: table.seal(ask, own)),
+            self._seal,
         )
-        server.on_ask(messages.ConfigurationAsk, _awaiting(self.keeper.answer))
+        server.on_ask(messages.ConfigurationAsk, self._answer_configuration)
         server.on_ask(messages.TakeoverAsk, self.engines.answer_takeover)
         server.on_work(messages.ForwardCompletion, self._forwarded_work)
         server.on_work(messages.ForwardCall, self._forwarded_call)
@@ -259,12 +255,12 @@
         await self.stop()
 
     def _is_busy(self) -> bool:
-        return self.in_progress > 0 or len(self.executor.running) > 0
+        return self.in_progress > 0 or len(self.executor.runner.tasks) > 0
 
     async def _close(self) -> None:
         await self.engines.close()
         await self.background.cancel()
-        await self.executor.running.cancel()
+        await self.executor.runner.tasks.cancel()
         await self.http.close()
         await self.peer_server.close()
         await self.gossip.close()
@@ -310,7 +306,7 @@
                     request,
                     service.addresses,
                 )
-            return await self.executor.handle(request, service.addresses)
+            return await self.executor.execute(request, service.addresses)
         finally:
             self.in_progress -= 1
 
@@ -358,11 +354,41 @@
         )
         self.in_progress += 1
         try:
-            response = await self.executor.handle(request, service.addresses)
+            response = await self.executor.execute(request, service.addresses)
         finally:
             self.in_progress -= 1
         await sink.send(response)
 
+    # -- What other VMs ask
+
+    async def _acknowledge(
+        self,
+        ask: messages.ClaimAsk,
+        _remote: messages.Hello,
+    ) -> messages.ClaimReply:
+        return self.executor.table.acknowledge(ask, self.incarnation)
+
+    async def _tell(
+        self,
+        told: messages.ClaimTell,
+        _remote: messages.Hello,
+    ) -> messages.ClaimReply:
+        return await self.executor.table.tell(told)
+
+    async def _seal(
+        self,
+        ask: messages.SealAsk,
+        _remote: messages.Hello,
+    ) -> messages.ClaimReply:
+        return await self.executor.table.seal(ask, self.incarnation)
+
+    async def _answer_configuration(
+        self,
+        ask: messages.ConfigurationAsk,
+        _remote: messages.Hello,
+    ) -> messages.ConfigurationReply:
+        return self.keeper.answer(ask)
+
     # -- News
 
     @singledispatchmethod
@@ -469,19 +495,3 @@
             'store_loading': self.store.loading,
             'store_share': self.store.share,
         }
-
-
-def _replying(decide: Callable[[Any], Any]) -> Callable[..., Awaitable[Any]]:
-    async def answer(message: Any, _remote: object) -> Any:
-        return decide(message)
-
-    return answer
-
-
-def _awaiting(
-    decide: Callable[[Any], Awaitable[Any]],
-) -> Callable[..., Awaitable[Any]]:
-    async def answer(message: Any, _remote: object) -> Any:
-        return await decide(message)
-
-    return answer
--- a/flamingovalve/engines/api.py
+++ b/flamingovalve/engines/api.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 from expression import Error, Ok, Result
@@ -17,8 +18,7 @@
     from flamingovalve.http.messages import Response
 
 FENCING_HEADER = 'x-fencing-number'
-_OK = 200
-_CONFLICT = 409
+_SHOWN_BYTES = 200
 _LOAD_SECONDS = 30
 
 
@@ -163,17 +163,17 @@
         parsed = None
     if not isinstance(parsed, dict):
         return Error(_bad_reply(response))
-    if response.status == _CONFLICT:
+    if response.status == HTTPStatus.CONFLICT:
         return Error(_old_number())
-    if response.status != _OK:
+    if response.status != HTTPStatus.OK:
         return Error(_bad_reply(response))
     return Ok(parsed)
 
 
 def _order_outcome(response: Response) -> Result[None, ServingError]:
-    if response.status == _OK:
+    if response.status == HTTPStatus.OK:
         return Ok(None)
-    if response.status == _CONFLICT:
+    if response.status == HTTPStatus.CONFLICT:
         return Error(_old_number())
     return Error(_bad_reply(response))
 
@@ -187,7 +187,7 @@
 
 
 def _bad_reply(response: Response) -> ServingError:
-    text = response.body[:200].decode('utf-8', 'replace')
+    text = response.body[:_SHOWN_BYTES].decode('utf-8', 'replace')
     return ServingError(
         ErrorKind.LOAD_FAILED,
         f'the engine refused an order ({response.status}: {text}); it is '
@@ -207,6 +207,6 @@
     return ServingError(
         kind,
         f'engine {engine!r} cannot be reached ({failed}); see whether it runs',
-        ran=Ran.NO,
+        ran=Ran.NOT,
         retry_after=1,
     )
--- a/flamingovalve/engines/owner.py
+++ b/flamingovalve/engines/owner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING, Final
@@ -14,15 +13,17 @@
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger
+from flamingovalve.util.rates import jittered
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Awaitable, Callable
 
     from flamingovalve.engines.api import EngineApi, LoadReport
     from flamingovalve.engines.residents import Resident
     from flamingovalve.engines.store import StoreShare
-    from flamingovalve.generated.messages import Incarnation
+    from flamingovalve.generated.ids import Incarnation
     from flamingovalve.generated.settings import Engine, Settings
 
 logger = get_logger(__name__)
@@ -108,7 +109,9 @@
         while True:
             if self.state is OwnerState.OWNING:
                 await self._renew()
-                await curio.sleep(self._jittered(self._settings.report_seconds))
+                await curio.sleep(
+                    jittered(self._chance, self._settings.report_seconds)
+                )
             else:
                 await self._claim_or_wait()
 
@@ -162,13 +165,15 @@
 
     async def _claim_or_wait(self) -> None:
         if self.state is OwnerState.LOST:
-            pause = self._jittered(self._reclaim_pause)
+            pause = jittered(self._chance, self._reclaim_pause)
             doubled = self._reclaim_pause * 2
             self._reclaim_pause = min(doubled, _LONGEST_RECLAIM_SECONDS)
             self.state = OwnerState.CLAIMING
             await curio.sleep(pause)
         if not await self._claim():
-            await curio.sleep(self._jittered(self._settings.report_seconds))
+            await curio.sleep(
+                jittered(self._chance, self._settings.report_seconds)
+            )
 
     async def _claim(self) -> bool:
         """Become the one whose orders the engine obeys."""
@@ -255,7 +260,8 @@
 
     async def _notice_restart(self, boot: str) -> None:
         logger.warning('engine {} restarted', self.engine.id)
-        ended, self._boot = self._boot, boot
+        ended = self._boot
+        self._boot = boot
         await self.crashed()
         for listener in self.crash_listeners:
             await listener(self.engine.id, ended)
@@ -332,9 +338,6 @@
             if self.state is OwnerState.OWNING:
                 await self._lose()
 
-    def _jittered(self, seconds: float) -> float:
-        return seconds * self._chance.uniform(0.9, 1.1)
-
 
 async def _nothing() -> None:
     """Stand for a listener until there is one."""
--- a/flamingovalve/engines/residents.py
+++ b/flamingovalve/engines/residents.py
@@ -14,6 +14,8 @@
     from collections.abc import Callable, Iterable
 
 _RATE_HALF_LIFE_SECONDS: Final = 60
+_FORGOTTEN_RATE: Final = 1e-4
+_SWEEP_SIZE: Final = 1024
 
 
 class ResidentState(Enum):
@@ -69,13 +71,10 @@
     adapters in use and not the inventory.
     """
 
-    _FORGOTTEN_RATE: Final = 1e-4
-    _SWEEP_SIZE: Final = 1024
-
     def __init__(self) -> None:
         """Start without any request seen."""
         self._rates_by_name: dict[str, DecayingRate] = {}
-        self._sweep_at = self._SWEEP_SIZE
+        self._sweep_at = _SWEEP_SIZE
 
     def __len__(self) -> int:
         """Count the names that are remembered."""
@@ -101,10 +100,10 @@
         kept = {
             name: rate
             for name, rate in self._rates_by_name.items()
-            if rate.per_second() > self._FORGOTTEN_RATE
+            if rate.per_second() > _FORGOTTEN_RATE
         }
         self._rates_by_name = kept
-        self._sweep_at = max(self._SWEEP_SIZE, 2 * len(kept))
+        self._sweep_at = max(_SWEEP_SIZE, 2 * len(kept))
 
 
 class Residents:
--- a/flamingovalve/engines/store.py
+++ b/flamingovalve/engines/store.py
@@ -1,4 +1,4 @@
-"""This VM's share of the weight store's budget, without a coordinator.
+"""The share of the weight store's budget that one VM takes.
 
 Every owner gossips how many loads it has in flight and how many wait. Each
 takes a share of the budget in proportion to its demand. News of the others
@@ -15,7 +15,7 @@
 from flamingovalve.util.rates import SmoothedSeconds
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.messages import VmId
+    from flamingovalve.generated.ids import VmId
     from flamingovalve.generated.settings import SchedulingSettings
 
 _UNLOADED_SECONDS: Final = 0.25
@@ -23,6 +23,8 @@
 _STALE_SECONDS: Final = 5.0
 _FEWEST_LOADS: Final = 1.0
 _TELL_SECONDS: Final = 1.0
+_SHRINK: Final = 0.7
+_GROW: Final = 1.1
 
 
 class StoreShare:
@@ -55,9 +57,9 @@
         self.loading -= 1
         self._seconds.add(seconds)
         if seconds > self._fastest * _SLOW_FACTOR:
-            self._slowdown = max(self._slowdown * 0.7, 1 / self._budget)
+            self._slowdown = max(self._slowdown * _SHRINK, 1 / self._budget)
         else:
-            self._slowdown = min(self._slowdown * 1.1, 1.0)
+            self._slowdown = min(self._slowdown * _GROW, 1.0)
 
     def waiting(self, owner: object, count: int) -> None:
         """Take the number of loads that ``owner`` could start now."""
@@ -93,7 +95,8 @@
             0,
         ):
             return None
-        self._told, self._told_at = use, moment
+        self._told = use
+        self._told_at = moment
         self._sequence = max(self._sequence + 1, int(clock.wall() * 1000))
         return StoreRumour(self._own_id, *use, self._sequence)
 
--- a/flamingovalve/errors.py
+++ b/flamingovalve/errors.py
@@ -9,8 +9,8 @@
 class Ran(Enum):
     """What is known about the run of a request that failed."""
 
-    NO = 'no'
-    YES = 'yes'
+    NOT = 'no'
+    DONE = 'yes'
     UNKNOWN = 'unknown'
 
 
@@ -78,7 +78,7 @@
         kind: ErrorKind,
         message: str,
         *,
-        ran: Ran = Ran.NO,
+        ran: Ran = Ran.NOT,
         retry_after: float | None = None,
     ) -> None:
         """Describe the failure.
--- a/flamingovalve/http/messages.py
+++ b/flamingovalve/http/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import TYPE_CHECKING, Any
@@ -100,7 +101,7 @@
         """Build the response that reports ``error``."""
         headers: HeaderList = []
         if error.retry_after is not None:
-            whole = max(1, int(error.retry_after + 0.999))
+            whole = max(1, math.ceil(error.retry_after))
             headers.append(('retry-after', str(whole)))
         return cls.from_json(error.to_json(), error.kind.status, headers)
 
--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -31,7 +31,7 @@
 _CHUNKED = ('transfer-encoding', 'chunked')
 
 
-class Handler(Protocol):
+class Answerer(Protocol):
     """Answers the requests that a server reads."""
 
     async def __call__(self, request: Request, responder: Responder) -> None:
@@ -136,17 +136,17 @@
 
 
 class HttpServer:
-    """Accepts connections and hands their requests to a handler."""
+    """Accepts connections and hands their requests to a answerer."""
 
     def __init__(
         self,
         network: Network,
-        handler: Handler,
+        answerer: Answerer,
         limits: LimitSettings,
     ) -> None:
-        """Answer with ``handler`` within ``limits``."""
+        """Answer with ``answerer`` within ``limits``."""
         self._network = network
-        self._handler = handler
+        self._answerer = answerer
         self._limits = limits
         self._tasks = TaskSet()
         self.counts = ServerCounts()
@@ -195,9 +195,9 @@
         return self._limits
 
     @property
-    def handler(self) -> Handler:
+    def answerer(self) -> Answerer:
         """Give what answers the requests."""
-        return self._handler
+        return self._answerer
 
 
 class ServerConnection:
@@ -247,7 +247,7 @@
     async def _answer(self, request: Request, responder: Responder) -> None:
         self._server.counts.requests += 1
         try:
-            await self._server.handler(request, responder)
+            await self._server.answerer(request, responder)
         except ServingError as refused:
             await self._report(responder, refused)
         except (OSError, ConnectionLost):
@@ -285,8 +285,9 @@
         # a reset, which can destroy the refusal before the caller reads it.
         await self._socket.shutdown(socket.SHUT_WR)
         async with curio.ignore_after(1):
-            while await self._socket.recv(_READ_BYTES):
-                pass
+            received = await self._socket.recv(_READ_BYTES)
+            while received:
+                received = await self._socket.recv(_READ_BYTES)
 
     async def _read_request(self) -> Request | None:
         head = await self._next_event()
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass
 from enum import Enum
 from functools import singledispatchmethod
@@ -20,7 +19,6 @@
 from flamingovalve.generated.messages import (
     Ack,
     Datagram,
-    Incarnation,
     MemberRumour,
     MemberState,
     Ping,
@@ -31,13 +29,16 @@
 from flamingovalve.util.authentication import Keyring, ReplayWindow
 from flamingovalve.util.logs import get_logger
 from flamingovalve.util.network import split_address
+from flamingovalve.util.rates import jittered
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Awaitable, Callable
 
     from curio.io import Socket
 
-    from flamingovalve.generated.settings import FleetSettings, VmId
+    from flamingovalve.generated.ids import Incarnation, VmId
+    from flamingovalve.generated.settings import FleetSettings
     from flamingovalve.membership.members import Member, MemberTable
     from flamingovalve.util.network import Network
 
@@ -128,9 +129,9 @@
         await self.push(self.members.own_rumour())
         while True:
             period = self._settings.probe_seconds
-            jittered = period * self._chance.uniform(0.9, 1.1)
-            planned = clock.now() + jittered
-            await curio.sleep(jittered)
+            pause = jittered(self._chance, period)
+            planned = clock.now() + pause
+            await curio.sleep(pause)
             self._notice_late_wakeup(planned)
             self._expire_suspicions()
             target = self._next_target()
@@ -184,12 +185,9 @@
                 return member
         self._order = [member.vm.id for member in self.members.others()]
         self._chance.shuffle(self._order)
-        return None if not self._order else self._peek_next(dead)
-
-    def _peek_next(self, dead: list[Member]) -> Member | None:
-        if len(dead) == len(self._order):
-            return self._chance.choice(dead)
-        return self._next_target()
+        if len(dead) < len(self._order):
+            return self._next_target()
+        return self._chance.choice(dead) if dead else None
 
     async def _probe_one(self, target: Member) -> None:
         self._probe += 1
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from flamingovalve.generated.messages import Incarnation, MemberRumour
+from flamingovalve.generated.ids import Incarnation
+from flamingovalve.generated.messages import MemberRumour
 from flamingovalve.generated.messages import MemberState as State
 from flamingovalve.generated.settings import VmState
 from flamingovalve.util import clock
@@ -14,7 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from flamingovalve.generated.settings import PublishedVm, VmId, VmList
+    from flamingovalve.generated.ids import VmId
+    from flamingovalve.generated.settings import PublishedVm, VmList
 
 logger = get_logger(__name__)
 
--- a/flamingovalve/metrics.py
+++ b/flamingovalve/metrics.py
@@ -168,10 +168,11 @@
 def _counters(group: str, counts: Any) -> Iterator[Metric]:
     for entry in dataclasses.fields(counts):
         name = f'{group}_{entry.name}'
-        if name in MEANINGS:
+        meaning = MEANINGS.get(name)
+        if meaning is not None:
             yield CounterMetricFamily(
                 f'{PREFIX}_{name}',
-                MEANINGS[name],
+                meaning,
                 getattr(counts, entry.name),
             )
 
@@ -195,4 +196,4 @@
         f'| `{PREFIX}_answer_seconds` | histogram | '
         'Time from a completion to the end of its answer. |',
     )
-    return '\n'.join(rows) + '\n'
+    return '\n'.join([*rows, ''])
--- a/flamingovalve/peer/client.py
+++ b/flamingovalve/peer/client.py
@@ -8,14 +8,14 @@
 import curio
 
 from flamingovalve.errors import ConnectionLost, WrongPeer
-from flamingovalve.generated.messages import Incarnation
 from flamingovalve.peer.connection import PeerConnection, own_hello
 from flamingovalve.util import clock
 from flamingovalve.util.authentication import Keyring
 from flamingovalve.util.network import has_ended
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.settings import Settings, VmId
+    from flamingovalve.generated.ids import Incarnation, VmId
+    from flamingovalve.generated.settings import Settings
     from flamingovalve.util.network import Network
 
 _IDLE_SECONDS = 10
--- a/flamingovalve/peer/connection.py
+++ b/flamingovalve/peer/connection.py
@@ -16,14 +16,14 @@
 import curio
 
 from flamingovalve.errors import ConnectionLost, WrongPeer
-from flamingovalve.generated import messages
+from flamingovalve.generated import ids, messages
 from flamingovalve.generated.messages import Heartbeat, Hello
 from flamingovalve.util.authentication import CODE_BYTES, authentication_code
 
 if TYPE_CHECKING:
     from curio.io import Socket
 
-    from flamingovalve.generated.settings import VmId
+    from flamingovalve.generated.ids import VmId
     from flamingovalve.util.authentication import Keyring
     from flamingovalve.util.network import Network
 
@@ -31,7 +31,7 @@
 SILENCE_SECONDS: Final = 3.5
 
 _READ_BYTES: Final = 262144
-_FRAME_BYTES: Final = 1 << 30
+_FRAME_BYTES: Final = 1024**3
 _LENGTH_BYTES: Final = 4
 _NONCE_BYTES: Final = 16
 _HEAD_BYTES: Final = _LENGTH_BYTES + CODE_BYTES
@@ -164,9 +164,9 @@
             raise ConnectionLost(str(broken)) from broken
 
 
-def own_hello(vm: VmId, incarnation: messages.Incarnation) -> Hello:
+def own_hello(vm: VmId, incarnation: ids.Incarnation) -> Hello:
     """Give the greeting of this process."""
-    return Hello(messages.VmId(vm), incarnation, b'')
+    return Hello(ids.VmId(vm), incarnation, b'')
 
 
 def _decode(content: bytes) -> Any:
--- a/flamingovalve/peer/server.py
+++ b/flamingovalve/peer/server.py
@@ -19,7 +19,6 @@
     Chunk,
     Header,
     Heartbeat,
-    Incarnation,
     Refusal,
     ResponseEnd,
     ResponseHead,
@@ -38,6 +37,7 @@
 
     from curio.io import Socket
 
+    from flamingovalve.generated.ids import Incarnation
     from flamingovalve.generated.settings import Settings
     from flamingovalve.http.messages import HeaderList, Response
     from flamingovalve.util.network import Network
@@ -92,7 +92,7 @@
         """Write the head of a response whose body comes in chunks."""
         self.started = True
         listed = [Header(name, text) for name, text in headers]
-        await self._connection.send(ResponseHead(status, listed))
+        await self._connection.send(ResponseHead(int(status), listed))
 
     async def chunk(self, payload: bytes) -> None:
         """Write one chunk of the body."""
@@ -170,18 +170,18 @@
     def on_ask(
         self,
         kind: type,
-        handler: Callable[..., Awaitable[Any]],
+        answerer: Callable[..., Awaitable[Any]],
     ) -> None:
-        """Answer messages of ``kind`` by the one message ``handler`` gives."""
-        self._askers[kind] = handler
+        """Answer messages of ``kind`` by the one message ``answerer`` gives."""
+        self._askers[kind] = answerer
 
     def on_work(
         self,
         kind: type,
-        handler: Callable[..., Awaitable[None]],
+        answerer: Callable[..., Awaitable[None]],
     ) -> None:
-        """Answer messages of ``kind`` by what ``handler`` writes to a sink."""
-        self._workers[kind] = handler
+        """Answer messages of ``kind`` by what ``answerer`` writes to a sink."""
+        self._workers[kind] = answerer
 
     async def serve(self, listening: Socket) -> None:
         """Accept connections until cancelled."""
@@ -228,9 +228,9 @@
         connection: PeerConnection,
     ) -> None:
         kind = type(message)
-        if kind in self._askers:
-            reply = await self._askers[kind](message, connection.remote)
-            await connection.send(reply)
+        asker = self._askers.get(kind)
+        if asker is not None:
+            await connection.send(await asker(message, connection.remote))
         elif kind in self._workers:
             await self._work(message, connection)
         else:
--- a/flamingovalve/relay/completion.py
+++ b/flamingovalve/relay/completion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import curio
@@ -36,9 +37,6 @@
 logger = get_logger(__name__)
 
 _RESUMES: Final = 3
-_OK: Final = 200
-_NOT_FOUND: Final = 404
-_CLIENT_FAULTS: Final = range(400, 500)
 
 
 class CompletionRelay:
@@ -147,7 +145,7 @@
 
         :raises ServingError: when there is none
         """
-        remaining = max(self.work.remaining(), 0.01)
+        remaining = max(self.work.remaining(), 0)
         try:
             async with curio.timeout_after(remaining):
                 await self._run()
@@ -205,7 +203,7 @@
         connection: UpstreamConnection,
         head: ResponseHead,
     ) -> None:
-        if head.status != _OK:
+        if head.status != HTTPStatus.OK:
             await self._refused(connection, head)
             return
         self._check.check_headers(head.headers)
@@ -219,12 +217,12 @@
         body = await connection.body(self._settings.chunk_seconds)
         self._check.check_whole(body)
         headers = [('content-type', JSON_TYPE), *self._names()]
-        await self._sink.send(Response(_OK, headers, body))
+        await self._sink.send(Response(HTTPStatus.OK, headers, body))
 
     async def _stream(self, connection: UpstreamConnection) -> None:
         if not self._sink.started:
             headers = [('content-type', EVENT_STREAM_TYPE), *self._names()]
-            await self._sink.start(_OK, headers)
+            await self._sink.start(HTTPStatus.OK, headers)
         seconds = self._settings.chunk_seconds
         received = await connection.chunk(seconds)
         while received:
@@ -251,14 +249,14 @@
     ) -> None:
         body = await connection.body(self._settings.chunk_seconds)
         self.may_run = False
-        if head.status == _NOT_FOUND and self.work.offset:
+        if head.status == HTTPStatus.NOT_FOUND and self.work.offset:
             raise fragment('the engine no longer knows the stream')
-        if head.status == _NOT_FOUND:
+        if head.status == HTTPStatus.NOT_FOUND:
             # The engine lost the adapter, as after a restart that no report
             # has shown yet.
             self.owner.scheduler.residents.remove(self.work.target.name)
             raise _adapter_missing(self.owner.engine.id)
-        if head.status not in _CLIENT_FAULTS:
+        if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             raise _upstream_failed(self.owner.engine.id, f'{head.status}')
         headers = [('content-type', JSON_TYPE), *self._names()]
         await self._sink.send(Response(head.status, headers, body))
--- a/flamingovalve/relay/events.py
+++ b/flamingovalve/relay/events.py
@@ -10,7 +10,7 @@
 _SEPARATOR: Final = b'\n\n'
 _DATA: Final = b'data: '
 _END: Final = b'data: [DONE]'
-_LONGEST_EVENT_BYTES: Final = 1 << 20
+_LONGEST_EVENT_BYTES: Final = 1024**2
 
 
 class AnswerCheck:
--- a/flamingovalve/relay/quarantine.py
+++ b/flamingovalve/relay/quarantine.py
@@ -6,12 +6,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-from flamingovalve.generated.messages import Fingerprint, PoisonRumour
+from flamingovalve.generated.messages import PoisonRumour
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.settings import EngineId, RelaySettings
+    from flamingovalve.generated.ids import EngineId, Fingerprint
+    from flamingovalve.generated.settings import RelaySettings
 
 logger = get_logger(__name__)
 
@@ -146,7 +147,8 @@
 
     def take_news(self) -> list[PoisonRumour]:
         """Give the findings that other VMs have not been told."""
-        news, self.news = self.news, []
+        news = self.news
+        self.news = []
         return news
 
     def _suspect(self, fingerprint: Fingerprint, *, alone: bool) -> None:
--- a/flamingovalve/relay/services.py
+++ b/flamingovalve/relay/services.py
@@ -92,16 +92,13 @@
         while True:
             try:
                 return await self._try_once(request, addresses)
-            except ServingError as failed:
+            except ServingError:
                 if not self._may_retry(request, pause):
                     raise
-                last = failed
             # Jitter keeps callers that failed together from coming back
             # together.
             await curio.sleep(pause * self._chance.uniform(0.5, 1))
             pause = min(pause * 2, _LONGEST_PAUSE_SECONDS)
-            if request.remaining() <= 0:
-                raise last
 
     async def connect_fresh(
         self,
@@ -133,7 +130,7 @@
         :raises ConnectionLost: when the connection broke; it may have run
         :raises TimeoutError: when no answer came; it may have run
         """
-        remaining = max(request.remaining(), 0.01)
+        remaining = max(request.remaining(), 0)
         seconds = min(self._settings.first_byte_seconds, remaining)
         try:
             await connection.send(request.upstream_call(), seconds)
--- a/flamingovalve/relay/work.py
+++ b/flamingovalve/relay/work.py
@@ -7,16 +7,16 @@
 from typing import TYPE_CHECKING, Any, Self
 
 from flamingovalve.errors import ErrorKind, ServingError
-from flamingovalve.generated.messages import (
+from flamingovalve.generated.ids import (
     AdapterId,
     ApplicationId,
     EngineId,
     Fingerprint,
-    ForwardCompletion,
     ModelId,
     RequestId,
     VersionId,
 )
+from flamingovalve.generated.messages import ForwardCompletion
 from flamingovalve.generated.settings import Priority
 from flamingovalve.util import clock, hashing
 
--- a/flamingovalve/routing/engines.py
+++ b/flamingovalve/routing/engines.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -11,19 +10,18 @@
 from flamingovalve.engines.api import EngineApi
 from flamingovalve.engines.owner import EngineOwner, OwnerState, not_owner
 from flamingovalve.errors import ConnectionLost, WrongPeer
-from flamingovalve.generated.messages import (
-    Incarnation,
-    TakeoverAsk,
-    TakeoverReply,
-)
+from flamingovalve.generated.messages import TakeoverAsk, TakeoverReply
 from flamingovalve.peer.client import PeerUnreachable
 from flamingovalve.util.logs import get_logger
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
+    import random
+
     from flamingovalve.config.inventory import Inventory
     from flamingovalve.engines.store import StoreShare
-    from flamingovalve.generated.settings import Engine, EngineId, Settings
+    from flamingovalve.generated.ids import EngineId, Incarnation
+    from flamingovalve.generated.settings import Engine, Settings
     from flamingovalve.http.client import ConnectionPool
     from flamingovalve.membership.members import MemberTable
     from flamingovalve.peer.client import PeerPool
--- a/flamingovalve/routing/entry.py
+++ b/flamingovalve/routing/entry.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any, Final
 
-from flamingovalve.generated.settings import VmId
+from flamingovalve.generated.ids import VmId
 
 if TYPE_CHECKING:
     from flamingovalve.config.inventory import Inventory, Target
@@ -58,11 +58,12 @@
     def _answer(self, names: list[VmId]) -> dict[str, Any]:
         ranked = list(dict.fromkeys(names))
         ranked.extend(member.vm.id for member in self._neighbours(set(ranked)))
-        addresses = [
-            self._members.by_id[name].vm.http_address
+        present = [
+            self._members.by_id[name].vm
             for name in ranked
             if self._members.is_present(name)
         ]
+        addresses = [vm.http_address for vm in present]
         return {
             'addresses': addresses[:_ADDRESSES],
             'ttl_seconds': self._seconds,
--- a/flamingovalve/routing/forward.py
+++ b/flamingovalve/routing/forward.py
@@ -14,7 +14,7 @@
     ServingError,
     WrongPeer,
 )
-from flamingovalve.generated import messages
+from flamingovalve.generated import ids
 from flamingovalve.generated.messages import (
     Chunk,
     ForwardCall,
@@ -29,7 +29,7 @@
 from flamingovalve.peer.server import error_of
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.messages import EngineId, VmId
+    from flamingovalve.generated.ids import EngineId, VmId
     from flamingovalve.membership.members import MemberTable
     from flamingovalve.peer.client import PeerPool
     from flamingovalve.peer.connection import PeerConnection
@@ -110,7 +110,7 @@
                 ended=unreachable.ended,
             ) from unreachable
         try:
-            async with curio.timeout_after(max(request.remaining(), 0.01)):
+            async with curio.timeout_after(max(request.remaining(), 0)):
                 await connection.send(_forward_call(request))
                 response = await _whole_response(connection)
         except (ConnectionLost, WrongPeer, curio.TaskTimeout) as lost:
@@ -159,10 +159,10 @@
 
 def _forward_call(request: ServiceRequest) -> ForwardCall:
     return ForwardCall(
-        messages.RequestId(request.request_id),
-        messages.ApplicationId(request.application),
-        messages.ServiceId(request.service),
-        messages.CallId(request.call),
+        ids.RequestId(request.request_id),
+        ids.ApplicationId(request.application),
+        ids.ServiceId(request.service),
+        ids.CallId(request.call),
         request.content_type,
         request.body,
         request.key,
--- a/flamingovalve/routing/ownership.py
+++ b/flamingovalve/routing/ownership.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from flamingovalve.generated.settings import VmId
+from flamingovalve.generated.ids import VmId
 from flamingovalve.util import hashing
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.settings import Engine, EngineId
+    from flamingovalve.generated.ids import EngineId
+    from flamingovalve.generated.settings import Engine
     from flamingovalve.membership.members import MemberTable
 
 
--- a/flamingovalve/routing/placement.py
+++ b/flamingovalve/routing/placement.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-import random
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
-from flamingovalve.generated.messages import AdapterId, SpreadRumour
-from flamingovalve.generated.settings import EngineId, PlacementPolicy
+from flamingovalve.generated.ids import AdapterId, EngineId
+from flamingovalve.generated.messages import SpreadRumour
+from flamingovalve.generated.settings import PlacementPolicy
 from flamingovalve.util import clock, hashing
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from flamingovalve.config.inventory import Inventory
-    from flamingovalve.generated.settings import ModelId
+    from flamingovalve.generated.ids import ModelId
 
 _CACHED_ORDERS: Final = 20000
 _ORDER_LENGTH: Final = 8
--- a/flamingovalve/routing/router.py
+++ b/flamingovalve/routing/router.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import secrets
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
@@ -10,12 +9,13 @@
 import curio
 
 from flamingovalve.errors import ErrorKind, Ran, ServingError
-from flamingovalve.generated.messages import EngineId, RequestId, VmId
+from flamingovalve.generated.ids import EngineId, RequestId, VmId
 from flamingovalve.relay.quarantine import Verdict
 from flamingovalve.routing.forward import VmLost, missing_vm
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from flamingovalve.config.inventory import Inventory
@@ -163,7 +163,7 @@
 
     async def _attempt(self, work: CompletionWork, sink: Sink) -> None:
         self._judge(work)
-        if not work.offset:
+        if work.offset == 0:
             # Each try has a name of its own, so that a late answer to an
             # earlier one cannot pass for an answer to this one.
             work.request_id = RequestId(secrets.token_hex(8))
@@ -197,7 +197,7 @@
     def _judge(self, work: CompletionWork) -> None:
         verdict = self._quarantine.verdict(work.fingerprint)
         if verdict is Verdict.REFUSED:
-            raise _poison(Ran.UNKNOWN if work.request_id else Ran.NO)
+            raise _poison(Ran.UNKNOWN if work.request_id else Ran.NOT)
         work.isolated = verdict is Verdict.SUSPECT
 
     def _choose(self, work: CompletionWork) -> Engine:
@@ -313,7 +313,7 @@
 
     def note(self, failed: ServingError) -> None:
         """Let a later refusal tell of an earlier try that may have run."""
-        self._may_have_run |= failed.ran is not Ran.NO
+        self._may_have_run |= failed.ran is not Ran.NOT
         if self._may_have_run:
             failed.ran = Ran.UNKNOWN
 
--- a/flamingovalve/schema/generate.py
+++ b/flamingovalve/schema/generate.py
@@ -30,7 +30,13 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Final, NewType
+from typing import Final
+
+'''
+
+IDS_HEAD: Final = '''"""Names and numbers that must not be mixed up, from both schemas."""
+
+from typing import NewType
 
 '''
 
@@ -41,7 +47,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from pathlib import Path
-from typing import Any, Final, NewType
+from typing import Any, Final
 
 import capnp
 
@@ -179,10 +185,12 @@
             )
         ]
 
-    def emit_identifiers(self) -> Iterator[str]:
-        """Write the NewTypes."""
-        for ident, wraps in sorted(self.identifiers().items()):
-            yield f"{ident} = NewType('{ident}', {wraps})\n"
+    def emit_imports(self) -> Iterator[str]:
+        """Write the import of the NewTypes that the file uses."""
+        yield 'from flamingovalve.generated.ids import (\n'
+        for ident in sorted(self.identifiers()):
+            yield f'    {ident},\n'
+        yield ')\n'
 
     def emit_enums(self) -> Iterator[str]:
         """Write the Enum states."""
@@ -196,17 +204,18 @@
         """Write one struct as a dataclass."""
         doc = self.annotations.of(schema.node).get('doc', '')
         yield '\n\n@dataclass(slots=True)\n'
-        yield f'class {name}:\n    """{doc}\n'
+        yield f'class {name}:\n    """{doc}'
         fields = self.plain_fields(schema)
-        documented = [
-            (snake(proto.name), self.describe(proto)) for proto in fields
+        described = [
+            f'    :ivar {snake(proto.name)}: {self.describe(proto)}\n'
+            for proto in fields
+            if self.describe(proto)
         ]
-        if any(text for _name, text in documented):
-            yield '\n'
-        for field_name, text in documented:
-            if text:
-                yield f'    :ivar {field_name}: {text}\n'
-        yield '    """\n\n'
+        if described:
+            yield '\n\n'
+            yield from described
+            yield '    '
+        yield '"""\n\n'
         for proto in fields:
             yield self.emit_field(proto)
         if self.union_fields(schema) and name == 'Datagram':
@@ -291,9 +300,21 @@
         return proto.slot.type.list.elementType.which() == 'struct'
 
 
+def emit_ids(*generators: Generator) -> str:
+    """Give the source of ``generated/ids.py``."""
+    found: dict[str, str] = {}
+    for generator in generators:
+        found.update(generator.identifiers())
+    lines = [
+        f"{ident} = NewType('{ident}', {wraps})\n"
+        for ident, wraps in sorted(found.items())
+    ]
+    return ''.join((IDS_HEAD, *lines))
+
+
 def emit_settings(generator: Generator) -> str:
     """Give the source of ``generated/settings.py``."""
-    parts = [SETTINGS_HEAD, *generator.emit_identifiers()]
+    parts = [SETTINGS_HEAD, *generator.emit_imports()]
     parts.extend(generator.emit_enums())
     sections = []
     for name, schema in generator.nodes('struct'):
@@ -314,7 +335,7 @@
 
 def emit_messages(generator: Generator) -> str:
     """Give the source of ``generated/messages.py``."""
-    parts = [MESSAGES_HEAD, *generator.emit_identifiers(), MESSAGES_SCHEMA]
+    parts = [MESSAGES_HEAD, *generator.emit_imports(), MESSAGES_SCHEMA]
     parts.extend(generator.emit_enums())
     unions = {}
     for name, schema in generator.nodes('struct'):
@@ -424,6 +445,7 @@
     settings = Generator(HERE / 'settings.capnp')
     messages = Generator(HERE / 'peer.capnp')
     outputs = {
+        GENERATED / 'ids.py': emit_ids(settings, messages),
         GENERATED / 'settings.py': emit_settings(settings),
         GENERATED / 'messages.py': emit_messages(messages),
         DOCS / 'settings.md': emit_reference(settings),
--- a/flamingovalve/util/clock.py
+++ b/flamingovalve/util/clock.py
@@ -13,19 +13,26 @@
     from collections.abc import Callable
 
 
-class _Source:
-    monotonic: Callable[[], float] = staticmethod(time.monotonic)
-    wall: Callable[[], float] = staticmethod(time.time)
+class _Sources:
+    """The functions that are read for the time."""
+
+    def __init__(self) -> None:
+        """Read the clocks of the operating system."""
+        self.monotonic: Callable[[], float] = time.monotonic
+        self.wall: Callable[[], float] = time.time
+
+
+_SOURCES = _Sources()
 
 
 def now() -> float:
     """Give the monotonic time in seconds."""
-    return _Source.monotonic()
+    return _SOURCES.monotonic()
 
 
 def wall() -> float:
     """Give the Unix time in seconds, as this VM believes it to be."""
-    return _Source.wall()
+    return _SOURCES.wall()
 
 
 def replace_source(
@@ -33,8 +40,8 @@
     wall_time: Callable[[], float],
 ) -> None:
     """Read both clocks from other sources from now on (tests only)."""
-    _Source.monotonic = staticmethod(monotonic)
-    _Source.wall = staticmethod(wall_time)
+    _SOURCES.monotonic = monotonic
+    _SOURCES.wall = wall_time
 
 
 def restore_source() -> None:
--- a/flamingovalve/util/logs.py
+++ b/flamingovalve/util/logs.py
@@ -48,24 +48,24 @@
 
 
 class LogOutput:
-    """The installed log handler, which a reload replaces."""
+    """The installed log output, which a reload replaces."""
 
     def __init__(self) -> None:
         """Install nothing yet."""
-        self._handler: logbook.Handler | None = None
+        self._output: logbook.Handler | None = None
 
     def apply(self, settings: LoggingSettings) -> None:
         """Write from now on as ``settings`` say."""
         level = _LEVELS[settings.level]
         if settings.format is LogFormat.JSON:
-            handler = JsonHandler(sys.stderr, level=level)
+            output = JsonHandler(sys.stderr, level=level)
         else:
-            handler = logbook.StreamHandler(
+            output = logbook.StreamHandler(
                 sys.stderr,
                 level=level,
                 format_string=_TEXT_FORMAT,
             )
-        if self._handler is not None:
-            self._handler.pop_application()
-        handler.push_application()
-        self._handler = handler
+        if self._output is not None:
+            self._output.pop_application()
+        output.push_application()
+        self._output = output
--- a/flamingovalve/util/rates.py
+++ b/flamingovalve/util/rates.py
@@ -3,9 +3,20 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING, Final
 
 from flamingovalve.util import clock
 
+if TYPE_CHECKING:
+    import random
+
+_JITTER: Final = 0.1
+
+
+def jittered(chance: random.Random, seconds: float) -> float:
+    """Give about ``seconds``, so that VMs do not act in step."""
+    return seconds * chance.uniform(1 - _JITTER, 1 + _JITTER)
+
 
 class DecayingRate:
     """Events a second, averaged with exponentially fading weights."""
--- a/flamingovalve/util/signals.py
+++ b/flamingovalve/util/signals.py
@@ -22,7 +22,8 @@
 
     def __init__(self, numbers: Iterable[signal.Signals]) -> None:
         """Catch the signals of ``numbers`` from now on."""
-        reading, self._writing = socket.socketpair()
+        reading, writing = socket.socketpair()
+        self._writing = writing
         self._reading = Socket(reading)
         self._writing.setblocking(False)
         signal.set_wakeup_fd(self._writing.fileno())
--- a/standins/base.py
+++ b/standins/base.py
@@ -23,7 +23,7 @@
         """Answer at ``address`` once run."""
         self.network = network
         self.address = address
-        self.server = HttpServer(network, self.handle, LimitSettings())
+        self.server = HttpServer(network, self.respond, LimitSettings())
         self.stopped = curio.Event()
         self._serving: curio.Task
 
@@ -49,7 +49,7 @@
         await self._serving.cancel()
         await self.server.close()
 
-    async def handle(self, request: Request, responder: Responder) -> None:
+    async def respond(self, request: Request, responder: Responder) -> None:
         """Answer one request."""
         if request.path == '/control':
             reply = await self.control(json.loads(request.body or b'{}'))
--- a/standins/configuration_service.py
+++ b/standins/configuration_service.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -20,14 +21,15 @@
     from flamingovalve.util.network import Network
 
 CALLS_A_SECOND = 2000
-LARGEST_VALUE_BYTES = 1 << 20
+LARGEST_VALUE_BYTES = 1024**2
 ADAPTERS_PER_PAGE = 2000
 
 _PREFIX = '/v1/keys/'
+_LOOK_SECONDS = 0.02
 
 
 @dataclass
-class Value:
+class PublishedContent:
     """A value and its revision."""
 
     content: bytes
@@ -45,13 +47,13 @@
     def __init__(self, network: Network, address: str) -> None:
         """Start without values."""
         super().__init__(network, address)
-        self.values_by_key: dict[str, Value] = {}
+        self.values_by_key: dict[str, PublishedContent] = {}
         self.down = False
         self.rubbish = False
         self.slow_seconds = 0.0
         self.calls = 0
         self.refused_calls = 0
-        self._frozen: dict[str, Value] | None = None
+        self._frozen: dict[str, PublishedContent] | None = None
         self._revision = 0
         self._changed = curio.Condition()
         self._bucket = TokenBucket(CALLS_A_SECOND, CALLS_A_SECOND)
@@ -63,7 +65,7 @@
             encoded = json.dumps(content).encode()
         assert len(encoded) <= LARGEST_VALUE_BYTES, f'{key} is too large'
         self._revision += 1
-        self.values_by_key[key] = Value(encoded, self._revision)
+        self.values_by_key[key] = PublishedContent(encoded, self._revision)
 
     def publish(
         self,
@@ -96,40 +98,42 @@
         """Answer a read or a watch; each counts as one call."""
         if request.method == 'PUT':
             self.put(request.path.removeprefix(_PREFIX), request.body)
-            await responder.send(Response(204))
+            await responder.send(Response(HTTPStatus.NO_CONTENT))
             return
         self.calls += 1
         if self.down:
             raise ConnectionLost('the service is down')
         if self._bucket.take():
             self.refused_calls += 1
-            await responder.send(Response(429))
+            await responder.send(Response(HTTPStatus.TOO_MANY_REQUESTS))
             return
         if self.slow_seconds:
             await curio.sleep(self.slow_seconds)
-        value = await self._wait(request)
+        published = await self._wait(request)
         if self.down:
             raise ConnectionLost('the service went down')
-        await responder.send(self._response(value))
+        await responder.send(self._response(published))
 
-    def _response(self, value: Value | None) -> Response:
-        if value is None:
-            return Response(304)
-        content = b'\xff not json' if self.rubbish else value.content
-        return Response(200, [('x-revision', str(value.revision))], content)
+    def _response(self, published: PublishedContent | None) -> Response:
+        if published is None:
+            return Response(HTTPStatus.NOT_MODIFIED)
+        content = b'\xff not json' if self.rubbish else published.content
+        return Response(
+            HTTPStatus.OK, [('x-revision', str(published.revision))], content
+        )
 
-    async def _wait(self, request: Request) -> Value | None:
+    async def _wait(self, request: Request) -> PublishedContent | None:
         key = request.path.removeprefix(_PREFIX)
         known = int(request.query.get('after', '-1'))
         patience = clock.now() + float(request.query.get('wait', '0'))
         while True:
-            values = self._frozen or self.values_by_key
-            value = values.get(key)
-            if value is not None and value.revision != known:
-                return value
+            served = self._frozen or self.values_by_key
+            published = served.get(key)
+            if published is not None and published.revision != known:
+                return published
             if clock.now() >= patience:
                 return None
-            await curio.sleep(0.02)
+            await curio.sleep(_LOOK_SECONDS)
 
 
 def _pages(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,7 +5,8 @@
 import hashlib
 import json
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -31,6 +32,8 @@
 DEFAULT_TOKENS = 8
 
 _KEPT_SECONDS = 30
+_REPORTS_KEPT = 200
+_DIGEST_LENGTH = 12
 
 
 @dataclass(eq=False)
@@ -126,7 +129,7 @@
 
     def figures(self) -> dict[str, Any]:
         """Give what the engine has counted."""
-        return dict(vars(self.counted))
+        return asdict(self.counted)
 
     async def control(self, order: dict[str, Any]) -> dict[str, Any]:
         """Set attributes, or crash."""
@@ -174,7 +177,7 @@
     async def _report_forever(self) -> None:
         while True:
             self._reports.append((clock.now(), self._snapshot()))
-            del self._reports[:-200]
+            del self._reports[:-_REPORTS_KEPT]
             await curio.sleep(0.1)
 
     def _snapshot(self) -> dict[str, Any]:
@@ -196,9 +199,9 @@
         await responder.send(Response.from_json(content))
 
     async def _fence(self, request: Request, responder: Responder) -> None:
-        if request.method == 'POST':
-            if not await self._obeys(request, responder):
-                return
+        ordered = request.method == 'POST'
+        if ordered and not await self._obeys(request, responder):
+            return
         await responder.send(Response.from_json(self._fencing_state()))
 
     def _fencing_state(self) -> dict[str, Any]:
@@ -214,7 +217,7 @@
         if number < self.number:
             self.counted.refused_orders += 1
             state = self._fencing_state()
-            await responder.send(Response.from_json(state, 409))
+            await responder.send(Response.from_json(state, HTTPStatus.CONFLICT))
             return False
         self.number = number
         return True
@@ -267,7 +270,9 @@
         name = content['model']
         if name not in self.resident:
             self.counted.missing_adapter += 1
-            await _refuse(responder, f'{name} is not loaded', 404)
+            await _refuse(
+                responder, f'{name} is not loaded', HTTPStatus.NOT_FOUND
+            )
             return
         generation = Generation(
             request.headers.get('x-request-id', ''),
@@ -339,22 +344,22 @@
         responder: Responder,
     ) -> None:
         headers = [('content-type', EVENT_STREAM_TYPE), *_names(generation)]
-        await responder.start(200, headers)
+        await responder.start(HTTPStatus.OK, headers)
         cut = self.cut_streams > 0 and offset == 0
         if cut:
             self.cut_streams -= 1
-        while True:
+        ended = False
+        while not ended:
             grew = generation.grew
-            while offset < len(generation.events):
-                event = generation.events[offset]
-                if cut and offset == 2:
+            ended = generation.ended
+            for event in generation.events[offset:]:
+                offset += 1
+                if cut and offset > 2:
                     await responder.chunk(event[: len(event) // 2])
                     raise ConnectionLost('the stream was cut')
                 await responder.chunk(event)
-                offset += 1
-            if generation.ended:
-                break
-            await grew.wait()
+            if not ended:
+                await grew.wait()
         if generation.cancelled:
             raise ConnectionLost('the request was cancelled')
         await responder.chunk(b'data: [DONE]\n\n')
@@ -371,7 +376,7 @@
             await responder.send(Response.from_json({'cancelled': True}))
             return
         if generation is None:
-            await _refuse(responder, 'no such stream', 404)
+            await _refuse(responder, 'no such stream', HTTPStatus.NOT_FOUND)
             return
         offset = int(request.query.get('offset', '0'))
         await self._send(generation, offset, responder)
@@ -397,7 +402,7 @@
             choice['text'] = token
         kind = 'chat.completion.chunk' if generation.chat else 'text_completion'
         content = self._object(generation, kind, choice)
-        return b'data: ' + json.dumps(content).encode() + b'\n\n'
+        return f'data: {json.dumps(content)}\n\n'.encode()
 
     def _whole(self, generation: Generation) -> Response:
         text = ''.join(generation.tokens)
@@ -414,7 +419,7 @@
             'completion_tokens': count,
             'total_tokens': count + 1,
         }
-        return Response.from_json(content, 200, _names(generation))
+        return Response.from_json(content, HTTPStatus.OK, _names(generation))
 
     def _object(
         self,
@@ -438,7 +443,9 @@
     whether an answer is whole and whose it is.
     """
     prompt = json.dumps(content.get('messages') or content.get('prompt'))
-    digest = hashlib.sha256(f'{name}\0{prompt}'.encode()).hexdigest()[:12]
+    digest = hashlib.sha256(f'{name}\0{prompt}'.encode()).hexdigest()[
+        :_DIGEST_LENGTH
+    ]
     count = int(content.get('max_tokens') or DEFAULT_TOKENS)
     return [f'{name}/{digest}/{index} ' for index in range(count)]
 
@@ -453,7 +460,7 @@
 async def _refuse(
     responder: Responder,
     reason: str,
-    status: int = 503,
+    status: int = HTTPStatus.SERVICE_UNAVAILABLE,
 ) -> None:
     content = {'error': {'message': reason}}
     await responder.send(Response.from_json(content, status))
--- a/standins/run.py
+++ b/standins/run.py
@@ -24,7 +24,9 @@
 class Arguments:
     """Arguments of a stand-in program."""
 
-    kind: Annotated[str, cappa.Arg(help='configuration, store, engine, service')]
+    kind: Annotated[
+        str, cappa.Arg(help='configuration, store, engine, service')
+    ]
     address: Annotated[str, cappa.Arg(help='IP:port to listen at')]
     name: Annotated[str, cappa.Arg(long=True, help='name of an engine')] = ''
     store: Annotated[str, cappa.Arg(long=True, help='weight store')] = ''
@@ -36,6 +38,20 @@
     ] = False
 
 
+class RemoteStore:
+    """Loads adapters from a weight store that is a program of its own."""
+
+    def __init__(self, network: Network, address: str) -> None:
+        """Load from the store at ``address``."""
+        self._pool = ConnectionPool(network, RelaySettings())
+        self._address = address
+
+    async def load(self, adapter: str) -> None:
+        """Wait until the store has given an adapter."""
+        call = UpstreamCall('POST', f'/load/{adapter}', [])
+        await self._pool.exchange(self._address, call, _LOAD_SECONDS)
+
+
 def build(arguments: Arguments) -> StandIn:
     """Build the stand-in that the arguments name."""
     network = Network()
@@ -51,13 +67,13 @@
 
 
 def _engine(arguments: Arguments, network: Network) -> EngineStandIn:
-    pool = ConnectionPool(network, RelaySettings())
-
-    async def load(adapter: str) -> None:
-        call = UpstreamCall('POST', f'/load/{adapter}', [])
-        await pool.exchange(arguments.store, call, _LOAD_SECONDS)
-
-    engine = EngineStandIn(network, arguments.address, arguments.name, load)
+    store = RemoteStore(network, arguments.store)
+    engine = EngineStandIn(
+        network,
+        arguments.address,
+        arguments.name,
+        store.load,
+    )
     engine.configure(
         arguments.slots,
         arguments.batch,
--- a/tests/rig/fleet.py
+++ b/tests/rig/fleet.py
@@ -7,14 +7,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-import curio
-
 from flamingovalve.daemon import Daemon
 from flamingovalve.errors import ConnectionLost
-from flamingovalve.generated.messages import Incarnation
-from flamingovalve.generated.settings import RelaySettings, Settings, VmId
+from flamingovalve.generated.ids import Incarnation, VmId
+from flamingovalve.generated.settings import RelaySettings, Settings
 from flamingovalve.http.client import ConnectionPool, UpstreamCall
-from flamingovalve.http.messages import Response
 from standins.configuration_service import ConfigurationServiceStandIn
 from standins.engine import EngineStandIn
 from standins.plain_service import PlainServiceStandIn
@@ -26,6 +23,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    import curio
+
+    from flamingovalve.http.messages import Response
+
 MODEL = 'base'
 APPLICATION = 'studio'
 OTHER_APPLICATION = 'shop'
--- a/tests/rig/world.py
+++ b/tests/rig/world.py
@@ -17,6 +17,7 @@
 
 import curio
 import curio.kernel
+import logbook
 
 from flamingovalve.util import clock
 
@@ -75,7 +76,7 @@
         """Start a task on this node."""
 
         async def start() -> curio.Task:
-            return await curio.spawn(work, *arguments)
+            return await curio.spawn(work, *arguments, daemon=True)
 
         return self.kernel.run(start)
 
@@ -129,6 +130,8 @@
         kernel_log = logging.getLogger('curio.kernel')
         kernel_log.addHandler(self.crash_log)
         kernel_log.propagate = False
+        self.fault_log = logbook.TestHandler(level=logbook.ERROR)
+        self.fault_log.push_application()
 
     def monotonic(self) -> float:
         """Give the virtual monotonic time."""
@@ -200,7 +203,10 @@
         curio.kernel.time = self._real_time
         clock.restore_source()
         logging.getLogger('curio.kernel').removeHandler(self.crash_log)
+        self.fault_log.pop_application()
         assert not self.crash_log.crashes, self.crash_log.crashes[0]
+        faults = self.fault_log.formatted_records
+        assert not faults, faults[0]
 
     def _settle(self, done: Callable[[], bool]) -> None:
         for _step in range(_MOST_STEPS_AT_ONCE):
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -32,9 +32,7 @@
     events = body.decode().split('\n\n')
     assert events[-2:] == ['data: [DONE]', ''], 'no end marker'
     chunks = [json.loads(event[len('data: ') :]) for event in events[:-2]]
-    return ''.join(
-        chunk['choices'][0]['delta']['content'] for chunk in chunks
-    )
+    return ''.join(chunk['choices'][0]['delta']['content'] for chunk in chunks)
 
 
 class ServingTest(unittest.TestCase):
@@ -84,9 +82,7 @@
             self.assertGreater(answer['ttl_seconds'], 0)
 
     def test_two_hundred_at_once(self):
-        addresses = [
-            vm.http_address for vm in self.fleet.vms_by_id.values()
-        ]
+        addresses = [vm.http_address for vm in self.fleet.vms_by_id.values()]
         sent = []
         for index in range(200):
             name = f'adapter-{index % 8}@{index % 2 + 1}'
