--- a/standins/configuration_service.py
+++ b/standins/configuration_service.py
@@ -25,7 +25,6 @@
 ADAPTERS_PER_PAGE = 2000
 
 _PREFIX = '/v1/keys/'
-_LOOK_SECONDS = 0.02
 
 
 @dataclass
@@ -55,11 +54,11 @@
         self.refused_calls = 0
         self._frozen: dict[str, PublishedContent] | None = None
         self._revision = 0
-        self._changed = curio.Condition()
+        self._changed = curio.Event()
         self._bucket = TokenBucket(CALLS_A_SECOND, CALLS_A_SECOND)
 
     def put(self, key: str, content: object) -> None:
-        """Publish a value; watchers see it at their next look."""
+        """Publish a value; :meth:`announce` tells the watchers."""
         encoded = content
         if not isinstance(encoded, bytes):
             encoded = json.dumps(content).encode()
@@ -67,6 +66,12 @@
         self._revision += 1
         self.values_by_key[key] = PublishedContent(encoded, self._revision)
 
+    async def announce(self) -> None:
+        """Let the watchers look again."""
+        changed = self._changed
+        self._changed = curio.Event()
+        await changed.set()
+
     def publish(
         self,
         version: int,
@@ -98,6 +103,7 @@
         """Answer a read or a watch; each counts as one call."""
         if request.method == 'PUT':
             self.put(request.path.removeprefix(_PREFIX), request.body)
+            await self.announce()
             await responder.send(Response(HTTPStatus.NO_CONTENT))
             return
         self.calls += 1
@@ -131,9 +137,11 @@
             published = served.get(key)
             if published is not None and published.revision != known:
                 return published
-            if clock.now() >= patience:
+            remaining = patience - clock.now()
+            if remaining <= 0 or self.down:
                 return None
-            await curio.sleep(_LOOK_SECONDS)
+            async with curio.ignore_after(remaining):
+                await self._changed.wait()
 
 
 def _pages(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -33,6 +33,7 @@
 
 _KEPT_SECONDS = 30
 _REPORTS_KEPT = 200
+_REPORT_SECONDS = 0.25
 _DIGEST_LENGTH = 12
 
 
@@ -178,7 +179,7 @@
         while True:
             self._reports.append((clock.now(), self._snapshot()))
             del self._reports[:-_REPORTS_KEPT]
-            await curio.sleep(0.1)
+            await curio.sleep(_REPORT_SECONDS)
 
     def _snapshot(self) -> dict[str, Any]:
         return {
--- a/tests/rig/fleet.py
+++ b/tests/rig/fleet.py
@@ -101,7 +101,18 @@
         seconds: float = 120,
     ) -> curio.Task:
         """Send one request and do not wait."""
-        return self.node.spawn(self.exchange, address, call, seconds)
+        return self.node.spawn(self._attempt, address, call, seconds)
+
+    async def _attempt(
+        self,
+        address: str,
+        call: UpstreamCall,
+        seconds: float,
+    ) -> Response | Exception:
+        try:
+            return await self.exchange(address, call, seconds)
+        except (OSError, ConnectionLost) as lost:
+            return lost
 
     async def exchange(
         self,
@@ -261,8 +272,18 @@
         self.version += 1
         page = {**self.page(), **self.shape.extra, **changes}
         self.configuration.publish(self.version, page)
+        self.announce()
         return self.version
 
+    def announce(self) -> None:
+        """Let the watchers of the configuration service look again."""
+        node = self.node_named('configuration')
+        node.spawn(self.configuration.announce)
+
+    def node_named(self, name: str) -> Node:
+        """Give the node of a stand-in or a VM."""
+        return next(node for node in self.world.nodes if node.name == name)
+
     def publish_list(self, without: Iterable[str] = ()) -> None:
         """Publish the next list of VMs."""
         self.list_revision += 1
@@ -281,6 +302,7 @@
             'fleet/vms',
             {'revision': self.list_revision, 'vms': vms},
         )
+        self.announce()
 
     def page(self) -> dict[str, list[Any]]:
         """Give the content of the inventory."""
@@ -430,10 +452,6 @@
     """Give the answer or the failure of a request that was started."""
     if not task.terminated:
         return None
-    if isinstance(task.exception, (OSError, ConnectionLost)):
-        return task.exception
-    if task.exception is not None:
-        raise task.exception
     return task.result
 
 
--- a/tests/rig/network.py
+++ b/tests/rig/network.py
@@ -188,6 +188,12 @@
             connection.silent = True
         return len(silenced)
 
+    def hang_up(self) -> None:
+        """End every open connection the way an application does."""
+        for connection in self.connections:
+            if connection.fileno() >= 0:
+                connection._socket.shutdown(plain.SHUT_RDWR)
+
     def close_all(self) -> None:
         """Close every socket at once, as the end of a process does."""
         for raw in self.open_sockets:
--- a/tests/rig/world.py
+++ b/tests/rig/world.py
@@ -154,7 +154,8 @@
             return
         self.nodes.remove(node)
         self._master.unregister(node.selector.fileno())
-        node.destroy()
+        with logbook.NullHandler().applicationbound():
+            node.destroy()
 
     def advance(self, seconds: float) -> None:
         """Let ``seconds`` pass."""
