Relay and quarantine proved; wrong events before the head are retried

Cause: (1) a stream's head went out before its first event was checked, so a wrong first event aborted the caller instead of being retried; (2) requests for an adapter whose load had just failed waited out the back-off unanswered. Change: the head waits for the first checked event, a wrong later event is resumed by offset, an adapter in back-off is refused at once, two rounds over all engines end the tries.

--- a/flamingovalve/engines/scheduler.py
+++ b/flamingovalve/engines/scheduler.py
@@ -177,6 +177,7 @@
         if len(self.queue) >= self._limits.queue_requests:
             self.counts.refused += 1
             raise _queue_full(self.engine.id, self.services.mean)
+        self._check_backoff(ticket.name)
         remaining = ticket.deadline - clock.now()
         wait = self._wait_of(ticket)
         if wait > remaining:
@@ -184,6 +185,17 @@
             self.counts.refused += 1
             raise _cannot_meet_deadline(wait, remaining)
 
+    def _check_backoff(self, name: str) -> None:
+        # A load that has just failed is not tried yet; whoever asks for it
+        # meanwhile had better try another engine than wait here.
+        backoff = self._backoffs.get(name)
+        if backoff is None or name in self.residents.by_name:
+            return
+        pause = backoff.until - clock.now()
+        if pause > 0:
+            self.counts.refused += 1
+            raise _load_failed(name, pause)
+
     def _wait_of(self, ticket: Ticket) -> float:
         ticket.entered_at = clock.now()
         seats = max(self.engine.batch, 1)
@@ -333,6 +345,15 @@
     return True
 
 
+def _load_failed(name: str, pause: float) -> ServingError:
+    return ServingError(
+        ErrorKind.LOAD_FAILED,
+        f'adapter {name!r} did not load and is tried again soon; see whether '
+        'the weight store has it',
+        retry_after=pause,
+    )
+
+
 def _queue_full(engine: str, seconds: float) -> ServingError:
     return ServingError(
         ErrorKind.OVERLOADED,
--- a/flamingovalve/relay/completion.py
+++ b/flamingovalve/relay/completion.py
@@ -160,6 +160,10 @@
             await self._first()
         except (ConnectionLost, TimeoutError) as lost:
             await self._recover(lost)
+        except ServingError as wrong:
+            if not self._sink.started:
+                raise
+            await self._resume(wrong)
 
     async def _first(self) -> None:
         connection = await self._connect()
@@ -220,21 +224,26 @@
         await self._sink.send(Response(HTTPStatus.OK, headers, body))
 
     async def _stream(self, connection: UpstreamConnection) -> None:
-        if not self._sink.started:
-            headers = [('content-type', EVENT_STREAM_TYPE), *self._names()]
-            await self._sink.start(HTTPStatus.OK, headers)
         seconds = self._settings.chunk_seconds
         received = await connection.chunk(seconds)
         while received:
             events = self._splitter.feed(received)
             if events:
-                await self._sink.chunk(events)
-                self.work.offset = self._splitter.passed
+                await self._pass_on(events)
             received = await connection.chunk(seconds)
         if not self._splitter.complete:
             raise ConnectionLost('the stream ended without its end marker')
         await self._sink.end()
 
+    async def _pass_on(self, events: bytes) -> None:
+        # The head waits for the first checked event: until then nothing has
+        # reached the caller and the request can be tried elsewhere.
+        if not self._sink.started:
+            headers = [('content-type', EVENT_STREAM_TYPE), *self._names()]
+            await self._sink.start(HTTPStatus.OK, headers)
+        await self._sink.chunk(events)
+        self.work.offset = self._splitter.passed
+
     def _names(self) -> list[tuple[str, str]]:
         return [
             ('x-adapter', self.work.target.name),
@@ -299,7 +308,7 @@
             self._splitter.restart(self.work.offset)
             try:
                 await self._resume_once()
-            except (ConnectionLost, TimeoutError) as again:
+            except (ConnectionLost, TimeoutError, ServingError) as again:
                 lost = again
             else:
                 return
--- a/flamingovalve/routing/router.py
+++ b/flamingovalve/routing/router.py
@@ -35,6 +35,7 @@
 _FIRST_PAUSE_SECONDS: Final = 0.05
 _LONGEST_PAUSE_SECONDS: Final = 1.0
 _PATIENCE_SECONDS: Final = 15.0
+_ROUNDS: Final = 2
 
 # Another engine or another moment may do better.
 _RETRYABLE: Final = frozenset(
@@ -223,6 +224,12 @@
                 return engines[chosen]
         raise _no_engine(target.model)
 
+    def _left(self, work: CompletionWork) -> bool:
+        """Tell whether some engine has not failed this request yet."""
+        target = work.target
+        engines = self._placement.candidates(target.name, target.model)
+        return not work.avoided.issuperset(engines)
+
     async def _run_here(
         self,
         owner: EngineOwner,
@@ -278,14 +285,16 @@
         if sink.started and not resumable:
             self.counts.failed += 1
             raise failed
+        if failed.kind not in _SAME_ENGINE:
+            work.avoided.add(work.engine)
+            if not self._left(work):
+                attempts.start_round()
         if not attempts.may_retry(failed):
             self.counts.failed += 1
             raise failed
         if sink.started:
             self.counts.resumed += 1
         self.counts.retries += 1
-        if failed.kind not in _SAME_ENGINE:
-            work.avoided.add(work.engine)
         await attempts.pause()
 
     @property
@@ -310,6 +319,7 @@
         self._started_at = clock.now()
         self._spilled = False
         self._may_have_run = False
+        self._rounds = 0
 
     def note(self, failed: ServingError) -> None:
         """Let a later refusal tell of an earlier try that may have run."""
@@ -324,12 +334,21 @@
         self._spilled = True
         return True
 
+    def start_round(self) -> None:
+        """Begin anew after every engine has failed the request."""
+        self._rounds += 1
+        self.work.avoided.clear()
+
     def may_retry(self, failed: ServingError) -> bool:
         """Tell whether another try makes sense after ``failed``."""
         if failed.kind not in _RETRYABLE:
             return False
         if self.work.remaining() <= self._pause:
             return False
+        if self._rounds >= _ROUNDS:
+            # Every engine has failed it more than once: the caller learns
+            # that now and not at its deadline.
+            return False
         if failed.kind in _FREE_RETRIES:
             # Someone else takes over within seconds; beyond that the caller
             # had better learn at once that it should come back later.
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -339,9 +339,7 @@
         text, executor, witness = self.permit()
         first = self.start_pay(executor, text)
         self.fleet.world.advance(0.5)
-        others = [
-            vm_id for vm_id in self.fleet.vms_by_id if vm_id != executor
-        ]
+        others = [vm_id for vm_id in self.fleet.vms_by_id if vm_id != executor]
         self.fleet.links.partition([executor], others)
         response = self.fleet.pay(self.bystander(executor, witness), text)
         self.assertEqual(ran(response), 'unknown')
