Quorums of old holders, quorum for unfenced engines, long whole answers

Cause, found by the fuzzer and new failure tests: (1) a seal at one reachable holder was void once that holder left, and a frozen holder's copy then ran a payment called "not run"; the design's "sealed at a holder any run would need" does not hold where ended holders are passed over. (2) On engines without fencing both parts of a split fleet evicted each other's adapters. (3) A whole answer that takes over 15 s was taken for silence and failed. (4) A request on an engine that restarted unnoticed was taken for ended and its adapter evicted. (5) An owner without a lease let requests wait out their deadlines. Change: runs and seals under a caller's own key need a majority of its holders, counting only processes older than the key, and all common holders if the list changed; only the part with more than half of the VMs owns unfenced engines; whole answers are awaited on new connections while the engine runs them; pins stay until the engine confirms; such requests are refused at once. A refused connection proves an end, so a dead owner is replaced without suspicion wait and without the quiet time. Ruled out: passing over ended holders with unanimous seals (a silent holder then makes every answer unknown).

--- a/flamingovalve/claims/executor.py
+++ b/flamingovalve/claims/executor.py
@@ -124,8 +124,8 @@
             request,
             ClaimKey(request.key),
             body_digest(request),
-            self._permit_holders(permit),
             addresses,
+            _witnesses(permit),
         )
         if permit.executor != self._own_id:
             return await self._pass_to_executor(claim, permit)
@@ -136,15 +136,6 @@
         self._check_expiry(claim, permit)
         return await self._run_or_join(claim)
 
-    def _permit_holders(
-        self,
-        permit: Permit,
-    ) -> list[tuple[VmId, Incarnation]]:
-        holders = [(permit.executor, permit.executor_incarnation)]
-        if permit.witness:
-            holders.append((permit.witness, permit.witness_incarnation))
-        return holders
-
     def _check_expiry(self, claim: Claim, permit: Permit) -> None:
         late = clock.wall() - permit.expires_at
         if late <= 0 or self.table.find(claim.key) is not None:
@@ -191,18 +182,23 @@
         if not permit.witness:
             raise self._unknown('its executor is gone and had no witness')
         ask = SealAsk(claim.key, permit.witness_incarnation, claim.body_digest)
-        reply = await self._seal_at(permit.witness, ask)
+        _incarnation, reply = await self._seal_at(permit.witness, ask)
         if reply is None or reply.state is ClaimState.REFUSED:
             raise self._unknown('neither executor nor witness can tell')
         if reply.state is ClaimState.CLAIMED and not ended:
             raise self._unknown('its executor does not answer', retry_after=2)
         return self._settled(reply)
 
-    async def _seal_at(self, vm: VmId, ask: SealAsk) -> ClaimReply | None:
+    async def _seal_at(
+        self,
+        vm: VmId,
+        ask: SealAsk,
+    ) -> tuple[Incarnation, ClaimReply | None]:
         if vm == self._own_id:
-            return await self.table.seal(ask, self._incarnation)
+            reply = await self.table.seal(ask, self._incarnation)
+            return self._incarnation, reply
         answered = await self._holders.ask(vm, ask)
-        return answered.reply
+        return answered.incarnation, answered.reply
 
     # -- The caller's own keys
 
@@ -212,19 +208,17 @@
         addresses: list[str],
     ) -> Response:
         made_at = key_time(request)
+        self._check_key_age(made_at)
         key = own_claim_key(request)
-        names = self._holders.of_key(key)
         claim = Claim(
             request,
             key,
             body_digest(request),
-            [(VmId(name), Incarnation(0)) for name in names],
             addresses,
-            made_at,
+            quorum=self._holders.quorum(key, made_at),
         )
-        self._check_key_age(claim)
-        for name in names:
-            response = await self._at_holder(VmId(name), claim)
+        for name in claim.holder_names():
+            response = await self._at_holder(name, claim)
             if response is not None:
                 return response
         raise await self._blocked(claim)
@@ -232,53 +226,49 @@
     async def _at_holder(self, name: VmId, claim: Claim) -> Response | None:
         """Run a claim at one of its holders.
 
-        :returns: nothing when that holder's process is provably gone
+        :returns: nothing when that holder does not answer; the next one may
+            run it, for the silent one alone cannot let it run again
         """
         if name == self._own_id:
             return await self._run_or_join(claim)
         if claim.request.hops >= LONGEST_ROUTE:
-            raise await self._blocked(claim)
+            return None
         try:
             return await self._forward(name, claim.request)
-        except ForwardFailed as failed:
-            if failed.ended:
-                return None
-            raise await self._blocked(claim) from failed
+        except ForwardFailed:
+            return None
 
-    def _check_key_age(self, claim: Claim) -> None:
-        age = clock.wall() - claim.made_at
+    def _check_key_age(self, made_at: float) -> None:
+        age = clock.wall() - made_at
         if age < -self._settings.skew_seconds:
             raise refusals.clock_ahead()
         if age > self._settings.key_seconds:
             # Its record may be gone, so a run now might be the second one.
             raise refusals.key_too_old(self._settings.key_seconds)
-        since = claim.made_at - self._settings.skew_seconds
-        if not self._holders.shared_since(claim.key, since):
-            self.counts.blocked += 1
-            raise refusals.holders_changed()
 
     async def _blocked(self, claim: Claim) -> ServingError:
-        """Refuse a call because a holder is silent."""
+        """Refuse a call because too few of its holders answer."""
         self.counts.blocked += 1
         if await self._seal_at_holders(claim):
-            return refusals.holder_silent()
-        return self._unknown('a VM that remembers its key does not answer')
+            return refusals.holders_silent()
+        return self._unknown('too few VMs that remember its key answer')
 
     async def _seal_at_holders(self, claim: Claim) -> bool:
         """See to it that a call never runs under a caller's own key.
 
-        Sealed at every holder that answers: if it were at one only and that
-        one ended, the others would pass it over and run the call.
+        Sealed at a quorum, so that no other quorum is left for a run. One
+        holder would not do: if it ended, others would run the call.
 
         :returns: whether "not run" is true and stays so
         """
+        assert claim.quorum is not None
         ask = SealAsk(claim.key, Incarnation(0), claim.body_digest)
-        states = set()
-        for name, _incarnation in claim.holders:
-            reply = await self._seal_at(name, ask)
-            if reply is not None:
-                states.add(reply.state)
-        return states - {ClaimState.REFUSED} == {ClaimState.SEALED}
+        sealed = {}
+        for name in claim.quorum.names:
+            incarnation, reply = await self._seal_at(name, ask)
+            if reply is not None and reply.state is ClaimState.SEALED:
+                sealed[name] = incarnation
+        return claim.quorum.is_met(sealed)
 
     # -- Running
 
@@ -326,7 +316,7 @@
         return self._unknown('this VM cannot record the call')
 
     async def _seal_for_good(self, claim: Claim) -> bool:
-        if claim.made_at:
+        if claim.quorum is not None:
             return await self._seal_at_holders(claim)
         # Nobody but this process can run a permit of its own.
         ask = SealAsk(claim.key, Incarnation(0), claim.body_digest)
@@ -383,6 +373,12 @@
         return refusals.outcome_unknown(reason, retry_after)
 
 
+def _witnesses(permit: Permit) -> list[tuple[VmId, Incarnation]]:
+    if not permit.witness:
+        return []
+    return [(permit.witness, permit.witness_incarnation)]
+
+
 def _same_body(record: ClaimRecord, claim: Claim) -> bool:
     known = record.body_digest
     return not known or known == claim.body_digest
--- a/flamingovalve/claims/holders.py
+++ b/flamingovalve/claims/holders.py
@@ -18,6 +18,7 @@
 
 HOLDERS_PER_KEY = 3
 ANY_INCARNATION = Incarnation(0)
+_MICROSECONDS = 1_000_000
 
 
 @dataclass(slots=True)
@@ -34,6 +35,32 @@
     ended: bool = False
 
 
+@dataclass(slots=True)
+class Quorum:
+    """Whose acknowledgements a run needs.
+
+    :ivar names: the holders in the order to ask
+    :ivar needed: holders without which it must not run
+    :ivar count: how many are needed in all
+    :ivar since: Unix time; a holder that started later does not count, for
+        it does not know what its predecessor acknowledged
+    """
+
+    names: list[VmId]
+    needed: set[VmId]
+    count: int
+    since: float
+
+    def is_met(self, acknowledged: dict[VmId, Incarnation]) -> bool:
+        """Tell whether enough holders that are old enough acknowledged."""
+        old = {
+            name
+            for name, incarnation in acknowledged.items()
+            if incarnation / _MICROSECONDS <= self.since
+        }
+        return len(old) >= self.count and self.needed <= old
+
+
 class Holders:
     """Finds and asks the holders of keys."""
 
@@ -54,6 +81,7 @@
         moment = clock.wall()
         horizon = moment - self._settings.key_seconds
         horizon -= self._settings.skew_seconds
+        horizon -= self._settings.list_lag_seconds
         names = [vm.id for vm in published.vms]
         self._lists.append((moment, names))
         while len(self._lists) > 1 and self._lists[1][0] <= horizon:
@@ -68,24 +96,38 @@
         names = list(self._members.by_id)
         return _holders(key, names)
 
-    def shared_since(self, key: str, moment: float) -> bool:
-        """Tell whether every list since ``moment`` shares a holder with now.
+    def quorum(self, key: str, made_at: float) -> Quorum:
+        """Give whose acknowledgements a run under a caller's own key needs.
+
+        A majority of the holders, so that any two runs ask a holder in
+        common. If the list has changed around the key's making, an earlier
+        run may have had a majority of other holders; then every holder that
+        both have in common is needed, and two are too few.
 
-        If the list has changed so much that the holders of an earlier run
-        are all others, asking today's holders would find no record, and the
-        request would run again.
+        :param made_at: Unix time at which the key was made
         """
-        current = set(self.of_key(key))
+        names = self.of_key(key)
+        since = made_at - self._settings.skew_seconds
+        earlier = self._holders_since(
+            key,
+            since - self._settings.list_lag_seconds,
+        )
+        common = set(names).intersection(*earlier)
+        majority = len(names) // 2 + 1
+        if len(common) == len(names):
+            return Quorum(names, set(), majority, since)
+        if len(common) < majority:
+            return Quorum(names, set(names), len(names) + 1, since)
+        return Quorum(names, common, majority, since)
+
+    def _holders_since(self, key: str, moment: float) -> list[set[VmId]]:
         starts = [at for at, _names in self._lists]
-        if not starts:
-            return False
+        found = []
         for index, (_at, names) in enumerate(self._lists):
             ended_at = starts[index + 1] if index + 1 < len(starts) else None
-            if ended_at is not None and ended_at < moment:
-                continue
-            if current.isdisjoint(_holders(key, names)):
-                return False
-        return True
+            if ended_at is None or ended_at >= moment:
+                found.append(set(_holders(key, names)))
+        return found
 
     def witness_for(self, own: Member) -> Member | None:
         """Choose who shall witness our next permit.
--- a/flamingovalve/claims/refusals.py
+++ b/flamingovalve/claims/refusals.py
@@ -68,22 +68,12 @@
     )
 
 
-def holders_changed() -> ServingError:
-    """Give the error of a key whose holders were all replaced."""
-    return ServingError(
-        ErrorKind.OUTCOME_UNKNOWN,
-        'the VMs that remember this key were all replaced since it was '
-        'made; check at the service, then use a permit from /v1/entry',
-        ran=Ran.UNKNOWN,
-    )
-
-
-def holder_silent() -> ServingError:
-    """Give the error of a call that a silent holder blocks."""
+def holders_silent() -> ServingError:
+    """Give the error of a call that silent holders block."""
     return ServingError(
         ErrorKind.CLAIM_BLOCKED,
-        'a VM that remembers this key does not answer, so the call was not '
-        'run and never will be under this key; send it with a permit',
+        'VMs that remember this key do not answer, so the call was not run '
+        'and never will be under this key; send it with a permit',
         retry_after=1,
     )
 
--- a/flamingovalve/claims/runner.py
+++ b/flamingovalve/claims/runner.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from flamingovalve.errors import ConnectionLost, ServingError
+from flamingovalve.generated.ids import Incarnation
 from flamingovalve.generated.messages import (
     ClaimAsk,
     ClaimReply,
@@ -16,17 +17,15 @@
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
-    from flamingovalve.claims.holders import HolderReply, Holders
+    from flamingovalve.claims.holders import HolderReply, Holders, Quorum
     from flamingovalve.claims.table import ClaimRecord, ClaimTable
-    from flamingovalve.generated.ids import ClaimKey, Incarnation, VmId
+    from flamingovalve.generated.ids import ClaimKey, VmId
     from flamingovalve.generated.settings import ClaimSettings
     from flamingovalve.http.client import UpstreamConnection
     from flamingovalve.relay.services import ServiceRelay, ServiceRequest
 
 logger = get_logger(__name__)
 
-_MICROSECONDS: Final = 1_000_000
-
 
 @dataclass
 class ClaimCounts:
@@ -44,18 +43,23 @@
 class Claim:
     """One non-idempotent request and the key that it runs under.
 
-    :ivar holders: VMs whose acknowledgement a run needs, in order, each
-        with the incarnation that is meant (0 for any); ourselves included
-    :ivar made_at: Unix time at which the caller's own key was made; 0 for
-        a permit
+    :ivar witnesses: for a permit, the processes whose acknowledgement a run
+        needs besides the executor's own
+    :ivar quorum: for a caller's own key, whose acknowledgements it needs
     """
 
     request: ServiceRequest
     key: ClaimKey
     body_digest: bytes
-    holders: list[tuple[VmId, Incarnation]]
     addresses: list[str]
-    made_at: float = 0
+    witnesses: list[tuple[VmId, Incarnation]] = field(default_factory=list)
+    quorum: Quorum | None = None
+
+    def holder_names(self) -> list[VmId]:
+        """Give every VM that keeps a record of the key."""
+        if self.quorum is not None:
+            return self.quorum.names
+        return [name for name, _incarnation in self.witnesses]
 
 
 class ClaimRunner:
@@ -112,13 +116,13 @@
                 claim.addresses,
             )
         except ServingError:
-            await self._settle(record, claim, ClaimState.SEALED)
+            await self._refuse(record, claim)
             return
         if claim.request.remaining() <= 0:
             # A process that was paused here wakes up late: the caller has
             # been told something else by now.
             await connection.close()
-            await self._settle(record, claim, ClaimState.SEALED)
+            await self._refuse(record, claim)
             return
         await self._send_upstream(record, claim, connection)
 
@@ -145,23 +149,40 @@
         claim: Claim,
         state: ClaimState,
     ) -> None:
-        if state is ClaimState.SEALED:
-            # The caller is told "not run" once this is settled. Whoever may
-            # be asked after us has to know first: were we to end before
-            # that, the others would pass us over and run it.
-            record.state = state
-            await self._tell_holders(record, claim)
-            await record.settle(state)
-            return
         await record.settle(state)
         await self.tasks.spawn(self._tell_holders, record, claim)
 
+    async def _refuse(self, record: ClaimRecord, claim: Claim) -> None:
+        """Settle a claim that was not run and must not run any more.
+
+        The caller is told "not run" only if the key is sealed where any run
+        would have to ask; otherwise that the outcome is unknown.
+        """
+        record.state = ClaimState.SEALED
+        sealed = {self._own_id: self._incarnation}
+        told = self._told(record)
+        for name in claim.holder_names():
+            if name == self._own_id:
+                continue
+            answered = await self._holders.ask(name, told)
+            reply = answered.reply
+            if reply is not None and reply.state is ClaimState.SEALED:
+                sealed[name] = answered.incarnation
+        final = claim.quorum is None or claim.quorum.is_met(sealed)
+        state = ClaimState.SEALED if final else ClaimState.UNKNOWN
+        await record.settle(state)
+
     async def _tell_holders(self, record: ClaimRecord, claim: Claim) -> None:
         # The requests that wait for this answer have been woken before and
         # read it whole; what is kept for resends is bounded.
         if record.state is ClaimState.FINISHED:
             self._table.count_answer(record)
-        told = ClaimTell(
+        for name in claim.holder_names():
+            if name != self._own_id:
+                await self._holders.ask(name, self._told(record))
+
+    def _told(self, record: ClaimRecord) -> ClaimTell:
+        return ClaimTell(
             record.key,
             record.executor,
             record.incarnation,
@@ -170,57 +191,85 @@
             record.content_type,
             record.answer,
         )
-        for name, _incarnation in claim.holders:
-            if name != self._own_id:
-                await self._holders.ask(name, told)
 
     async def _collect(self, record: ClaimRecord, claim: Claim) -> bool:
-        """Ask every other holder in the order that all executors keep.
-
-        Two executors that race for one key meet at the first holder they
-        share, and only one of them is acknowledged there.
+        """Get the acknowledgements that the run needs.
 
-        :returns: whether all acknowledged
+        :returns: whether it may run; otherwise the record is settled
         """
-        oldest = self._incarnation
-        for name, incarnation in claim.holders:
-            if name == self._own_id:
-                continue
-            ask = ClaimAsk(
-                claim.key,
-                self._own_id,
-                self._incarnation,
-                incarnation,
-                claim.body_digest,
-            )
-            answered = await self._holders.ask(name, ask, incarnation)
-            if not await self._accept(record, claim, answered):
+        if claim.quorum is None:
+            return await self._collect_witness(record, claim)
+        return await self._collect_quorum(record, claim, claim.quorum)
+
+    async def _collect_witness(
+        self,
+        record: ClaimRecord,
+        claim: Claim,
+    ) -> bool:
+        for name, incarnation in claim.witnesses:
+            answered = await self._ask(claim, name, incarnation)
+            reply = answered.reply
+            if reply is None or not reply.acknowledged:
+                await self._give_way(record, claim, reply)
                 return False
-            if answered.reply is not None:
-                oldest = min(oldest, answered.incarnation)
-        if claim.made_at and not self._remembers(claim, oldest):
-            await self._settle(record, claim, ClaimState.UNKNOWN)
-            return False
         return True
 
-    async def _accept(
+    async def _collect_quorum(
         self,
         record: ClaimRecord,
         claim: Claim,
-        answered: HolderReply,
+        quorum: Quorum,
     ) -> bool:
-        reply = answered.reply
-        if reply is not None and reply.acknowledged:
-            return True
-        if reply is None and answered.ended and claim.made_at:
-            # A process that is gone can neither remember nor acknowledge.
+        """Ask the holders in the order that all executors keep.
+
+        Two executors that race for one key meet at the first holder that
+        both reach, and only one of them is acknowledged there.
+        """
+        acknowledged = {self._own_id: self._incarnation}
+        others = [name for name in quorum.names if name != self._own_id]
+        for name in others:
+            if quorum.is_met(acknowledged):
+                return True
+            answered = await self._ask(claim, name, Incarnation(0))
+            if answered.reply is None:
+                continue
+            if not answered.reply.acknowledged:
+                await self._give_way(record, claim, answered.reply)
+                return False
+            acknowledged[name] = answered.incarnation
+        if quorum.is_met(acknowledged):
             return True
+        self.counts.blocked += 1
+        await self._refuse(record, claim)
+        return False
+
+    async def _ask(
+        self,
+        claim: Claim,
+        name: VmId,
+        incarnation: Incarnation,
+    ) -> HolderReply:
+        ask = ClaimAsk(
+            claim.key,
+            self._own_id,
+            self._incarnation,
+            incarnation,
+            claim.body_digest,
+        )
+        return await self._holders.ask(name, ask, incarnation)
+
+    async def _give_way(
+        self,
+        record: ClaimRecord,
+        claim: Claim,
+        reply: ClaimReply | None,
+    ) -> None:
+        """Settle a claim that a holder does not acknowledge."""
         if reply is None or reply.state is ClaimState.REFUSED:
             self.counts.blocked += 1
-            await self._settle(record, claim, ClaimState.SEALED)
-            return False
+            await self._refuse(record, claim)
+            return
         await self._yield_to(record, reply)
-        return False
 
     async def _yield_to(self, record: ClaimRecord, reply: ClaimReply) -> None:
         """Follow what a holder already knew of the key."""
@@ -231,10 +280,3 @@
             await record.settled.set()
             return
         await record.settle(reply.state)
-
-    def _remembers(self, claim: Claim, oldest: Incarnation) -> bool:
-        # A holder that started after the key was made does not know what
-        # its predecessor acknowledged. If all of them are that young, an
-        # earlier run may be forgotten.
-        since = claim.made_at - self._settings.skew_seconds
-        return oldest / _MICROSECONDS <= since
--- a/flamingovalve/daemon.py
+++ b/flamingovalve/daemon.py
@@ -16,7 +16,7 @@
 from flamingovalve.config.keeper import ConfigurationKeeper
 from flamingovalve.config.service import ConfigurationService
 from flamingovalve.engines.store import StoreShare
-from flamingovalve.errors import ErrorKind, ServingError
+from flamingovalve.errors import ErrorKind, Ran, ServingError
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import Incarnation, VmId
 from flamingovalve.http.client import ConnectionPool
@@ -333,12 +333,13 @@
         message: messages.ForwardCall,
         sink: Sink,
     ) -> None:
-        service = self.inventory().services_by_id.get(message.service)
+        service = self.keeper.inventory.services_by_id.get(message.service)
         if service is None:
             raise ServingError(
-                ErrorKind.UNKNOWN_SERVICE,
-                f'service {message.service!r} is not in the inventory here; '
-                'try again shortly',
+                ErrorKind.NOT_READY,
+                f'service {message.service!r} is not known here yet; send '
+                'the call again with the same key',
+                ran=Ran.UNKNOWN,
                 retry_after=1,
             )
         request = ServiceRequest(
--- a/flamingovalve/engines/owner.py
+++ b/flamingovalve/engines/owner.py
@@ -8,13 +8,13 @@
 
 import curio
 
+from flamingovalve.engines.loader import AdapterLoader
 from flamingovalve.engines.residents import ResidentState
-from flamingovalve.engines.scheduler import EngineScheduler, LoadOrder
+from flamingovalve.engines.scheduler import EngineScheduler
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger
 from flamingovalve.util.rates import jittered
-from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
     import random
@@ -28,10 +28,12 @@
 
 logger = get_logger(__name__)
 
-_TIE_BITS: Final = 24
+_TIE_BITS: Final = 32
+_TIE_MASK: Final = (1 << _TIE_BITS) - 1
 _FIRST_RECLAIM_SECONDS: Final = 2.0
 _LONGEST_RECLAIM_SECONDS: Final = 60.0
 _CANCEL_TRIES: Final = 20
+_GAP_SECONDS: Final = 2.0
 
 
 class OwnerState(Enum):
@@ -70,43 +72,53 @@
         incarnation: Incarnation,
         store: StoreShare,
         ask_deputy: Callable[[Engine], Awaitable[float]],
+        ended_ties: Callable[[], set[int]],
         chance: random.Random,
     ) -> None:
         """Own ``api.engine``.
 
         :param ask_deputy: gives the seconds for which the deputy promises
             not to take over; 0 when it has or does not answer
+        :param ended_ties: gives the ties of processes that are gone
         """
         self.engine = api.engine
         self.api = api
         self.counts = OwnerCounts()
         self.state = OwnerState.CLAIMING
+        self.loader = AdapterLoader(api, self.current_number)
         self.scheduler = EngineScheduler(
             api.engine,
             settings.scheduling,
             settings.limits,
             store,
-            self._start_load,
+            self.loader.start,
         )
+        self.loader.scheduler = self.scheduler
+        self.loader.error_listener = self._react
         self.scheduler.may_dispatch = self.may_dispatch
         self.scheduler.may_evict = self._may_evict
+        self.scheduler.refusal = self.refusal
         self.crash_listeners: list[Callable[[str, str], Awaitable[None]]] = []
-        self.load_listener: Callable[[], Awaitable[None]] = _nothing
         self._settings = settings.scheduling
-        self._tie = hashing.weight(settings.vm.id, str(incarnation))
+        self._tie = claimer_tie(settings.vm.id, incarnation)
         self._ask_deputy = ask_deputy
+        self._ended_ties = ended_ties
+        self._quiet_seconds = self._settings.claim_quiet_seconds
         self._chance = chance
         self._number = 0
         self._boot = ''
         self._claimed_at = 0.0
-        self._lease_until = 0.0
+        self._lease_until = clock.now()
+        self._reachable = True
         self._report_taken_at = float('-inf')
         self._reclaim_pause = _FIRST_RECLAIM_SECONDS
-        self._tasks = TaskSet()
 
     async def run(self) -> None:
         """Hold the engine until cancelled."""
         while True:
+            refusal = self.refusal()
+            if refusal is not None:
+                await self.scheduler.refuse_all(refusal)
             if self.state is OwnerState.OWNING:
                 await self._renew()
                 await curio.sleep(
@@ -115,6 +127,10 @@
             else:
                 await self._claim_or_wait()
 
+    def current_number(self) -> int:
+        """Give the fencing number that our orders carry."""
+        return self._number
+
     @property
     def boot(self) -> str:
         """Give the boot of the engine as last seen."""
@@ -130,13 +146,25 @@
         owning = self.state is OwnerState.OWNING
         return owning and clock.now() < self._lease_until
 
+    def refusal(self) -> ServingError | None:
+        """Tell why requests are not taken at the moment, if they are not.
+
+        A short gap between two leases is waited out. Beyond that the
+        requests do better elsewhere than in a queue that does not move.
+        """
+        if clock.now() < self._lease_until + _GAP_SECONDS:
+            return None
+        if self._reachable:
+            return not_owner(self.engine.id)
+        return _unreachable(self.engine.id)
+
     def suspect_lease(self) -> None:
         """Stop dispatching until the lease is renewed.
 
         Called when this process was paused: it may still believe that it
         owns what another VM has taken over meanwhile.
         """
-        self._lease_until = 0.0
+        self._lease_until = min(self._lease_until, clock.now())
 
     async def renew_now(self) -> bool:
         """Renew the lease; tell whether we still own the engine."""
@@ -179,10 +207,14 @@
         """Become the one whose orders the engine obeys."""
         asked_at = clock.now()
         seen = await self.api.fencing()
+        self._reachable = seen.is_ok()
         if seen.is_error():
             self.counts.failed_reports += 1
             return False
+        self._quiet_seconds = self._longest_quiet()
         if self.engine.fencing and seen.ok.number is not None:
+            if self._claimer_has_ended(seen.ok.number):
+                self._quiet_seconds = 0
             self._number = self._next_number(seen.ok.number)
             claimed = await self.api.claim(self._number)
             if claimed.is_error():
@@ -205,9 +237,23 @@
         await self.scheduler.pump()
         return True
 
+    def _longest_quiet(self) -> float:
+        """Give the seconds after which an old owner has surely stopped."""
+        quiet = self._settings.claim_quiet_seconds
+        # Without fencing, the old one may have to lose its quorum first.
+        return quiet if self.engine.fencing else 2 * quiet
+
+    def _claimer_has_ended(self, seen: int) -> bool:
+        """Tell whether whoever claimed the engine last is gone.
+
+        Only the last claimer can hold a lease, since all others are outbid.
+        If its process is provably gone, nobody has to be waited for.
+        """
+        return seen == 0 or seen & _TIE_MASK in self._ended_ties()
+
     def _next_number(self, seen: int) -> int:
         epoch = (seen >> _TIE_BITS) + 1
-        return epoch << _TIE_BITS | self._tie & (1 << _TIE_BITS) - 1
+        return epoch << _TIE_BITS | self._tie
 
     def _adopt(self, report: LoadReport) -> None:
         """Start from what the engine holds.
@@ -224,6 +270,7 @@
     async def _renew(self) -> None:
         asked_at = clock.now()
         seen = await self.api.fencing()
+        self._reachable = seen.is_ok()
         if seen.is_error():
             self.counts.failed_reports += 1
             return
@@ -290,57 +337,26 @@
         from under a request in progress, and its caller would get an error
         or the base model's answer.
         """
-        quiet = self._settings.claim_quiet_seconds
-        if clock.now() < self._claimed_at + quiet:
+        if clock.now() < self._claimed_at + self._quiet_seconds:
             return False
         if self._report_taken_at <= victim.foreign_at:
             return False
-        return clock.now() >= victim.foreign_at + quiet
-
-    # -- Loads
-
-    async def _start_load(self, order: LoadOrder) -> None:
-        await self._tasks.spawn(self._carry_out, order)
-
-    async def _carry_out(self, order: LoadOrder) -> None:
-        started_at = clock.now()
-        error = await self._unload(order)
-        if error is None:
-            loaded = await self.api.load(order.name, self._number)
-            error = loaded.error if loaded.is_error() else None
-        if error is not None:
-            logger.warning(
-                'adapter {} did not load on {}: {}',
-                order.name,
-                self.engine.id,
-                error.message,
-            )
-        seconds = clock.now() - started_at
-        await self.scheduler.load_ended(order, error, seconds)
-        await self._react(error)
-        await self.load_listener()
-
-    async def _unload(self, order: LoadOrder) -> ServingError | None:
-        if order.victim is None:
-            return None
-        outcome = await self.api.unload(order.victim, self._number)
-        if outcome.is_ok():
-            self.scheduler.residents.remove(order.victim)
-            return None
-        victim = self.scheduler.residents.by_name.get(order.victim)
-        if victim is not None:
-            victim.state = ResidentState.READY
-        return outcome.error
+        return clock.now() >= victim.foreign_at + self._quiet_seconds
 
-    async def _react(self, error: ServingError | None) -> None:
-        if error is not None and error.kind is ErrorKind.NOT_OWNER:
+    async def _react(self, error: ServingError) -> None:
+        if error.kind is ErrorKind.NOT_OWNER:
             self.counts.refused_orders += 1
             if self.state is OwnerState.OWNING:
                 await self._lose()
 
 
-async def _nothing() -> None:
-    """Stand for a listener until there is one."""
+def claimer_tie(vm: str, incarnation: int) -> int:
+    """Give the low bits of the fencing numbers of one process.
+
+    They break the tie between two processes that claim in the same epoch,
+    and tell later who claimed.
+    """
+    return hashing.weight(vm, str(incarnation)) & _TIE_MASK
 
 
 def not_owner(engine: str) -> ServingError:
@@ -350,3 +366,11 @@
         f'another VM owns engine {engine!r}; ask /v1/entry again',
         retry_after=1,
     )
+
+
+def _unreachable(engine: str) -> ServingError:
+    return ServingError(
+        ErrorKind.UPSTREAM_UNREACHABLE,
+        f'engine {engine!r} does not answer its owner; see whether it runs',
+        retry_after=1,
+    )
--- a/flamingovalve/engines/scheduler.py
+++ b/flamingovalve/engines/scheduler.py
@@ -93,6 +93,7 @@
         self.services = SmoothedSeconds(_SERVICE_GUESS_SECONDS)
         self.may_dispatch: Callable[[], bool] = _always
         self.may_evict: Callable[[Resident], bool] = _always_evict
+        self.refusal: Callable[[], ServingError | None] = _no_refusal
         self._settings = scheduling
         self._limits = limits
         self._store = store
@@ -177,6 +178,9 @@
         if len(self.queue) >= self._limits.queue_requests:
             self.counts.refused += 1
             raise _queue_full(self.engine.id, self.services.mean)
+        refusal = self.refusal()
+        if refusal is not None:
+            raise refusal
         self._check_backoff(ticket.name)
         remaining = ticket.deadline - clock.now()
         wait = self._wait_of(ticket)
@@ -341,6 +345,10 @@
     return True
 
 
+def _no_refusal() -> None:
+    """Take every request."""
+
+
 def _always_evict(_resident: Resident) -> bool:
     return True
 
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -216,6 +216,9 @@
             return
         for helper in self._helpers(target):
             await self._send(helper, PingRequest(target.vm.id, number))
+        if await self._refuses_connections(target):
+            await self._declare_ended(target)
+            return
         rest = settings.probe_seconds - settings.ack_seconds
         if await _is_set(answered, max(rest, settings.ack_seconds)):
             # Others reach it and we do not: the path is broken, not the VM.
@@ -223,6 +226,30 @@
             return
         await self._suspect(target)
 
+    async def _refuses_connections(self, target: Member) -> bool:
+        """Tell whether the process at the target's address is gone.
+
+        Silence may be the network's. A refused connection is an answer of
+        the machine itself: nothing listens there any more.
+        """
+        try:
+            opened = await self._network.connect(
+                target.vm.peer_address,
+                self._settings.ack_seconds,
+            )
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        await self._network.discard(opened)
+        return False
+
+    async def _declare_ended(self, target: Member) -> None:
+        target.note_end(target.incarnation)
+        if target.state is not MemberState.DEAD:
+            self.members.change(target, MemberState.DEAD)
+            await self.push(self.members.rumour_of(target))
+
     def _helpers(self, target: Member) -> list[Member]:
         candidates = [
             member
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from flamingovalve.generated.ids import Incarnation
+from flamingovalve.generated.ids import Incarnation, VmId
 from flamingovalve.generated.messages import MemberRumour
 from flamingovalve.generated.messages import MemberState as State
 from flamingovalve.generated.settings import VmState
@@ -15,7 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from flamingovalve.generated.ids import VmId
     from flamingovalve.generated.settings import PublishedVm, VmList
 
 logger = get_logger(__name__)
@@ -25,6 +24,7 @@
 _FLAP_MEMORY_SECONDS = 120
 _FIRST_HOLD_SECONDS = 0.5
 _LONGEST_HOLD_SECONDS = 60
+_ENDED_KEPT = 4
 
 _SEVERITY = {
     State.ALIVE: 0,
@@ -44,6 +44,7 @@
     :ivar heard_at: when a datagram last came straight from it
     :ivar direct: whether the direct path to it works
     :ivar held_until: when it counts as present again after it flapped
+    :ivar ended: processes of it that are provably gone, the latest last
     """
 
     vm: PublishedVm
@@ -55,6 +56,19 @@
     direct: bool = True
     returns: list[float] = field(default_factory=list)
     held_until: float = 0
+    ended: list[Incarnation] = field(default_factory=list)
+
+    def note_end(self, incarnation: Incarnation) -> None:
+        """Remember that a process is provably gone."""
+        if incarnation and incarnation not in self.ended:
+            self.ended = [*self.ended[1 - _ENDED_KEPT :], incarnation]
+
+    def is_known_to_have_ended(self) -> bool:
+        """Tell whether its latest process is provably gone or has left."""
+        gone = self.state in {State.DEAD, State.LEAVING}
+        return gone and (
+            self.incarnation in self.ended or self.state is State.LEAVING
+        )
 
     def is_present(self) -> bool:
         """Tell whether it takes part in the division of work."""
@@ -116,6 +130,23 @@
         """Give the ids of :meth:`present`."""
         return [member.vm.id for member in self.present()]
 
+    def has_quorum(self) -> bool:
+        """Tell whether we see more than half of the VMs that may be alive.
+
+        Two parts of a split fleet cannot both do so. VMs whose process is
+        provably gone do not count; silent ones do. Of two equal halves, the
+        one with the first VM of the list in it wins.
+        """
+        possible = [
+            vm_id
+            for vm_id, member in self.by_id.items()
+            if not member.is_known_to_have_ended()
+        ]
+        seen = set(self.present_ids()).intersection(possible)
+        if 2 * len(seen) == len(possible):
+            return min(possible, default='') in seen
+        return 2 * len(seen) > len(possible)
+
     def is_present(self, vm_id: VmId) -> bool:
         """Tell whether a VM shares the work."""
         member = self.by_id.get(vm_id)
@@ -155,6 +186,19 @@
         member.changed_at = clock.now()
         self._touch()
 
+    def has_ended(self, vm_id: str, incarnation: int) -> bool:
+        """Tell whether a process is provably gone."""
+        member = self.by_id.get(VmId(vm_id))
+        return member is not None and incarnation in member.ended
+
+    def ended_processes(self) -> list[tuple[VmId, Incarnation]]:
+        """Give the processes that are provably gone."""
+        return [
+            (vm_id, incarnation)
+            for vm_id, member in self.by_id.items()
+            for incarnation in member.ended
+        ]
+
     def rumour_of(self, member: Member) -> MemberRumour:
         """Give the rumour that states what we believe of a member."""
         return MemberRumour(
@@ -215,6 +259,8 @@
         # whoever divides work by these members must notice the change.
         if member.incarnation:
             logger.info('VM {} runs a new process', member.vm.id)
+        # Two processes cannot listen at one address.
+        member.note_end(member.incarnation)
         member.direct = True
         self._touch()
 
--- a/flamingovalve/relay/completion.py
+++ b/flamingovalve/relay/completion.py
@@ -139,6 +139,7 @@
         self._check = AnswerCheck(work.target.name, work.request_id)
         self._splitter = EventSplitter(self._check, work.offset)
         self._boot = owner.boot
+        self._resuming = False
 
     async def run(self) -> None:
         """Run to the whole answer.
@@ -258,7 +259,7 @@
     ) -> None:
         body = await connection.body(self._settings.chunk_seconds)
         self.may_run = False
-        if head.status == HTTPStatus.NOT_FOUND and self.work.offset:
+        if head.status == HTTPStatus.NOT_FOUND and self._resuming:
             raise fragment('the engine no longer knows the stream')
         if head.status == HTTPStatus.NOT_FOUND:
             # The engine lost the adapter, as after a restart that no report
@@ -278,18 +279,48 @@
         await self._relay.pool.drop(self.owner.engine.address)
         state = await self.owner.api.fencing()
         if self._has_ended(state):
-            self.may_run = False
+            # Not taken for proof that nothing runs: the engine may have
+            # restarted before this request reached it, unknown to us. The
+            # adapter stays pinned until the engine confirms the end.
             raise self._crashed(lost)
-        if not self._sink.started:
+        unstarted = self.work.stream and not self._sink.started
+        if unstarted or state.is_error():
             raise _upstream_failed(self.owner.engine.id, str(lost))
-        await self._resume(lost)
+        if self.work.stream:
+            await self._resume(lost)
+        else:
+            await self._await_whole()
+
+    async def _await_whole(self) -> None:
+        """Wait on for a whole answer, on a new connection each time.
+
+        A whole answer is silent until it is done, which may take minutes,
+        and so is a connection that something on the way has forgotten. The
+        engine is asked which it is; a request that it still runs is not run
+        again. The deadline of the request ends the wait.
+        """
+        answered = False
+        while not answered:
+            try:
+                await self._resume_once()
+                answered = True
+            except TimeoutError as late:
+                await self._check_alive(late)
+            except ConnectionLost as lost:
+                engine = self.owner.engine.id
+                raise _upstream_failed(engine, str(lost)) from lost
+
+    async def _check_alive(self, late: TimeoutError) -> None:
+        state = await self.owner.api.fencing()
+        if self._has_ended(state):
+            raise self._crashed(late)
 
     def _has_ended(self, state: Result[FencingState, ServingError]) -> bool:
         if state.is_ok():
             return state.ok.boot != self._boot
         return state.error.kind is ErrorKind.UPSTREAM_UNREACHABLE
 
-    def _crashed(self, lost: Exception) -> ServingError:
+    def _crashed(self, lost: object) -> ServingError:
         engine = self.owner.engine.id
         self._relay.quarantine.crashed(engine, self._boot)
         if self._sink.started:
@@ -315,6 +346,7 @@
         raise fragment(f'it could not be resumed ({lost})')
 
     async def _resume_once(self) -> None:
+        self._resuming = True
         path = f'/v1/streams/{self.work.request_id}?offset={self.work.offset}'
         address = self.owner.engine.address
         try:
--- a/flamingovalve/routing/engines.py
+++ b/flamingovalve/routing/engines.py
@@ -8,7 +8,12 @@
 import curio
 
 from flamingovalve.engines.api import EngineApi
-from flamingovalve.engines.owner import EngineOwner, OwnerState, not_owner
+from flamingovalve.engines.owner import (
+    EngineOwner,
+    OwnerState,
+    claimer_tie,
+    not_owner,
+)
 from flamingovalve.errors import ConnectionLost, WrongPeer
 from flamingovalve.generated.messages import TakeoverAsk, TakeoverReply
 from flamingovalve.peer.client import PeerUnreachable
@@ -148,11 +153,12 @@
             self._incarnation,
             self._store,
             self._ask_deputy,
+            self._ended_ties,
             self._chance,
         )
         owner.crash_listeners.append(self._crashed)
         # A load that ended anywhere frees the store's budget for all.
-        owner.load_listener = self.pump
+        owner.loader.end_listener = self.pump
         task = await curio.spawn(owner.run, daemon=True)
         self._owned_by_id[engine.id] = _Owned(owner, task)
 
@@ -165,8 +171,21 @@
     async def _crashed(self, engine_id: str, boot: str) -> None:
         self._quarantine.crashed(engine_id, boot)  # type: ignore[arg-type]
 
+    def _ended_ties(self) -> set[int]:
+        return {
+            claimer_tie(vm, incarnation)
+            for vm, incarnation in self._members.ended_processes()
+        }
+
     async def _ask_deputy(self, engine: Engine) -> float:
-        """Give the seconds for which the deputy has not taken over."""
+        """Give the seconds for which the deputy has not taken over.
+
+        Asked for engines that ignore fencing numbers. Nothing but the VMs
+        themselves keeps two parts of a split fleet apart there, so only the
+        part with a quorum owns them.
+        """
+        if not self._members.has_quorum():
+            return 0
         deputy = self._ownership.deputy(engine)
         if deputy is None:
             return self._settings.scheduling.claim_quiet_seconds
--- a/flamingovalve/schema/settings.capnp
+++ b/flamingovalve/schema/settings.capnp
@@ -84,6 +84,7 @@
   acknowledgeSeconds @3 :Float64 = 1 $unit("seconds") $low(0.05) $high(30) $doc("Longest wait for another VM to acknowledge a claim.");
   permitSeconds @4 :Float64 = 300 $unit("seconds") $low(5) $high(86400) $doc("How long a permit may be used.");
   keySeconds @5 :Float64 = 600 $unit("seconds") $low(10) $high(86400) $doc("How long after it was made a caller's own idempotency key may be used.");
+  listLagSeconds @8 :Float64 = 120 $unit("seconds") $low(0) $high(3600) $doc("Longest time for which two VMs may hold different lists of VMs.");
   skewSeconds @6 :Float64 = 5 $unit("seconds") $low(0) $high(300) $doc("Largest difference between a caller's clock and ours.");
 }
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -291,6 +291,43 @@
         )
 
 
+class RestartTest(RelayCase):
+    """An engine restarts between two looks of its owner."""
+
+    shape = Shape(
+        vms=1,
+        engines=1,
+        slots=1,
+        tune=lambda settings: setattr(
+            settings.scheduling,
+            'report_seconds',
+            3,
+        ),
+    )
+
+    def test_adapter_stays_after_a_restart_nobody_noticed(self):
+        """A request reaches an engine that has just restarted.
+
+        Its owner still knows the old start of the engine. When the stream
+        breaks, that must not be taken for proof that nothing runs: the
+        adapter would be evicted under the request. (Found by the fuzzer.)
+        """
+        engine = self.fleet.engines_by_id['engine-0']
+        engine.restart_seconds = 0.1
+        owner = self.fleet.daemon('vm-0').engines.find('engine-0')
+        before = owner._lease_until
+        self.fleet.world.run_until(lambda: owner._lease_until > before, 10)
+        self.fleet.node_named('engine-0').spawn(engine.crash)
+        self.fleet.world.advance(0.2)
+        engine.cut_streams = 1
+        first = self.start('adapter-1', 'x', stream=True, max_tokens=200)
+        self.fleet.world.advance(0.05)
+        second = self.start('adapter-2', 'y')
+        self.finish(first, second)
+        self.assertGreater(engine.counted.runs, 0)
+        self.assertEqual(self.total('evicted_in_use'), 0)
+
+
 class QuarantineTest(RelayCase):
     """A request that crashes every engine that runs it."""
 
--- /dev/null
+++ b/tests/test_settling.py
@@ -0,0 +1,394 @@
+"""Any VM may die, pause, be cut off or replaced, and the service goes on."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.rig.fleet import (
+    Fleet,
+    Shape,
+    completion_call,
+    error_type,
+    outcome_of,
+    ran,
+)
+
+OK = 200
+
+
+class SettlingCase(unittest.TestCase):
+    """A fleet of many VMs over four failure domains."""
+
+    shape = Shape(
+        vms=12,
+        engines=6,
+        adapters=24,
+        domains=('korangi', 'site-area', 'landhi', 'port-qasim'),
+    )
+
+    def setUp(self):
+        """Start a fleet that has run for a while."""
+        self.fleet = Fleet.started(self.shape)
+        self.addCleanup(self.fleet.close)
+        self.fleet.world.advance(20)
+
+    def settle(self, seconds):
+        """Wait until every engine has one owner; give how long it took."""
+        started = self.fleet.world.moment
+        settled = self.fleet.world.run_until(self.fleet.is_settled, seconds)
+        self.assertTrue(settled, self.fleet.owners())
+        return self.fleet.world.moment - started
+
+    def owner(self, engine='engine-0'):
+        """Give the VM that owns an engine."""
+        return self.fleet.owners()[engine][0]
+
+    def other_than(self, *taken):
+        """Give a running VM that is none of those."""
+        return next(
+            vm_id
+            for vm_id, vm in self.fleet.vms_by_id.items()
+            if vm.node is not None and vm_id not in taken
+        )
+
+    def serve_all(self, vm_id):
+        """Check that a VM gets every adapter served."""
+        for index in range(self.shape.adapters):
+            response = self.fleet.complete(vm_id, f'adapter-{index}')
+            self.assertEqual(response.status, OK, response.body)
+
+    def evicted_in_use(self):
+        """Give how many adapters were evicted while in use."""
+        return sum(
+            engine.counted.evicted_in_use
+            for engine in self.fleet.engines_by_id.values()
+        )
+
+
+class LostVmTest(SettlingCase):
+    """VMs end, stop and come back."""
+
+    def test_owner_dies(self):
+        """The VM that owns an engine dies.
+
+        Its share moves to others within a few seconds; nobody else's does,
+        and a request sent meanwhile is late but answered.
+        """
+        before = self.fleet.owners()
+        owner = self.owner()
+        self.fleet.kill(owner)
+        response = self.fleet.complete(self.other_than(owner), 'adapter-1')
+        self.assertEqual(response.status, OK)
+        self.settle(10)
+        moved = {
+            engine
+            for engine, owners in self.fleet.owners().items()
+            if owners != before[engine]
+        }
+        lost = {
+            engine for engine, owners in before.items() if owners == [owner]
+        }
+        self.assertEqual(moved, lost)
+        self.serve_all(self.other_than(owner))
+
+    def test_failure_domain_dies(self):
+        """All VMs of one failure domain die at once.
+
+        Its engines are alive and get owners in other domains.
+        """
+        lost = [
+            vm.id
+            for vm in self.fleet.vms_by_id.values()
+            if vm.domain == 'korangi'
+        ]
+        for vm_id in lost:
+            self.fleet.kill(vm_id)
+        self.settle(15)
+        self.serve_all(self.other_than(*lost))
+
+    def test_replaced_vm_is_another(self):
+        """A VM is replaced at the same address within a second.
+
+        The new process takes the old one's share without a hitch.
+        """
+        owner = self.owner()
+        self.fleet.kill(owner)
+        self.fleet.world.advance(1)
+        self.fleet.start(owner)
+        self.fleet.world.advance(15)
+        self.settle(15)
+        self.assertEqual(self.owner(), owner)
+        self.serve_all(owner)
+
+    def test_frozen_owner_wakes_late(self):
+        """The owner of an engine is stopped for a minute and wakes.
+
+        Another VM has taken over. The old owner still believes to own the
+        engine; it must notice before it dispatches or evicts anything.
+        """
+        owner = self.owner()
+        self.fleet.pause(owner)
+        self.fleet.world.advance(60)
+        other = self.other_than(owner)
+        self.serve_all(other)
+        self.fleet.wake(owner)
+        self.serve_all(owner)
+        self.fleet.world.advance(10)
+        self.settle(20)
+        self.assertEqual(self.evicted_in_use(), 0)
+        late = self.fleet.daemon(owner).gossip.counts.late_wakeups
+        self.assertEqual(late, 1)
+
+    def test_flapping_vm_does_not_move_ownership_each_time(self):
+        """A VM stops and wakes again and again.
+
+        Each return makes it wait longer before it counts, so engines do
+        not change hands at every turn.
+        """
+        owner = self.owner()
+        claims = 0
+        for _turn in range(6):
+            self.fleet.pause(owner)
+            self.fleet.world.advance(8)
+            self.fleet.wake(owner)
+            self.fleet.world.advance(4)
+        claims = sum(
+            entry.counts.claims
+            for daemon in self.fleet.daemons()
+            for entry in daemon.engines.owners()
+            if entry.engine.id == 'engine-0'
+        )
+        self.assertLessEqual(claims, 6)
+        self.fleet.world.advance(70)
+        self.settle(20)
+        self.assertEqual(self.owner(), owner)
+
+
+class LinkTest(SettlingCase):
+    """Links between VMs are cut, one way or both."""
+
+    def test_partition_and_healing(self):
+        """The fleet is split in two for a while; both parts serve.
+
+        While it lasts, an engine obeys one owner, and no adapter in use is
+        evicted. When it heals, each engine has one owner again.
+        """
+        ids = list(self.fleet.vms_by_id)
+        self.fleet.links.partition(ids[:5], ids[5:])
+        self.fleet.world.advance(30)
+        answered = 0
+        for vm_id in (ids[0], ids[-1]):
+            for index in range(12):
+                response = self.fleet.complete(vm_id, f'adapter-{index}')
+                answered += response.status == OK
+        self.assertGreaterEqual(answered, 12)
+        self.fleet.links.heal()
+        self.fleet.world.advance(30)
+        self.settle(60)
+        self.assertEqual(self.evicted_in_use(), 0)
+        self.serve_all(ids[0])
+
+    def test_half_open_link_changes_nothing(self):
+        """A VM hears another that does not hear it.
+
+        Others vouch for both, so neither is taken for dead and no engine
+        changes hands; requests go round the broken path.
+        """
+        before = self.fleet.owners()
+        owner = self.owner()
+        other = self.other_than(owner)
+        self.fleet.links.cut(other, owner)
+        self.fleet.world.advance(60)
+        self.assertEqual(self.fleet.owners(), before)
+        response = self.fleet.complete(other, 'adapter-1')
+        self.assertEqual(response.status, OK)
+
+    def test_loss_of_datagrams(self):
+        """One datagram in twenty is lost, for ten minutes.
+
+        Suspicions arise and are refuted; ownership does not move.
+        """
+        before = self.fleet.owners()
+        self.fleet.links.loss = 0.05
+        self.fleet.world.advance(600)
+        self.assertEqual(self.fleet.owners(), before)
+
+    def test_owner_is_cut_off_from_its_engine(self):
+        """A VM cannot reach an engine that it owns, but all else works.
+
+        Requests for it are served by other engines.
+        """
+        owner = self.owner()
+        self.fleet.links.partition([owner], ['engine-0'])
+        other = self.other_than(owner)
+        self.serve_all(other)
+
+
+class FencingTest(SettlingCase):
+    """Two VMs believe to own the same engine."""
+
+    def split(self):
+        """Part the owner of engine-0 from all other VMs."""
+        owner = self.owner()
+        others = [vm for vm in self.fleet.vms_by_id if vm != owner]
+        self.fleet.links.partition([owner], others)
+        return owner, others[0]
+
+    def test_old_owner_obeys(self):
+        """The engine checks fencing numbers.
+
+        After the new owner's claim, none of the old one's orders takes
+        effect; it notices and stops.
+        """
+        owner = self.owner()
+        mine = self.fleet.daemon(owner).engines.find('engine-0')
+        old_number = mine._number
+        self.split()
+        engine = self.fleet.engines_by_id['engine-0']
+        self.fleet.world.advance(15)
+        self.assertGreater(engine.number, old_number)
+        refused = engine.counted.refused_orders
+        outcome = self.fleet.world.ask(
+            self.fleet.vms_by_id[owner].node,
+            mine.api.load,
+            'adapter-9@1',
+            old_number,
+        )
+        self.assertTrue(outcome.is_error())
+        self.assertEqual(engine.counted.refused_orders, refused + 1)
+        self.assertNotIn('adapter-9@1', engine.resident)
+        holding = [
+            daemon.settings.vm.id
+            for daemon in self.fleet.daemons()
+            if (entry := daemon.engines.find('engine-0')) is not None
+            and entry._number == engine.number
+        ]
+        self.assertEqual(len(holding), 1)
+
+    def test_long_request_of_the_old_owner_survives(self):
+        """A review runs at the old owner while a new one takes over.
+
+        The new owner's requests need slots; it must not take the one that
+        the review uses.
+        """
+        owner = self.owner()
+        names = [f'adapter-{index}' for index in range(24)]
+        placement = self.fleet.daemon(owner).placement
+        mine = [
+            name
+            for name in names
+            if placement.order(f'{name}@2', 'base')[0] == 'engine-0'
+        ]
+        address = self.fleet.vms_by_id[owner].http_address
+        review = self.fleet.caller.start(
+            address,
+            completion_call(mine[0], 'review', max_tokens=2500),
+        )
+        self.fleet.world.advance(2)
+        _owner, other = self.split()
+        for turn in range(30):
+            name = mine[1 + turn % (len(mine) - 1)]
+            self.fleet.complete(other, name, f'{turn}')
+            self.fleet.world.advance(0.5)
+        self.fleet.world.run_until(lambda: review.terminated, 100)
+        self.assertEqual(outcome_of(review).status, OK, outcome_of(review))
+        self.assertEqual(self.evicted_in_use(), 0)
+
+
+class NoFencingTest(FencingTest):
+    """The same on engines that ignore fencing numbers."""
+
+    shape = Shape(
+        vms=12,
+        engines=6,
+        adapters=24,
+        domains=('korangi', 'site-area', 'landhi', 'port-qasim'),
+        fencing=False,
+    )
+
+    def test_old_owner_obeys(self):
+        """The engine ignores fencing numbers; the part with a quorum owns it.
+
+        The old owner, cut off from the others, stops dispatching before
+        the new one evicts anything.
+        """
+        owner, other = self.split()
+        self.fleet.world.advance(15)
+        self.assertNotIn(owner, self.fleet.owners()['engine-0'])
+        self.assertEqual(len(self.fleet.owners()['engine-0']), 1)
+        for turn in range(10):
+            self.fleet.complete(owner, f'adapter-{turn}', 'a')
+            self.fleet.complete(other, f'adapter-{turn + 10}', 'b')
+        self.assertEqual(self.evicted_in_use(), 0)
+
+
+class LeavingTest(SettlingCase):
+    """VMs and engines leave in an orderly way."""
+
+    shape = Shape(
+        vms=20,
+        engines=6,
+        adapters=24,
+        domains=('korangi', 'site-area', 'landhi', 'port-qasim'),
+    )
+
+    def leave(self, vm_id):
+        """Have a VM leave."""
+        self.fleet.world.ask(
+            self.fleet.vms_by_id[vm_id].node,
+            self.fleet.daemon(vm_id).begin_leaving,
+        )
+
+    def test_no_new_work_and_nothing_cut_off(self):
+        """A VM leaves while it works; the published list lags 30 s.
+
+        After a few seconds no answer names it and it refuses new work as
+        not run. What it has is finished before it ends.
+        """
+        owner = self.owner()
+        address = self.fleet.vms_by_id[owner].http_address
+        long_one = self.fleet.caller.start(
+            address,
+            completion_call('adapter-1', 'long', max_tokens=600),
+        )
+        self.fleet.world.advance(1)
+        self.leave(owner)
+        self.fleet.world.advance(3.1)
+        for daemon in self.fleet.daemons():
+            self.assertNotIn(owner, daemon.members.present_ids())
+        refused = self.fleet.complete(owner, 'adapter-2')
+        self.assertEqual(error_type(refused), 'leaving')
+        self.assertEqual(ran(refused), 'no')
+        self.fleet.world.run_until(lambda: long_one.terminated, 60)
+        self.assertEqual(outcome_of(long_one).status, OK)
+        daemon = self.fleet.daemon(owner)
+        self.assertTrue(
+            self.fleet.world.run_until(daemon.stopped.is_set, 10),
+        )
+        self.settle(15)
+
+    def test_leaving_engine_gets_no_new_work(self):
+        """The inventory takes an engine out of service.
+
+        What it runs is finished; requests go to others within seconds.
+        """
+        first = self.fleet.caller.start(
+            self.fleet.vms_by_id['vm-0'].http_address,
+            completion_call('adapter-1', 'long', max_tokens=600),
+        )
+        self.fleet.world.advance(2)
+        page = self.fleet.page()
+        busy = next(
+            name
+            for name, engine in self.fleet.engines_by_id.items()
+            if +engine.running
+        )
+        for engine in page['engines']:
+            engine['leaving'] = engine['id'] == busy
+        self.fleet.publish(engines=page['engines'])
+        self.fleet.world.advance(4)
+        runs = self.fleet.engines_by_id[busy].counted.runs
+        self.serve_all('vm-3')
+        self.assertEqual(self.fleet.engines_by_id[busy].counted.runs, runs)
+        self.fleet.world.run_until(lambda: first.terminated, 60)
+        self.assertEqual(outcome_of(first).status, OK)
