Configuration changes cost one page, not the whole inventory

Change: pages are kept compact by digest and shared between versions, type hints are looked up once, and requests get their turn between two pages.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -16,6 +16,7 @@
 
 SIZES = (5, 10, 20, 50, 100)
 SECONDS = 60
+WATCH_SECONDS = 60
 DOMAINS = ('korangi', 'site-area', 'landhi', 'port-qasim')
 
 
@@ -87,13 +88,23 @@
     try:
         fleet.world.advance(20 + seed * 0.37)
         _FAULTS[fault](fleet)
-        started = fleet.world.moment
-        assert fleet.world.run_until(fleet.is_settled, 120), fleet.owners()
-        return fleet.world.moment - started
+        return _last_unsettled(fleet)
     finally:
         fleet.close()
 
 
+def _last_unsettled(fleet: Fleet) -> float:
+    """Give the seconds after which ownership did not change any more."""
+    started = fleet.world.moment
+    last = 0.0
+    while fleet.world.moment - started < WATCH_SECONDS:
+        fleet.world.advance(0.1)
+        if not fleet.is_settled():
+            last = fleet.world.moment - started
+    assert fleet.is_settled(), fleet.owners()
+    return last
+
+
 def _kill_owner(fleet: Fleet) -> None:
     fleet.kill(fleet.owners()['engine-0'][0])
 
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -52,18 +52,22 @@
     stalls: dict[str, Any] = field(
         default_factory=lambda: defaultdict(_histogram),
     )
-    firsts: Any = field(default_factory=lambda: _histogram())
+    firsts: Any = None
     waits: dict[str, Any] = field(
         default_factory=lambda: defaultdict(_histogram),
     )
 
+    def __post_init__(self) -> None:
+        """Make the histogram of first tokens."""
+        self.firsts = _histogram()
+
     @property
     def efficiency(self) -> float:
         """Give the seats used over the seats wanted while work waited."""
         return self.busy / self.wanted if self.wanted else 1
 
 
-def _histogram() -> Any:
+def _histogram() -> HdrHistogram:
     return HdrHistogram(1, _LONGEST_MS, 3)
 
 
@@ -102,20 +106,23 @@
 
     def run(self) -> Outcome:
         """Send the whole load and give what came of it."""
-        fleet = self.fleet
         try:
-            fleet.world.advance(_WARM_SECONDS)
-            fleet.store.slowdown = self.scenario.store_slowdown
-            self._listen()
-            self._plan_faults()
-            task = fleet.caller.node.spawn(self._send_all)
-            limit = self.scenario.seconds + 2 * DEADLINE_SECONDS + 60
-            assert fleet.world.run_until(lambda: task.terminated, limit)
-            self._add_up()
+            self._run()
         finally:
-            fleet.close()
+            self.fleet.close()
         return self.outcome
 
+    def _run(self) -> None:
+        fleet = self.fleet
+        fleet.world.advance(_WARM_SECONDS)
+        fleet.store.slowdown = self.scenario.store_slowdown
+        self._listen()
+        self._plan_faults()
+        task = fleet.caller.node.spawn(self._send_all)
+        limit = self.scenario.seconds + 2 * DEADLINE_SECONDS + 60
+        assert fleet.world.run_until(lambda: task.terminated, limit)
+        self._add_up()
+
     def _listen(self) -> None:
         for daemon in self.fleet.daemons():
             for owner in daemon.engines.owners():
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -9,7 +9,7 @@
 import argparse
 import statistics
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, replace
+from dataclasses import astuple, dataclass, replace
 from pathlib import Path
 
 from benchmarks.bound import Bound, clairvoyant
@@ -111,13 +111,8 @@
 
 def median(runs: list[Figures]) -> Figures:
     """Give the median of each figure over the seeds."""
-    names = Figures.__dataclass_fields__
-    return Figures(
-        *(
-            statistics.median(getattr(run, name) for run in runs)
-            for name in names
-        ),
-    )
+    columns = zip(*map(astuple, runs), strict=True)
+    return Figures(*map(statistics.median, columns))
 
 
 def bound_of(
--- a/flamingovalve/cmd/flamingovalve.py
+++ b/flamingovalve/cmd/flamingovalve.py
@@ -16,6 +16,7 @@
 from flamingovalve import VERSION
 from flamingovalve.cmd.tables import state_table
 from flamingovalve.config.inventory import (
+    CompactPage,
     InventoryBuilder,
     parse_manifest,
     parse_page,
@@ -221,7 +222,7 @@
         if page.is_error():
             faults.extend(page.error)
         else:
-            builder.add(page.ok)
+            builder.add(CompactPage(page.ok))
     built = builder.build()
     if built.is_error():
         faults.extend(built.error)
--- a/flamingovalve/config/adapters.py
+++ b/flamingovalve/config/adapters.py
@@ -84,6 +84,8 @@
     def find(self, adapter_id: str) -> AdapterRecord | None:
         """Give the adapter of that id, if there is one."""
         wanted = adapter_id.encode()
+        if not self._covers(wanted):
+            return None
         low, high = 0, len(self)
         while low < high:
             middle = (low + high) // 2
@@ -95,6 +97,15 @@
             return None
         return self._record(low)
 
+    def names(self) -> Iterator[bytes]:
+        """Give every name in order."""
+        yield from map(self._name, range(len(self)))
+
+    def _covers(self, name: bytes) -> bool:
+        if not len(self):
+            return False
+        return self._name(0) <= name <= self._name(len(self) - 1)
+
     def _name(self, index: int) -> bytes:
         return self._names[self._starts[index] : self._starts[index + 1]]
 
@@ -110,6 +121,45 @@
         )
 
 
+class AdapterCatalog:
+    """The tables of all pages; pages that did not change are shared.
+
+    One page changes at a time, thousands of times a day. Building one table
+    of 100,000 adapters for each change would hold up every request.
+    """
+
+    def __init__(self, tables: list[AdapterTable]) -> None:
+        """Look adapters up in ``tables``."""
+        self._tables = [table for table in tables if len(table)]
+
+    def __len__(self) -> int:
+        """Count the adapters."""
+        return sum(map(len, self._tables))
+
+    def __iter__(self) -> Iterator[AdapterRecord]:
+        """Give every adapter."""
+        for table in self._tables:
+            yield from table
+
+    def find(self, adapter_id: str) -> AdapterRecord | None:
+        """Give the adapter of that id, if there is one."""
+        for table in self._tables:
+            record = table.find(adapter_id)
+            if record is not None:
+                return record
+        return None
+
+    def repeated(self) -> list[str]:
+        """Give the names that stand in more than one table."""
+        seen: set[bytes] = set()
+        found = []
+        for table in self._tables:
+            names = set(table.names())
+            found.extend(sorted(seen & names))
+            seen |= names
+        return [name.decode() for name in found]
+
+
 class AdapterTableBuilder:
     """Takes adapters page by page, in little more memory than the table."""
 
--- a/flamingovalve/config/checker.py
+++ b/flamingovalve/config/checker.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 from enum import Enum
+from functools import cache
 from typing import Any, TypeVar, get_args, get_origin, get_type_hints
 
 from expression import Error, Ok, Result
@@ -33,6 +34,11 @@
     return Error(reader.faults) if reader.faults else Ok(built)
 
 
+@cache
+def _hints(kind: type[Any]) -> dict[str, Any]:
+    return get_type_hints(kind)
+
+
 class StructReader:
     """Collects the faults met while values are read."""
 
@@ -57,7 +63,7 @@
         if not isinstance(raw, dict):
             self._fault(place, 'is not an object', 'write one here')
             return built
-        hints = get_type_hints(kind)
+        hints = _hints(kind)
         known = {entry.name: entry for entry in dataclasses.fields(kind)}
         for name, found in raw.items():
             inner = f'{place}.{name}'
--- a/flamingovalve/config/inventory.py
+++ b/flamingovalve/config/inventory.py
@@ -10,7 +10,7 @@
 from expression import Error, Ok, Result
 
 from flamingovalve.config.adapters import (
-    AdapterTable,
+    AdapterCatalog,
     AdapterTableBuilder,
 )
 from flamingovalve.config.checker import read_struct
@@ -66,8 +66,8 @@
     )
     engines_by_id: dict[EngineId, Engine] = field(default_factory=dict)
     services_by_id: dict[ServiceId, Service] = field(default_factory=dict)
-    adapters: AdapterTable = field(
-        default_factory=lambda: AdapterTable([], ()),
+    adapters: AdapterCatalog = field(
+        default_factory=lambda: AdapterCatalog([]),
     )
     engine_ids_by_model: dict[ModelId, list[EngineId]] = field(
         default_factory=dict,
@@ -82,7 +82,7 @@
         """Join pages into one version, or give every fault found."""
         builder = InventoryBuilder(version)
         for page in pages:
-            builder.add(page)
+            builder.add(CompactPage(page))
         return builder.build()
 
     def authorise(self, credential: str) -> Result[Application, ServingError]:
@@ -138,6 +138,40 @@
         return Error(_unknown_service(f'{service_id}/{call_id}'))
 
 
+class CompactPage:
+    """One page, checked as far as it can be alone, in little memory.
+
+    :ivar samples: one adapter for each combination of model, versions and
+        applications; the others like it share its faults
+    """
+
+    def __init__(self, page: Page) -> None:
+        """Keep what ``page`` says."""
+        self.applications = page.applications
+        self.engines = page.engines
+        self.services = page.services
+        self.samples: list[Adapter] = []
+        self.faults: list[Fault] = []
+        builder = AdapterTableBuilder()
+        for adapter in page.adapters:
+            self._check_name(adapter, builder)
+            if builder.add(adapter):
+                self.samples.append(adapter)
+        self.adapters = builder.build()
+
+    def _check_name(
+        self,
+        adapter: Adapter,
+        builder: AdapterTableBuilder,
+    ) -> None:
+        place = f'adapter {adapter.id!r}'
+        if adapter.id in builder:
+            self.faults.append(_stands_twice(place))
+        if not adapter.id or '@' in adapter.id:
+            remedy = "name it without '@'"
+            self.faults.append(Fault(place, 'is no valid name', remedy))
+
+
 class InventoryBuilder:
     """Joins pages and checks what spans them."""
 
@@ -145,51 +179,45 @@
         """Build version ``version``."""
         self._version = version
         self._faults: list[Fault] = []
-        self._adapters = AdapterTableBuilder()
-        self._samples: list[Adapter] = []
+        self._pages: list[CompactPage] = []
         self._inventory = Inventory(version)
 
-    def add(self, page: Page) -> None:
+    def add(self, page: CompactPage) -> None:
         """Take the content of one page."""
         inventory = self._inventory
         self._index(page.applications, inventory.applications_by_id)
         self._index(page.engines, inventory.engines_by_id)
         self._index(page.services, inventory.services_by_id)
-        for adapter in page.adapters:
-            if adapter.id in self._adapters:
-                self._duplicate(adapter)
-            if not adapter.id or '@' in adapter.id:
-                place = f'adapter {adapter.id!r}'
-                self._fault(place, 'is no valid name', "name it without '@'")
-            if self._adapters.add(adapter):
-                # The others like it share the faults that this one has.
-                self._samples.append(adapter)
+        self._faults.extend(page.faults)
+        self._pages.append(page)
 
     def build(self) -> Result[Inventory, list[Fault]]:
         """Give the inventory, or the faults that forbid it."""
+        catalog = AdapterCatalog([page.adapters for page in self._pages])
+        self._faults.extend(
+            _stands_twice(f'adapter {name!r}') for name in catalog.repeated()
+        )
         for engine in self._inventory.engines_by_id.values():
             self._check_address(f'engine {engine.id!r}', engine.address)
             by_model = self._inventory.engine_ids_by_model
             by_model.setdefault(engine.model, []).append(engine.id)
         for service in self._inventory.services_by_id.values():
             self._check_service(service)
-        for adapter in self._samples:
-            self._check_adapter(adapter)
+        for page in self._pages:
+            for adapter in page.samples:
+                self._check_adapter(adapter)
         if self._faults:
             return Error(self._faults)
-        self._inventory.adapters = self._adapters.build()
+        self._inventory.adapters = catalog
         return Ok(self._inventory)
 
     def _index(self, entries: Iterable[Any], by_id: dict[Any, Any]) -> None:
         for entry in entries:
             if entry.id in by_id:
-                self._duplicate(entry)
+                place = f'{type(entry).__name__.lower()} {entry.id!r}'
+                self._faults.append(_stands_twice(place))
             by_id[entry.id] = entry
 
-    def _duplicate(self, entry: Any) -> None:
-        place = f'{type(entry).__name__.lower()} {entry.id!r}'
-        self._fault(place, 'stands twice', 'keep one of them')
-
     def _check_service(self, service: Service) -> None:
         place = f'service {service.id!r}'
         for address in service.addresses:
@@ -269,6 +297,10 @@
     return parsed.revision
 
 
+def _stands_twice(place: str) -> Fault:
+    return Fault(place, 'stands twice', 'keep one of them')
+
+
 def _unknown_application(name: str) -> ServingError:
     return ServingError(
         ErrorKind.UNKNOWN_APPLICATION,
--- a/flamingovalve/config/keeper.py
+++ b/flamingovalve/config/keeper.py
@@ -17,6 +17,7 @@
 from flamingovalve.config.inventory import (
     MANIFEST_KEY,
     VM_LIST_KEY,
+    CompactPage,
     Inventory,
     InventoryBuilder,
     parse_manifest,
@@ -173,6 +174,7 @@
         self._members = members
         self._chance = chance
         self._stored_by_key: dict[str, tuple[str, bytes]] = {}
+        self._compact_by_sha256: dict[str, CompactPage] = {}
         self._refused_digests: set[str] = set()
         self._fetching = curio.Lock()
 
@@ -358,7 +360,7 @@
             return False
         try:
             stored = await self._fetch_pages(manifest, origin)
-            inventory = _build(manifest, stored)
+            inventory = await self._build(manifest, stored)
         except InvalidConfiguration as refused:
             # Not fetched again until something else is published.
             self._refused_digests = set() if refused.transient else {digest}
@@ -375,6 +377,28 @@
         logger.info('inventory version {} is in force', manifest.version)
         return True
 
+    async def _build(
+        self,
+        manifest: Manifest,
+        stored: dict[str, StoredPage],
+    ) -> Inventory:
+        """Join the pages; those that did not change are not read again."""
+        compact: dict[str, CompactPage] = {}
+        builder = InventoryBuilder(manifest.version)
+        for key, (sha256, compressed) in stored.items():
+            page = self._compact_by_sha256.get(sha256)
+            if page is None:
+                content = zlib.decompress(compressed)
+                page = CompactPage(_accepted(parse_page(content, key)))
+                # Reading a page takes as long as dozens of requests; they
+                # get their turn before the next one.
+                await curio.sleep(0)
+            compact[sha256] = page
+            builder.add(page)
+        inventory: Inventory = _accepted(builder.build())
+        self._compact_by_sha256 = compact
+        return inventory
+
     async def _fetch_pages(
         self,
         manifest: Manifest,
@@ -420,13 +444,6 @@
     return _digest(content), zlib.compress(content)
 
 
-def _build(manifest: Manifest, stored: dict[str, StoredPage]) -> Inventory:
-    builder = InventoryBuilder(manifest.version)
-    for key, (_sha256, compressed) in stored.items():
-        builder.add(_accepted(parse_page(zlib.decompress(compressed), key)))
-    return _accepted(builder.build())
-
-
 def _digest(content: bytes) -> str:
     return hashlib.sha256(content).hexdigest()
 
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -278,9 +278,13 @@
         if known is None or rumour.incarnation >= known.incarnation:
             self._rumours_by_id[rumour.vm] = rumour
 
+    def forget_present(self) -> None:
+        """Work out :meth:`present` anew when it is asked for next."""
+        self._present = None
+
     def _touch(self) -> None:
         self.epoch += 1
-        self._present = None
+        self.forget_present()
 
 
 def _is_newer(member: Member, rumour: MemberRumour) -> bool:
