--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN := $(VENV)/bin/python
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format generate check-generated fuzz bench capacity docs
+.PHONY: demo test lint format generate check-generated fuzz bench capacity
 
 # Runs a small fleet of real processes and ends by itself.
 demo: $(VENV)/ready
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -43,7 +43,9 @@
         """Fit a line; the error is the largest relative miss."""
         line = statistics.linear_regression(*zip(*points, strict=True))
         misses = [
-            abs(line.intercept + line.slope * x - y) / y for x, y in points if y
+            abs(line.intercept + line.slope * size - figure) / figure
+            for size, figure in points
+            if y
         ]
         return cls(line.intercept, line.slope, max(misses, default=0))
 
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -99,6 +99,12 @@
         path.write_text(self._settings(vm), 'utf-8')
         vm.process = self._start('flamingovalve.cmd.flamingovalved', str(path))
 
+    @property
+    def directory(self) -> str:
+        """Give the directory of the settings files."""
+        assert self._directory is not None
+        return self._directory.name
+
     def set_engines(self, attributes: dict[str, Any]) -> None:
         """Set attributes of every engine stand-in."""
         for address in self.engine_addresses:
