Store share: what a load takes at best is learnt, not fixed

Cause: loads over twice 0.25 s counted as our overload. Change: the reference creeps up by a tenth a load and falls to any faster one.

--- a/flamingovalve/engines/store.py
+++ b/flamingovalve/engines/store.py
@@ -12,7 +12,6 @@
 
 from flamingovalve.generated.messages import StoreRumour
 from flamingovalve.util import clock
-from flamingovalve.util.rates import SmoothedSeconds
 
 if TYPE_CHECKING:
     from flamingovalve.generated.ids import VmId
@@ -25,6 +24,7 @@
 _TELL_SECONDS: Final = 1.0
 _SHRINK: Final = 0.7
 _GROW: Final = 1.1
+_CREEP: Final = 1.1
 
 
 class StoreShare:
@@ -36,7 +36,6 @@
         self.share = float(settings.store_loads)
         self._own_id = own_id
         self._budget = settings.store_loads
-        self._seconds = SmoothedSeconds(_UNLOADED_SECONDS)
         self._fastest = _UNLOADED_SECONDS
         self._waiting_by_owner: dict[object, int] = {}
         self._others: dict[VmId, tuple[float, StoreRumour]] = {}
@@ -55,7 +54,10 @@
     def ended(self, seconds: float) -> None:
         """Count a load as ended after ``seconds``."""
         self.loading -= 1
-        self._seconds.add(seconds)
+        # What a load takes at best is learnt anew all the time. Against a
+        # fixed value, a store that is slow for everybody would look as if
+        # we overloaded it, and fewer loads would make it no faster.
+        self._fastest = min(seconds, self._fastest * _CREEP)
         if seconds > self._fastest * _SLOW_FACTOR:
             self._slowdown = max(self._slowdown * _SHRINK, 1 / self._budget)
         else:
