Scheduler: store-bound loads no longer drain slots; overload sheds in time

Cause, found by looking into an urgent wait p99 of 16 s at 60 requests/s: (1) adapters that waited for the store made ready ones with free slots beside them be held back; (2) an engine that held an adapter already answered a load at once, was taken for the store's best time and pinned the share at its minimum; (3) a lagging report from within a load was taken for the adapter's loss, and it was loaded again; (4) admission counted the wait and not the run, so under an overload seats worked for requests that were then cut off. Change: slots are drained only for want of slots; only real loads teach the share; the end of a load counts as use; a request needs time to run as well as to wait; engines that refuse connections are waited for 5 s.

--- a/flamingovalve/engines/residents.py
+++ b/flamingovalve/engines/residents.py
@@ -46,6 +46,15 @@
     recent_peak: int = 0
     earlier_peak: int = 0
 
+    def become_ready(self) -> None:
+        """Note the end of its load.
+
+        Reports lag: one that was taken before this moment may not show it,
+        and must not be taken for proof that the engine lost it.
+        """
+        self.state = ResidentState.READY
+        self.used_at = clock.now()
+
     def pin(self) -> None:
         """Count a request that is dispatched to it."""
         self.pins += 1
--- a/flamingovalve/engines/scheduler.py
+++ b/flamingovalve/engines/scheduler.py
@@ -145,7 +145,7 @@
         seconds: float,
     ) -> None:
         """Take the outcome of a load that was started."""
-        self._store.ended(seconds)
+        self._store.ended(seconds if error is None else None)
         if order.name in self.residents.by_name:
             await self._place(order, error, seconds)
         await self.pump()
@@ -180,7 +180,7 @@
         self._check_backoff(ticket.name)
         remaining = ticket.deadline - clock.now()
         wait = self._wait_of(ticket)
-        if wait > remaining:
+        if wait + self.services.low() > remaining:
             # Work that cannot be done in time would only delay the rest.
             self.counts.refused += 1
             raise _cannot_meet_deadline(wait, remaining)
@@ -232,6 +232,11 @@
         ticket = self._next_ticket()
         if ticket is None:
             return False
+        if ticket.deadline - clock.now() < self.services.low():
+            # It would take a seat and be cut off at its deadline: under an
+            # overload all seats would end up working for nobody.
+            await self._refuse(ticket, _deadline_passed())
+            return True
         if ticket.isolated and self.running:
             # It waits until the engine is empty; nothing overtakes it, or
             # a busy engine would never be empty.
@@ -269,9 +274,19 @@
 
     async def _start_loads(self) -> None:
         wanted = self._wanted_loads()
-        stuck = [name for name in wanted if not await self._try_load(name)]
-        self._store.waiting(self, len(stuck))
-        self._drain_for(stuck)
+        slotless = []
+        for name in wanted:
+            if not self.may_dispatch():
+                break
+            victim = self._choose_victim()
+            if victim is None and not self.residents.has_free_slot():
+                slotless.append(name)
+            elif self._store.start():
+                await self._load(name, victim)
+        self._store.waiting(self, len(self._wanted_loads()))
+        # Only for want of a slot: to hold requests back while it is the
+        # store that keeps a load waiting would idle the engine for nothing.
+        self._drain_for(slotless)
 
     def _drain_for(self, stuck: list[str]) -> None:
         """Stop feeding adapters whose slots more urgent ones wait for.
@@ -349,16 +364,7 @@
         others = len(self.queue.waiting(name)) - 1
         return rank, entered_at - self._settings.group_seconds * others
 
-    async def _try_load(self, name: str) -> bool:
-        if not self.may_dispatch():
-            return False
-        victim = None
-        if not self.residents.has_free_slot():
-            victim = self._choose_victim()
-            if victim is None:
-                return False
-        if not self._store.start():
-            return False
+    async def _load(self, name: str, victim: Resident | None) -> None:
         if victim is not None:
             victim.state = ResidentState.UNLOADING
             self.counts.evictions += 1
@@ -366,9 +372,11 @@
         self.counts.loads += 1
         order = LoadOrder(name, victim.name if victim else None)
         await self._start_load(order)
-        return True
 
     def _choose_victim(self) -> Resident | None:
+        """Give the adapter to evict; none if a slot is free or none may go."""
+        if self.residents.has_free_slot():
+            return None
         kept = [
             name for name in self.queue.names() if name not in self._draining
         ]
@@ -383,7 +391,7 @@
         if error is None:
             self.loads.add(seconds)
             self._backoffs.clear(order.name)
-            self.residents.by_name[order.name].state = ResidentState.READY
+            self.residents.by_name[order.name].become_ready()
             for ticket in self.queue.waiting(order.name):
                 ticket.stall_seconds = clock.now() - ticket.entered_at
             return
--- a/flamingovalve/engines/store.py
+++ b/flamingovalve/engines/store.py
@@ -25,6 +25,7 @@
 _SHRINK: Final = 0.7
 _GROW: Final = 1.1
 _CREEP: Final = 1.1
+_SHORTEST_SECONDS: Final = 0.01
 
 
 class StoreShare:
@@ -51,9 +52,15 @@
         self.loading += 1
         return True
 
-    def ended(self, seconds: float) -> None:
-        """Count a load as ended after ``seconds``."""
+    def ended(self, seconds: float | None) -> None:
+        """Count a load as ended after ``seconds``; none if it failed.
+
+        A load that ends at once never asked the store, as when the engine
+        held the adapter already. It says nothing of the store's speed.
+        """
         self.loading -= 1
+        if seconds is None or seconds < _SHORTEST_SECONDS:
+            return
         # What a load takes at best is learnt anew all the time. Against a
         # fixed value, a store that is slow for everybody would look as if
         # we overloaded it, and fewer loads would make it no faster.
--- a/flamingovalve/routing/engines.py
+++ b/flamingovalve/routing/engines.py
@@ -71,7 +71,7 @@
         self._quarantine = quarantine
         self._chance = chance
         self._owned_by_id: dict[EngineId, _Owned] = {}
-        self._finishing = TaskSet()
+        self._turn = 0
 
     def __len__(self) -> int:
         """Count the engines that we own."""
@@ -109,8 +109,15 @@
                 await self._acquire(engine)
 
     async def pump(self) -> None:
-        """Let every scheduler with waiting requests look again."""
-        for owner in self.owners():
+        """Let every scheduler with waiting requests look again.
+
+        Another one begins each time: the first takes what the store's share
+        has left, and the last of a fixed order would never get any.
+        """
+        owners = self.owners()
+        self._turn += 1
+        first = self._turn % max(len(owners), 1)
+        for owner in (*owners[first:], *owners[:first]):
             if len(owner.scheduler.queue):
                 await owner.scheduler.pump()
 
--- a/flamingovalve/routing/router.py
+++ b/flamingovalve/routing/router.py
@@ -36,6 +36,7 @@
 _LONGEST_PAUSE_SECONDS: Final = 1.0
 _PATIENCE_SECONDS: Final = 15.0
 _ROUNDS: Final = 2
+_RESTART_SECONDS: Final = 5.0
 
 # Another engine or another moment may do better.
 _RETRYABLE: Final = frozenset(
@@ -345,6 +346,10 @@
             return False
         if self.work.remaining() <= self._pause:
             return False
+        if failed.kind is ErrorKind.UPSTREAM_UNREACHABLE:
+            # Nothing was asked to work. An engine that restarts is back
+            # within seconds.
+            return self._waited() < _RESTART_SECONDS
         if self._rounds >= _ROUNDS:
             # Every engine has failed it more than once: the caller learns
             # that now and not at its deadline.
@@ -352,9 +357,12 @@
         if failed.kind in _FREE_RETRIES:
             # Someone else takes over within seconds; beyond that the caller
             # had better learn at once that it should come back later.
-            return clock.now() - self._started_at < _PATIENCE_SECONDS
+            return self._waited() < _PATIENCE_SECONDS
         return self._budget.take()
 
+    def _waited(self) -> float:
+        return clock.now() - self._started_at
+
     async def pause(self) -> None:
         """Wait, longer each time and with jitter."""
         await curio.sleep(self._pause * self._chance.uniform(0.5, 1))
--- a/flamingovalve/util/rates.py
+++ b/flamingovalve/util/rates.py
@@ -90,6 +90,10 @@
         self.mean += error / 8
         self.deviation += (abs(error) - self.deviation) / 4
 
+    def low(self) -> float:
+        """Give a duration that most measurements exceed."""
+        return max(self.mean - 2 * self.deviation, 0)
+
     def high(self) -> float:
         """Give a duration that few measurements exceed."""
         return self.mean + 4 * self.deviation
