--- a/flamingovalve/config/checker.py
+++ b/flamingovalve/config/checker.py
@@ -71,8 +71,10 @@
                 names = ', '.join(sorted(known))
                 self._fault(inner, 'is not known', f'use one of {names}')
                 continue
+            faults = len(self.faults)
             setattr(built, name, self.read(hints[name], found, inner))
-            self._check_range(known[name], getattr(built, name), inner)
+            if len(self.faults) == faults:
+                self._check_range(known[name], getattr(built, name), inner)
         return built
 
     def _read_list(self, kind: Any, raw: object, place: str) -> list[Any]:
--- a/flamingovalve/engines/owner.py
+++ b/flamingovalve/engines/owner.py
@@ -113,6 +113,7 @@
         self._claimed_at = 0.0
         self._lease_until = clock.now()
         self._reachable = True
+        self._noticed_at = clock.now()
         self._report_taken_at = float('-inf')
         self._reclaim_pause = _FIRST_RECLAIM_SECONDS
 
@@ -326,6 +327,7 @@
         logger.warning('engine {} restarted', self.engine.id)
         ended = self._boot
         self._boot = boot
+        self._noticed_at = clock.now()
         await self.crashed()
         for listener in self.crash_listeners:
             await listener(self.engine.id, ended)
@@ -345,6 +347,19 @@
         ]
         for name in missing:
             residents.remove(name)
+        if taken_at > self._noticed_at:
+            self._adopt_unknown(report)
+
+    def _adopt_unknown(self, report: LoadReport) -> None:
+        """Count adapters that the engine holds and we had taken for lost.
+
+        They fill slots: an engine without a free one refuses each load.
+        """
+        residents = self.scheduler.residents
+        for name in report.resident:
+            if name not in residents.by_name and residents.has_free_slot():
+                found = residents.add(name, ResidentState.READY)
+                found.foreign_at = clock.now()
 
     def _may_evict(self, victim: Resident) -> bool:
         """Tell whether nobody else can be using an adapter.
--- a/flamingovalve/engines/queue.py
+++ b/flamingovalve/engines/queue.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from flamingovalve.engines.residents import Resident
     from flamingovalve.errors import ServingError
 
 _RANKS: Final = {
@@ -29,6 +30,7 @@
     :ivar name: ``ADAPTER@VERSION`` that it needs
     :ivar deadline: on our clock
     :ivar isolated: run it apart from every other request
+    :ivar resident: the adapter in its slot, once it is dispatched
     :ivar stalled: whether it had to wait for a load
     :ivar granted_at: when it was dispatched; negative before that
     """
@@ -39,6 +41,7 @@
     isolated: bool = False
     entered_at: float = 0
     granted_at: float = -1
+    resident: Resident | None = None
     stalled: bool = False
     stall_seconds: float = 0
     refused: ServingError | None = None
--- a/flamingovalve/engines/residents.py
+++ b/flamingovalve/engines/residents.py
@@ -123,6 +123,7 @@
         self.slots = slots
         self.popularity = Popularity()
         self.by_name: dict[str, Resident] = {}
+        self._removed_by_name: dict[str, Resident] = {}
         self._worth = _WORTH[eviction]
 
     def ready(self, name: str) -> Resident | None:
@@ -138,13 +139,25 @@
 
     def add(self, name: str, state: ResidentState) -> Resident:
         """Give ``name`` a slot."""
-        resident = Resident(name, state, used_at=clock.now())
+        resident = self._removed_by_name.pop(name, None)
+        if resident is None or not resident.pins:
+            resident = Resident(name, state)
+        resident.state = state
+        resident.used_at = clock.now()
         self.by_name[name] = resident
         return resident
 
     def remove(self, name: str) -> None:
-        """Free the slot of ``name``."""
-        self.by_name.pop(name, None)
+        """Free the slot of ``name``; its pins stay with it.
+
+        An engine that restarted is noticed late. A request that reached it
+        since then still runs, although all that it held is counted as lost.
+        Were its pin forgotten, the adapter would be loaded again, seem
+        unused and be evicted under the request.
+        """
+        resident = self.by_name.pop(name, None)
+        if resident is not None and resident.pins:
+            self._removed_by_name[name] = resident
 
     def victim(
         self,
--- a/flamingovalve/engines/scheduler.py
+++ b/flamingovalve/engines/scheduler.py
@@ -123,9 +123,8 @@
         self.running -= 1
         if ticket.isolated:
             self._isolated = False
-        resident = self.residents.by_name.get(ticket.name)
-        if resident is not None:
-            resident.unpin()
+        if ticket.resident is not None:
+            ticket.resident.unpin()
         if served:
             self.services.add(clock.now() - ticket.granted_at)
         await self.pump()
@@ -261,7 +260,8 @@
     async def _dispatch(self, ticket: Ticket) -> None:
         self._account()
         self.queue.remove(ticket)
-        self.residents.by_name[ticket.name].pin()
+        ticket.resident = self.residents.by_name[ticket.name]
+        ticket.resident.pin()
         ticket.granted_at = clock.now()
         self.running += 1
         self._isolated = ticket.isolated
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -328,6 +328,44 @@
         self.assertEqual(self.total('evicted_in_use'), 0)
 
 
+class LateNoticeTest(RelayCase):
+    """A restart is noticed while a request runs that came after it."""
+
+    shape = Shape(
+        vms=1,
+        engines=1,
+        slots=1,
+        fencing=False,
+        tune=lambda settings: setattr(
+            settings.scheduling,
+            'report_seconds',
+            3,
+        ),
+    )
+
+    def test_pin_outlives_the_notice(self):
+        """The owner counts all adapters as lost, one of them in use.
+
+        The next request for it loads it again, at once, since the engine
+        has it; the first one's pin must count still. (Found by the fuzzer.)
+        """
+        engine = self.fleet.engines_by_id['engine-0']
+        engine.restart_seconds = 0.1
+        engine.token_seconds = 0.1
+        owner = self.fleet.daemon('vm-0').engines.find('engine-0')
+        before = owner._lease_until
+        self.fleet.world.run_until(lambda: owner._lease_until > before, 10)
+        self.fleet.node_named('engine-0').spawn(engine.crash)
+        self.fleet.world.advance(0.2)
+        first = self.start('adapter-1', 'x', max_tokens=60)
+        self.fleet.world.advance(3.5)
+        second = self.start('adapter-1', 'y', max_tokens=2)
+        third = self.start('adapter-2', 'z', max_tokens=2)
+        self.finish(first, second, third)
+        self.assertGreater(owner.counts.crashes, 0)
+        self.assertEqual(self.total('evicted_in_use'), 0)
+
+
 class QuarantineTest(RelayCase):
     """A request that crashes every engine that runs it."""
 
