--- a/flamingovalve/config/keeper.py
+++ b/flamingovalve/config/keeper.py
@@ -24,18 +24,15 @@
     parse_page,
     parse_vm_list,
 )
-from flamingovalve.config.service import (
-    ConfigurationService,
-    ServiceUnavailable,
-)
-from flamingovalve.errors import ConnectionLost, Fault, WrongPeer
+from flamingovalve.config.origins import Origin, PeerOrigin, ServiceOrigin
+from flamingovalve.config.service import ServiceUnavailable
+from flamingovalve.errors import Fault
 from flamingovalve.generated.ids import VmId
 from flamingovalve.generated.messages import (
     ConfigurationAsk,
     ConfigurationReply,
     VersionRumour,
 )
-from flamingovalve.peer.client import PeerUnreachable
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger
 
@@ -43,6 +40,7 @@
     import random
     from collections.abc import Awaitable, Callable
 
+    from flamingovalve.config.service import ConfigurationService
     from flamingovalve.generated.settings import (
         Manifest,
         PageReference,
@@ -57,7 +55,6 @@
 # Digest and zlib-compressed content of one value.
 StoredPage = tuple[str, bytes]
 
-_PEER_SECONDS: Final = 3.0
 _STARTUP_PEERS: Final = 3
 _LONGEST_RETRY_FACTOR: Final = 16
 
@@ -93,63 +90,6 @@
         self.transient = transient
 
 
-class Origin:
-    """Where values are read from: the service or one peer."""
-
-    name = ''
-
-    async def read(self, key: str, sha256: str) -> bytes:
-        """Give the value at ``key``.
-
-        :param sha256: digest of the page that is wanted; empty for any
-        :raises ServiceUnavailable: when there is none to be had
-        """
-        raise NotImplementedError
-
-
-class ServiceOrigin(Origin):
-    """Reads from the configuration service."""
-
-    name = 'service'
-
-    def __init__(self, service: ConfigurationService) -> None:
-        """Read from ``service``."""
-        self._service = service
-
-    async def read(self, key: str, sha256: str) -> bytes:
-        """Give the value at ``key``."""
-        published = await self._service.read(key)
-        return published.content
-
-
-class PeerOrigin(Origin):
-    """Reads from another VM."""
-
-    name = 'peer'
-
-    def __init__(self, peers: PeerPool, address: str, vm: VmId) -> None:
-        """Read from the VM at ``address``."""
-        self._peers = peers
-        self._address = address
-        self._vm = vm
-
-    async def read(self, key: str, sha256: str) -> bytes:
-        """Give the value that the VM holds at ``key``."""
-        ask = ConfigurationAsk(key, sha256)
-        try:
-            _incarnation, reply = await self._peers.ask(
-                self._address,
-                self._vm,
-                ask,
-                _PEER_SECONDS,
-            )
-        except (PeerUnreachable, ConnectionLost, WrongPeer) as failed:
-            raise ServiceUnavailable(str(failed)) from failed
-        if not isinstance(reply, ConfigurationReply) or not reply.found:
-            raise ServiceUnavailable(f'{self._vm} holds no {key}')
-        return zlib.decompress(reply.content)
-
-
 class ConfigurationKeeper:
     """The accepted configuration of one VM and how it is renewed."""
 
--- a/flamingovalve/daemon.py
+++ b/flamingovalve/daemon.py
@@ -4,7 +4,6 @@
 
 import random
 import secrets
-from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any, Final, Self
 
 import curio
@@ -21,9 +20,10 @@
 from flamingovalve.generated.ids import Incarnation, VmId
 from flamingovalve.http.client import ConnectionPool
 from flamingovalve.http.server import HttpServer
-from flamingovalve.membership.gossip import Gossip, News
+from flamingovalve.membership.gossip import Gossip
 from flamingovalve.membership.members import MemberTable
 from flamingovalve.metrics import DaemonMetrics
+from flamingovalve.news import NewsDesk
 from flamingovalve.peer.client import PeerPool
 from flamingovalve.peer.server import PeerServer
 from flamingovalve.relay.breaker import BreakerSet, RetryBudget
@@ -57,7 +57,6 @@
 logger = get_logger(__name__)
 
 _TICK_SECONDS: Final = 0.25
-_STORE_GOSSIP_VMS: Final = 64
 _MICROSECONDS: Final = 1_000_000
 
 
@@ -197,8 +196,9 @@
         server.on_ask(messages.TakeoverAsk, self.engines.answer_takeover)
         server.on_work(messages.ForwardCompletion, self._forwarded_work)
         server.on_work(messages.ForwardCall, self._forwarded_call)
-        self.gossip.rumour_listener = self._hear
-        self.gossip.standing_rumours = self._standing_rumours
+        self.news = NewsDesk(self)
+        self.gossip.rumour_listener = self.news.hear
+        self.gossip.standing_rumours = self.news.standing_rumours
         self.gossip.late_listeners.append(self.engines.suspect_leases)
         self.keeper.accepted_listeners.append(self._accepted)
 
@@ -241,7 +241,7 @@
         await spawn(self.engines.follow_forever)
         await spawn(self.keeper.watch_forever, MANIFEST_KEY)
         await spawn(self.keeper.watch_forever, VM_LIST_KEY)
-        await spawn(self._tick_forever)
+        await spawn(self.news.tell_forever)
         logger.info('VM {} is ready', self.settings.vm.id)
 
     async def _leave(self) -> None:
@@ -393,55 +393,6 @@
 
     # -- News
 
-    @singledispatchmethod
-    async def _hear(self, rumour: Any) -> News:
-        raise TypeError(f'{type(rumour).__name__} is not a rumour')
-
-    @_hear.register(messages.VersionRumour)
-    async def _hear_version(self, rumour: messages.VersionRumour) -> News:
-        # Not passed on as it is: once we hold that version ourselves, we
-        # say so, and those we tell fetch it from us.
-        if self.keeper.is_behind(rumour) and not self.keeper.is_busy:
-            await self.background.spawn(self.keeper.hear, rumour)
-        return News.NONE
-
-    @_hear.register(messages.PoisonRumour)
-    async def _hear_poison(self, rumour: messages.PoisonRumour) -> News:
-        heard = self.quarantine.hear(rumour)
-        return News.URGENT if heard else News.NONE
-
-    @_hear.register(messages.StoreRumour)
-    async def _hear_store(self, rumour: messages.StoreRumour) -> News:
-        heard = self.store.hear(rumour)
-        return News.ORDINARY if heard else News.NONE
-
-    @_hear.register(messages.SpreadRumour)
-    async def _hear_spread(self, rumour: messages.SpreadRumour) -> News:
-        heard = self.placement.hear(rumour)
-        return News.URGENT if heard else News.NONE
-
-    def _standing_rumours(self) -> list[Any]:
-        return [self.keeper.own_rumour()]
-
-    async def _tick_forever(self) -> None:
-        while True:
-            await curio.sleep(_TICK_SECONDS)
-            for rumour in self.quarantine.take_news():
-                await self.gossip.push(rumour)
-            for rumour in self.heat.rumours():
-                await self.gossip.push(rumour)
-            self._tell_store_use()
-            await self.engines.pump()
-
-    def _tell_store_use(self) -> None:
-        # With many VMs this news would crowd out the rest; each then takes
-        # its share from the store's slowness alone.
-        if len(self.members.by_id) > _STORE_GOSSIP_VMS:
-            return
-        rumour = self.store.changed_rumour()
-        if rumour is not None:
-            self.gossip.rumours.add(rumour)
-
     async def _accepted(self) -> None:
         keeper = self.keeper
         if keeper.vm_list is not None:
--- /dev/null
+++ b/flamingovalve/news.py
@@ -0,0 +1,82 @@
+"""What a daemon does with news: hears it, and tells its own."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any, Final
+
+import curio
+
+from flamingovalve.generated import messages
+from flamingovalve.membership.gossip import News
+
+if TYPE_CHECKING:
+    from flamingovalve.daemon import Daemon
+
+_TICK_SECONDS: Final = 0.25
+_STORE_GOSSIP_VMS: Final = 64
+
+
+class NewsDesk:
+    """Hands rumours to the parts they concern and collects theirs."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        """Hear and tell for ``daemon``."""
+        self._daemon = daemon
+
+    @singledispatchmethod
+    async def hear(self, rumour: Any) -> News:
+        """Take a rumour; give how it travels on."""
+        raise TypeError(f'{type(rumour).__name__} is not a rumour')
+
+    @hear.register(messages.VersionRumour)
+    async def _hear_version(self, rumour: messages.VersionRumour) -> News:
+        # Not passed on as it is: once we hold that version ourselves, we
+        # say so, and those we tell fetch it from us.
+        if (
+            self._daemon.keeper.is_behind(rumour)
+            and not self._daemon.keeper.is_busy
+        ):
+            await self._daemon.background.spawn(
+                self._daemon.keeper.hear, rumour
+            )
+        return News.NONE
+
+    @hear.register(messages.PoisonRumour)
+    async def _hear_poison(self, rumour: messages.PoisonRumour) -> News:
+        heard = self._daemon.quarantine.hear(rumour)
+        return News.URGENT if heard else News.NONE
+
+    @hear.register(messages.StoreRumour)
+    async def _hear_store(self, rumour: messages.StoreRumour) -> News:
+        heard = self._daemon.store.hear(rumour)
+        return News.ORDINARY if heard else News.NONE
+
+    @hear.register(messages.SpreadRumour)
+    async def _hear_spread(self, rumour: messages.SpreadRumour) -> News:
+        heard = self._daemon.placement.hear(rumour)
+        return News.URGENT if heard else News.NONE
+
+    def standing_rumours(self) -> list[Any]:
+        """Give what every probe carries."""
+        return [self._daemon.keeper.own_rumour()]
+
+    async def tell_forever(self) -> None:
+        """Tell what is new here, and let engines look again."""
+        while True:
+            await curio.sleep(_TICK_SECONDS)
+            for rumour in self._daemon.quarantine.take_news():
+                await self._daemon.gossip.push(rumour)
+            for rumour in self._daemon.heat.rumours():
+                await self._daemon.gossip.push(rumour)
+            self._tell_store_use()
+            await self._daemon.engines.pump()
+
+    def _tell_store_use(self) -> None:
+        # With many VMs this news would crowd out the rest; each then takes
+        # its share from the store's slowness alone.
+        if len(self._daemon.members.by_id) > _STORE_GOSSIP_VMS:
+            return
+        rumour = self._daemon.store.changed_rumour()
+        if rumour is not None:
+            self._daemon.gossip.rumours.add(rumour)
