--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,7 +4,13 @@
 
 import unittest
 
+import curio
+
 from flamingovalve.claims.permit import parse_permit
+from flamingovalve.claims.table import ClaimTable
+from flamingovalve.config.inventory import Inventory
+from flamingovalve.generated.messages import ClaimAsk, ClaimState, ClaimTell
+from flamingovalve.generated.settings import ClaimSettings
 from tests.rig.fleet import (
     Fleet,
     Shape,
@@ -171,6 +177,33 @@
         self.assertEqual(self.service.runs_by_key[first], 1)
 
 
+class TableTest(unittest.TestCase):
+    """What a holder believes, and whom."""
+
+    def test_only_its_executor_settles_a_claim(self):
+        """Two VMs raced; the loser tells its outcome to everybody.
+
+        The winner's claim must stay open, or its payment would be called
+        "not run" while it runs. (Found by the fuzzer.)
+        """
+        table = ClaimTable(ClaimSettings())
+        ask = ClaimAsk('key', 'vm-1', 1, 0, b'digest')
+        self.assertTrue(table.acknowledge(ask, 9).acknowledged)
+        told = ClaimTell('key', 'vm-2', 2, ClaimState.SEALED)
+        with curio.Kernel() as kernel:
+            reply = kernel.run(table.tell, told)
+        self.assertIs(reply.state, ClaimState.CLAIMED)
+        self.assertIs(table.find('key').state, ClaimState.CLAIMED)
+
+    def test_another_executor_is_not_acknowledged(self):
+        table = ClaimTable(ClaimSettings())
+        first = ClaimAsk('key', 'vm-1', 1, 0, b'digest')
+        second = ClaimAsk('key', 'vm-2', 2, 0, b'digest')
+        self.assertTrue(table.acknowledge(first, 9).acknowledged)
+        self.assertTrue(table.acknowledge(first, 9).acknowledged)
+        self.assertFalse(table.acknowledge(second, 9).acknowledged)
+
+
 class LostClaimTest(ClaimTest):
     """Processes and connections fail at every point of a run."""
 
@@ -456,6 +489,19 @@
             self.assertEqual(ran(response), 'unknown')
         self.assertEqual(self.service.runs_by_key[key], 1)
 
+    def test_vm_without_configuration_claims_to_know_nothing(self):
+        """A resend reaches a VM that has no configuration yet.
+
+        The payment ran before; that VM must not call it "not run". (Found
+        by the fuzzer.)
+        """
+        text, executor, witness = self.permit()
+        self.assertEqual(self.fleet.pay(executor, text).status, OK)
+        self.fleet.daemon(executor).keeper.inventory = Inventory()
+        for vm_id in (executor, self.bystander(executor, witness)):
+            response = self.fleet.pay(vm_id, text)
+            self.assertEqual(ran(response), 'unknown')
+
     def test_caller_hangs_up(self):
         """The caller closes its connection while the payment runs.
 
