--- a/demo/load.py
+++ b/demo/load.py
@@ -24,7 +24,8 @@
 
 _SECONDS = 60
 _SKEW = 1.1
-_TRIES = 8
+_PATIENCE_SECONDS = 40
+_FIRST_PAUSE_SECONDS = 0.2
 
 
 @dataclass
@@ -95,13 +96,20 @@
             self.figures.wrong += 1
 
     async def _persist(self, name: str, prompt: str) -> Response | None:
-        for attempt in range(_TRIES):
+        """Come back as a refusal says, until patience runs out."""
+        patience = clock.now() + _PATIENCE_SECONDS
+        attempt = 0
+        while clock.now() < patience:
             self.figures.tries += 1
             response = await self._try(name, prompt, attempt)
             if response is not None and response.status == 200:
                 return response
+            attempt += 1
             self._entries.pop(name, None)
-            await curio.sleep(0.2 * self._chance.uniform(0.5, 1.5))
+            pause = _FIRST_PAUSE_SECONDS
+            if response is not None:
+                pause = float(response.header('retry-after') or pause)
+            await curio.sleep(pause * self._chance.uniform(0.5, 1.5))
         return None
 
     async def _try(
