A VM said to be dead is seen to have ended before its engines are waited for

Cause: only the VM whose probe met the refused connection had proof of the end; the new owner, told by a rumour, waited out a lease before its first eviction. Change: whoever hears of a death tries the address itself. The new test failed before. Engines without fencing still wait twice claim_quiet_seconds.

--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -244,6 +244,19 @@
         await self._network.discard(opened)
         return False
 
+    async def _verify_end(self, vm: VmId) -> None:
+        """See for ourselves whether a VM said to be dead has ended.
+
+        Whoever takes over its engines need not wait for a process that is
+        provably gone; hearsay is no proof.
+        """
+        member = self.members.by_id.get(vm)
+        if member is None:
+            return
+        incarnation = member.incarnation
+        if await self._refuses_connections(member):
+            member.note_end(incarnation)
+
     async def _declare_ended(self, target: Member) -> None:
         target.note_end(target.incarnation)
         if target.state is not MemberState.DEAD:
@@ -344,6 +357,8 @@
             return
         if self.members.apply(rumour):
             await self.push(rumour)
+            if rumour.state is MemberState.DEAD:
+                await self._probes.spawn(self._verify_end, rumour.vm)
 
     @singledispatchmethod
     async def _answer(self, content: Any, sender: VmId) -> None:
--- a/tests/test_settling.py
+++ b/tests/test_settling.py
@@ -91,6 +91,35 @@
         self.assertEqual(moved, lost)
         self.serve_all(self.other_than(owner))
 
+    def test_full_engine_serves_on_after_its_owner_died(self):
+        """The dead owner's engine has no free slot.
+
+        Its new owner has seen for itself that the old process is gone, so
+        it evicts at once instead of waiting for a lease to end.
+        """
+        owner = self.owner()
+        placement = self.fleet.daemon(owner).placement
+        names = [
+            f'adapter-{index}@{version}'
+            for index in range(self.shape.adapters)
+            for version in (1, 2)
+        ]
+        mine = [
+            name
+            for name in names
+            if placement.order(name, 'base')[0] == 'engine-0'
+        ]
+        for name in mine:
+            self.fleet.complete(owner, name)
+        resident = self.fleet.engines_by_id['engine-0'].resident
+        absent = [name for name in mine if name not in resident]
+        self.assertEqual(len(resident), self.shape.slots)
+        started = self.fleet.world.moment
+        self.fleet.kill(owner)
+        response = self.fleet.complete(self.other_than(owner), absent[0])
+        self.assertEqual(response.status, OK)
+        self.assertLess(self.fleet.world.moment - started, 4.5)
+
     def test_failure_domain_dies(self):
         """All VMs of one failure domain die at once.
 
