Test of a full engine after its owner's death: choose an engine that is full

The test as committed before chose an engine with too few adapters to be full and failed at that check; it now takes the one with most.

--- a/tests/test_settling.py
+++ b/tests/test_settling.py
@@ -97,21 +97,21 @@
         Its new owner has seen for itself that the old process is gone, so
         it evicts at once instead of waiting for a lease to end.
         """
-        owner = self.owner()
-        placement = self.fleet.daemon(owner).placement
-        names = [
-            f'adapter-{index}@{version}'
-            for index in range(self.shape.adapters)
-            for version in (1, 2)
-        ]
-        mine = [
-            name
-            for name in names
-            if placement.order(name, 'base')[0] == 'engine-0'
-        ]
+        placement = self.fleet.daemon('vm-0').placement
+        names_by_engine = {engine: [] for engine in self.fleet.engines_by_id}
+        for index in range(self.shape.adapters):
+            for version in (1, 2):
+                name = f'adapter-{index}@{version}'
+                first = placement.order(name, 'base')[0]
+                names_by_engine[first].append(name)
+        engine, mine = max(
+            names_by_engine.items(),
+            key=lambda entry: len(entry[1]),
+        )
+        owner = self.owner(engine)
         for name in mine:
             self.fleet.complete(owner, name)
-        resident = self.fleet.engines_by_id['engine-0'].resident
+        resident = self.fleet.engines_by_id[engine].resident
         absent = [name for name in mine if name not in resident]
         self.assertEqual(len(resident), self.shape.slots)
         started = self.fleet.world.moment
