Remove what nothing reads, and one loop that stood three times

The holders besides ourselves are given by Claim.others instead of by three loops. The scheduler no longer sorts the wanted loads a second time just to count them.

--- a/flamingovalve/claims/executor.py
+++ b/flamingovalve/claims/executor.py
@@ -70,7 +70,6 @@
         self.table = ClaimTable(settings.claims)
         self.runner = ClaimRunner(
             (settings.vm.id, incarnation),
-            settings.claims,
             self.table,
             holders,
             relay,
--- a/flamingovalve/claims/holders.py
+++ b/flamingovalve/claims/holders.py
@@ -17,7 +17,6 @@
     from flamingovalve.peer.client import PeerPool
 
 HOLDERS_PER_KEY = 3
-ANY_INCARNATION = Incarnation(0)
 _MICROSECONDS = 1_000_000
 
 
@@ -27,12 +26,10 @@
 
     :ivar reply: its answer, if there was one
     :ivar incarnation: the process that answered
-    :ivar ended: the process that was asked for is provably gone
     """
 
     reply: Any = None
     incarnation: Incarnation = Incarnation(0)
-    ended: bool = False
 
 
 @dataclass(slots=True)
@@ -157,12 +154,8 @@
         self,
         vm: VmId,
         message: Any,
-        incarnation: Incarnation = ANY_INCARNATION,
     ) -> HolderReply:
-        """Ask one holder.
-
-        :param incarnation: the process that is meant; 0 for any
-        """
+        """Ask one holder."""
         member = self._members.by_id.get(vm)
         if member is None:
             return HolderReply()
@@ -174,12 +167,9 @@
                 message,
                 seconds,
             )
-        except PeerUnreachable as unreachable:
-            return HolderReply(ended=unreachable.ended)
-        except (ConnectionLost, WrongPeer):
+        except (PeerUnreachable, ConnectionLost, WrongPeer):
             return HolderReply()
-        replaced = bool(incarnation) and answered != incarnation
-        return HolderReply(reply, answered, replaced)
+        return HolderReply(reply, answered)
 
 
 def _holders(key: str, names: list[VmId]) -> list[VmId]:
--- a/flamingovalve/claims/runner.py
+++ b/flamingovalve/claims/runner.py
@@ -20,7 +20,6 @@
     from flamingovalve.claims.holders import HolderReply, Holders, Quorum
     from flamingovalve.claims.table import ClaimRecord, ClaimTable
     from flamingovalve.generated.ids import ClaimKey, VmId
-    from flamingovalve.generated.settings import ClaimSettings
     from flamingovalve.http.client import UpstreamConnection
     from flamingovalve.relay.services import ServiceRelay, ServiceRequest
 
@@ -61,6 +60,10 @@
             return self.quorum.names
         return [name for name, _incarnation in self.witnesses]
 
+    def others(self, own_id: VmId) -> list[VmId]:
+        """Give the holders besides ourselves, in the order to ask."""
+        return [name for name in self.holder_names() if name != own_id]
+
 
 class ClaimRunner:
     """The executor's part: from a claim of our own to its outcome.
@@ -72,7 +75,6 @@
     def __init__(
         self,
         identity: tuple[VmId, Incarnation],
-        settings: ClaimSettings,
         table: ClaimTable,
         holders: Holders,
         relay: ServiceRelay,
@@ -82,7 +84,6 @@
         self.tasks = TaskSet()
         self._own_id = identity[0]
         self._incarnation = identity[1]
-        self._settings = settings
         self._table = table
         self._holders = holders
         self._relay = relay
@@ -161,9 +162,7 @@
         record.state = ClaimState.SEALED
         sealed = {self._own_id: self._incarnation}
         told = self._told(record)
-        for name in claim.holder_names():
-            if name == self._own_id:
-                continue
+        for name in claim.others(self._own_id):
             answered = await self._holders.ask(name, told)
             reply = answered.reply
             if reply is not None and reply.state is ClaimState.SEALED:
@@ -177,9 +176,8 @@
         # read it whole; what is kept for resends is bounded.
         if record.state is ClaimState.FINISHED:
             self._table.count_answer(record)
-        for name in claim.holder_names():
-            if name != self._own_id:
-                await self._holders.ask(name, self._told(record))
+        for name in claim.others(self._own_id):
+            await self._holders.ask(name, self._told(record))
 
     def _told(self, record: ClaimRecord) -> ClaimTell:
         return ClaimTell(
@@ -226,8 +224,7 @@
         both reach, and only one of them is acknowledged there.
         """
         acknowledged = {self._own_id: self._incarnation}
-        others = [name for name in quorum.names if name != self._own_id]
-        for name in others:
+        for name in claim.others(self._own_id):
             if quorum.is_met(acknowledged):
                 return True
             answered = await self._ask(claim, name, Incarnation(0))
@@ -256,7 +253,7 @@
             incarnation,
             claim.body_digest,
         )
-        return await self._holders.ask(name, ask, incarnation)
+        return await self._holders.ask(name, ask)
 
     async def _give_way(
         self,
--- a/flamingovalve/cmd/flamingovalve.py
+++ b/flamingovalve/cmd/flamingovalve.py
@@ -30,7 +30,6 @@
 from flamingovalve.util.network import Network
 
 EXIT_FAULTS = 1
-EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
 EXIT_REFUSED = 4
 
--- a/flamingovalve/config/inventory.py
+++ b/flamingovalve/config/inventory.py
@@ -177,7 +177,6 @@
 
     def __init__(self, version: int) -> None:
         """Build version ``version``."""
-        self._version = version
         self._faults: list[Fault] = []
         self._pages: list[CompactPage] = []
         self._inventory = Inventory(version)
--- a/flamingovalve/config/keeper.py
+++ b/flamingovalve/config/keeper.py
@@ -33,7 +33,7 @@
     ConfigurationReply,
     VersionRumour,
 )
-from flamingovalve.util import clock, hashing
+from flamingovalve.util import hashing
 from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -106,7 +106,6 @@
         self.vm_list: VmList | None = None
         self.counts = KeeperCounts()
         self.faults: list[Fault] = []
-        self.refreshed_at = float('-inf')
         self.accepted_listeners: list[Callable[[], Awaitable[None]]] = []
         self._settings = settings
         self._service = service
@@ -170,7 +169,6 @@
                 await self._pause(failures)
             else:
                 failures = 0
-                self.refreshed_at = clock.now()
 
     async def _watch_once(self, key: str, revision: int) -> int:
         """Wait for a change and take it; give the revision to watch from."""
--- a/flamingovalve/engines/owner.py
+++ b/flamingovalve/engines/owner.py
@@ -170,12 +170,6 @@
         """
         self._lease_until = min(self._lease_until, clock.now())
 
-    async def renew_now(self) -> bool:
-        """Renew the lease; tell whether we still own the engine."""
-        if self.state is OwnerState.OWNING:
-            await self._renew()
-        return self.may_dispatch()
-
     async def crashed(self) -> None:
         """Take note that the engine lost all that it held."""
         self.counts.crashes += 1
--- a/flamingovalve/engines/scheduler.py
+++ b/flamingovalve/engines/scheduler.py
@@ -160,15 +160,6 @@
         for ticket in list(self.queue):
             await self._refuse(ticket, error)
 
-    def expected_wait(self, name: str) -> float:
-        """Estimate the seconds until a new request would be dispatched."""
-        seats = max(self.engine.batch, 1)
-        rounds = (len(self.queue) + max(self.running - seats + 1, 0)) / seats
-        wait = rounds * self.services.mean
-        if self.residents.ready(name) is None:
-            wait += self.loads.mean
-        return wait
-
     def _check_admission(self, ticket: Ticket) -> None:
         if len(self.queue) >= self._limits.queue_requests:
             self.counts.refused += 1
@@ -275,6 +266,7 @@
     async def _start_loads(self) -> None:
         wanted = self._wanted_loads()
         slotless = []
+        started = 0
         for name in wanted:
             if not self.may_dispatch():
                 break
@@ -283,7 +275,8 @@
                 slotless.append(name)
             elif self._store.start():
                 await self._load(name, victim)
-        self._store.waiting(self, len(self._wanted_loads()))
+                started += 1
+        self._store.waiting(self, len(wanted) - started)
         # Only for want of a slot: to hold requests back while it is the
         # store that keeps a load waiting would idle the engine for nothing.
         self._drain_for(slotless)
--- a/flamingovalve/errors.py
+++ b/flamingovalve/errors.py
@@ -52,9 +52,6 @@
     CLAIM_SEALED = ('claim_sealed', 409)
     ANSWER_NOT_KEPT = ('answer_not_kept', 410)
     OUTCOME_UNKNOWN = ('outcome_unknown', 502)
-    INVALID_SETTINGS = ('invalid_settings', 500)
-    INVALID_INVENTORY = ('invalid_inventory', 500)
-    PEER_REFUSED = ('peer_refused', 502)
     INTERNAL = ('internal', 500)
 
     def __init__(self, label: str, status: int) -> None:
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -68,7 +68,6 @@
     def __init__(self, network: Network, address: str, opened: Socket) -> None:
         """Speak over ``opened``, which leads to ``address``."""
         self.address = address
-        self.written = False
         self.idle_since = clock.now()
         self._network = network
         self._socket = opened
@@ -95,7 +94,6 @@
         if call.body:
             encoded += self._protocol.send(h11.Data(data=call.body)) or b''
         encoded += self._protocol.send(h11.EndOfMessage()) or b''
-        self.written = True
         try:
             async with curio.timeout_after(seconds):
                 await self._socket.sendall(encoded)
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -13,8 +13,6 @@
 from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from flamingovalve.generated.settings import PublishedVm, VmList
 
 logger = get_logger(__name__)
@@ -186,11 +184,6 @@
         member.changed_at = clock.now()
         self._touch()
 
-    def has_ended(self, vm_id: str, incarnation: int) -> bool:
-        """Tell whether a process is provably gone."""
-        member = self.by_id.get(VmId(vm_id))
-        return member is not None and incarnation in member.ended
-
     def ended_processes(self) -> list[tuple[VmId, Incarnation]]:
         """Give the processes that are provably gone."""
         return [
@@ -293,11 +286,3 @@
     if rumour.counter != member.counter:
         return rumour.counter > member.counter
     return _SEVERITY[rumour.state] > _SEVERITY[member.state]
-
-
-def by_domain(members: Iterable[Member]) -> dict[str, list[Member]]:
-    """Group members by their failure domain."""
-    grouped: dict[str, list[Member]] = {}
-    for member in members:
-        grouped.setdefault(member.vm.failure_domain, []).append(member)
-    return grouped
--- a/flamingovalve/routing/engines.py
+++ b/flamingovalve/routing/engines.py
@@ -10,7 +10,6 @@
 from flamingovalve.engines.api import EngineApi
 from flamingovalve.engines.owner import (
     EngineOwner,
-    OwnerState,
     claimer_tie,
     not_owner,
 )
@@ -213,8 +212,3 @@
         except (PeerUnreachable, ConnectionLost, WrongPeer):
             return 0
         return 0 if reply.taken_over else reply.validity
-
-
-def is_serving(owner: EngineOwner) -> bool:
-    """Tell whether an owner takes requests."""
-    return owner.state in {OwnerState.OWNING, OwnerState.CLAIMING}
--- a/flamingovalve/util/rates.py
+++ b/flamingovalve/util/rates.py
@@ -93,7 +93,3 @@
     def low(self) -> float:
         """Give a duration that most measurements exceed."""
         return max(self.mean - 2 * self.deviation, 0)
-
-    def high(self) -> float:
-        """Give a duration that few measurements exceed."""
-        return self.mean + 4 * self.deviation
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -106,7 +106,6 @@
         self.running: Counter[str] = Counter()
         self.generations: dict[str, Generation] = {}
         self.runs_by_order: Counter[str] = Counter()
-        self.busy_seconds = 0.0
         self._load = load
         self._seats = curio.Semaphore(self.batch)
         self._reports: list[tuple[float, dict[str, Any]]] = []
@@ -316,7 +315,6 @@
                 self.counted.cancelled += 1
                 break
             self.counted.tokens += 1
-            self.busy_seconds += self.token_seconds
             event = self._event(generation, token, final=index == last)
             generation.events.append(event)
             await self._grow(generation)
