Types of published routes, their decoding, and membership without a published list

The platform publishes no list of VMs and its routes, services and upstreams have no types here yet. Decoded once in flamingovalve/platform; VMs join by rumours that carry their addresses.

--- /dev/null
+++ b/flamingovalve/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serving published routes: each request to an upstream that may run it."""
--- /dev/null
+++ b/flamingovalve/gateway/model.py
@@ -0,0 +1,162 @@
+"""What operators publish, as values: routes, services and upstreams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+
+from flamingovalve.generated.ids import (
+    AdapterId,
+    DomainId,
+    ModelId,
+    ServiceId,
+    UpstreamId,
+)
+
+
+class Repeat(Enum):
+    """How often one request of a route may run.
+
+    A stream counts as not repeatable unless the caller's client or this
+    system can resume it behind the last event that it has.
+    """
+
+    ANY = 'any'
+    ONCE = 'once'
+    RESUMABLE = 'resumable'
+
+
+class UpstreamState(Enum):
+    """Whether an upstream takes new requests."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """A share of a route's requests."""
+
+    service: ServiceId
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where the requests under one host and path prefix go.
+
+    :ivar timeout: longest time to an answer that the operator wants, seconds
+    :ivar target_latency: time to an answer that is worth its full value,
+        seconds; of a stream, to its first event
+    :ivar priority: 0 is the most urgent
+    :ivar most_upstreams: upstreams that one request may be sent to
+    :ivar streams: whether the answer is a series of events
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    timeout: float
+    target_latency: float
+    priority: int
+    services: tuple[WeightedService, ...]
+    most_upstreams: int
+    streams: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTraits:
+    """What all engines of a service have in common.
+
+    :ivar batch: requests that run at once
+    :ivar adapter_slots: adapters that an engine can hold
+    :ivar weight_mb: memory for weights and adapters together
+    :ivar models: the base models, by name
+    """
+
+    batch: int
+    kv_tokens: int
+    adapter_slots: int
+    weight_mb: float
+    models: dict[ModelId, ModelTraits]
+
+
+@dataclass(frozen=True, slots=True)
+class ModelTraits:
+    """One base model."""
+
+    name: ModelId
+    weight_mb: float
+    adapter_mb: float
+    adapters: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamService:
+    """A service; without ``engine`` it is a plain one."""
+
+    name: ServiceId
+    most_connections: int
+    engine: EngineTraits | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what callers may send, and on how long they may take."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One whole published configuration.
+
+    :ivar routes_by_host: routes of each host, longest prefix first
+    """
+
+    version: int = 0
+    routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
+    services_by_name: dict[ServiceId, UpstreamService] = field(
+        default_factory=dict,
+    )
+    limits: CallerLimits = CallerLimits()
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Give the route with the longest prefix that begins ``path``."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One running upstream as it describes itself.
+
+    :ivar leaves_in: seconds until it is gone, where it said so
+    """
+
+    id: UpstreamId
+    service: ServiceId
+    address: str
+    domain: DomainId
+    state: UpstreamState
+    slots: int
+    leaves_in: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterVersion:
+    """A version of an adapter that requests have to be served with."""
+
+    model: ModelId
+    adapter: AdapterId
+    version: int
+
+
+EMPTY: Final = Configuration()
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Self
 
 import curio
@@ -14,6 +14,7 @@
     JSON_TYPE,
     HeaderList,
     Response,
+    header_list,
     header_map,
 )
 from flamingovalve.util import clock
@@ -30,12 +31,16 @@
 
 @dataclass(slots=True)
 class UpstreamCall:
-    """One request to an upstream."""
+    """One request to an upstream.
+
+    :ivar host: the host header among ``headers``, if there is one
+    """
 
     method: str
     target: str
     headers: HeaderList
     body: bytes = b''
+    host: str | None = None
 
     @classmethod
     def from_json(
@@ -56,10 +61,14 @@
 
 @dataclass(slots=True)
 class ResponseHead:
-    """Status and headers of a response, the latter by lower-case name."""
+    """Status and headers of a response, the latter by lower-case name.
+
+    :ivar lines: the headers as they came, repeats included
+    """
 
     status: int
     headers: dict[str, str]
+    lines: HeaderList = field(default_factory=list)
 
 
 class UpstreamConnection:
@@ -80,11 +89,11 @@
             may have reached the upstream
         :raises TimeoutError: when it took over ``seconds``; likewise
         """
-        headers = [
-            ('host', self.address),
-            ('content-length', str(len(call.body))),
-            *call.headers,
-        ]
+        headers = [*call.headers]
+        if call.host is None:
+            headers.append(('host', self.address))
+        if call.body or call.method != 'GET':
+            headers.append(('content-length', str(len(call.body))))
         head = h11.Request(
             method=call.method,
             target=call.target,
@@ -113,7 +122,11 @@
             event = await self._next_event(seconds)
         if not isinstance(event, h11.Response):
             raise ConnectionLost('the upstream closed before it answered')
-        return ResponseHead(event.status_code, header_map(event.headers))
+        return ResponseHead(
+            event.status_code,
+            header_map(event.headers),
+            header_list(event.headers.raw_items()),
+        )
 
     async def chunk(self, seconds: float) -> bytes:
         """Wait for the next part of the body.
@@ -143,6 +156,10 @@
         states = self._protocol.states
         if any(state is not h11.DONE for state in states.values()):
             return False
+        if self._protocol.trailing_data[0]:
+            # Bytes behind a complete answer belong to no request; the next
+            # one would take them for its own.
+            return False
         self._protocol.start_next_cycle()
         self.idle_since = clock.now()
         return True
--- a/flamingovalve/http/messages.py
+++ b/flamingovalve/http/messages.py
@@ -20,6 +20,13 @@
 HeaderList = list[tuple[str, str]]
 
 
+def header_list(raw: Iterable[tuple[bytes, bytes]]) -> HeaderList:
+    """Give headers in their order and spelling."""
+    return [
+        (name.decode('latin-1'), text.decode('latin-1')) for name, text in raw
+    ]
+
+
 def header_map(
     raw: Iterable[tuple[bytes, bytes]],
 ) -> dict[str, str]:
@@ -36,12 +43,14 @@
 
     :ivar target: path and query as sent
     :ivar headers: header texts by lower-case name
+    :ivar header_lines: the headers as they came, repeats included
     """
 
     method: str
     target: str
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b''
+    header_lines: HeaderList = field(default_factory=list)
 
     @cached_property
     def path(self) -> str:
--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -14,6 +15,7 @@
     HeaderList,
     Request,
     Response,
+    header_list,
     header_map,
 )
 from flamingovalve.util.logs import get_logger
@@ -54,10 +56,16 @@
 class Responder:
     """Writes the response to one request."""
 
-    def __init__(self, opened: Socket, protocol: h11.Connection) -> None:
+    def __init__(
+        self,
+        opened: Socket,
+        protocol: h11.Connection,
+        server: HttpServer,
+    ) -> None:
         """Write to ``opened`` in the framing of ``protocol``."""
         self._socket = opened
         self._protocol = protocol
+        self._server = server
         self.started = False
         self.ended = False
 
@@ -99,6 +107,8 @@
         return CallerWatch(self._socket)
 
     def _event(self, status: int, headers: HeaderList) -> h11.Response:
+        if self._server.is_closing:
+            headers = [*headers, ('connection', 'close')]
         return h11.Response(status_code=status, headers=headers)
 
     async def _write(self, *events: h11.Event) -> None:
@@ -149,7 +159,32 @@
         self._answerer = answerer
         self._limits = limits
         self._tasks = TaskSet()
+        self._idle: dict[ServerConnection, Socket] = {}
         self.counts = ServerCounts()
+        self.is_closing = False
+        self.error_response = Response.from_error
+
+    def replace_limits(self, limits: LimitSettings) -> None:
+        """Bound what is read from now on by ``limits``."""
+        self._limits = limits
+
+    def note_idle(self, connection: ServerConnection, opened: Socket) -> None:
+        """Remember that no request is being read or answered."""
+        self._idle[connection] = opened
+
+    def note_busy(self, connection: ServerConnection) -> None:
+        """Remember that a request has begun to come in."""
+        self._idle.pop(connection, None)
+
+    async def close_idle(self) -> None:
+        """End the connections on which no request has begun.
+
+        A caller that keeps an idle connection to a leaving VM would send
+        its next request into a closed socket.
+        """
+        for opened in list(self._idle.values()):
+            with contextlib.suppress(OSError):
+                await opened.shutdown(socket.SHUT_RDWR)
 
     async def serve(self, listening: Socket) -> None:
         """Accept connections until cancelled."""
@@ -183,6 +218,7 @@
         except (OSError, ConnectionLost):
             self.counts.callers_gone += 1
         finally:
+            self.note_busy(connection)
             self.counts.open_connections -= 1
             await self._network.discard(opened)
 
@@ -207,10 +243,9 @@
         """Serve ``opened`` for ``server``."""
         self._server = server
         self._socket = opened
-        self._limits = server.limits
         self._protocol = h11.Connection(
             our_role=h11.SERVER,
-            max_incomplete_event_size=self._limits.header_bytes,
+            max_incomplete_event_size=server.limits.header_bytes,
         )
 
     async def run(self, full: bool) -> None:
@@ -219,7 +254,7 @@
         :param full: the server has too many connections; refuse this one
         """
         while True:
-            responder = Responder(self._socket, self._protocol)
+            responder = Responder(self._socket, self._protocol, self._server)
             try:
                 request = await self._read_request()
             except ServingError as refused:
@@ -236,6 +271,9 @@
             if not self._next_request(responder):
                 return
 
+    def _limits(self) -> LimitSettings:
+        return self._server.limits
+
     def _next_request(self, responder: Responder) -> bool:
         states = self._protocol.states
         done = all(state is h11.DONE for state in states.values())
@@ -266,7 +304,7 @@
         # in the middle of the chunked body and the caller's library raises.
         if responder.started:
             raise ConnectionLost(refused.message)
-        await responder.send(Response.from_error(refused))
+        await responder.send(self._server.error_response(refused))
 
     async def _refuse(
         self,
@@ -275,7 +313,7 @@
     ) -> None:
         if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        response = Response.from_error(refused)
+        response = self._server.error_response(refused)
         response.headers.append(('connection', 'close'))
         await responder.send(response)
         await self._drain_input()
@@ -290,13 +328,17 @@
                 received = await self._socket.recv(_READ_BYTES)
 
     async def _read_request(self) -> Request | None:
+        if not self._protocol.trailing_data[0]:
+            self._server.note_idle(self, self._socket)
         head = await self._next_event()
+        self._server.note_busy(self)
         if not isinstance(head, h11.Request):
             return None
         request = Request(
             head.method.decode('ascii'),
             head.target.decode('latin-1'),
             header_map(head.headers),
+            header_lines=header_list(head.headers.raw_items()),
         )
         self._check_length(request.headers.get('content-length', '0'))
         request.body = await self._read_body()
@@ -319,10 +361,10 @@
         return b''.join(parts)
 
     def _check_length(self, length: str | int) -> None:
-        if int(length) > self._limits.body_bytes:
+        if int(length) > self._limits().body_bytes:
             raise ServingError(
                 ErrorKind.REQUEST_TOO_LARGE,
-                f'the body is over {self._limits.body_bytes} bytes; send a '
+                f'the body is over {self._limits().body_bytes} bytes; send a '
                 'shorter one or have limits.body_bytes raised',
             )
 
@@ -333,11 +375,11 @@
                 self._protocol.receive_data(await self._receive())
                 event = self._protocol.next_event()
         except h11.RemoteProtocolError as bad:
-            raise _malformed(bad, self._limits.header_bytes) from bad
+            raise _malformed(bad, self._limits().header_bytes) from bad
         return event
 
     async def _receive(self) -> bytes:
-        idle = self._limits.idle_seconds
+        idle = self._limits().idle_seconds
         try:
             async with curio.timeout_after(idle):
                 return await self._socket.recv(_READ_BYTES)
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -34,7 +34,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from curio.io import Socket
 
@@ -46,6 +46,7 @@
 logger = get_logger(__name__)
 
 _RUMOURS_PER_DATAGRAM = 8
+_RUMOURS_PER_WELCOME = 24
 _DATAGRAM_BYTES = 65536
 _EAGER_FANOUT = 4
 _REVIVAL_SHARE = 0.1
@@ -355,11 +356,29 @@
                 self.counts.refuted += 1
                 await self.push(self.members.own_rumour())
             return
+        known = rumour.vm in self.members.by_id
         if self.members.apply(rumour):
             await self.push(rumour)
+            if not known:
+                await self._welcome(self.members.by_id[rumour.vm])
             if rumour.state is MemberState.DEAD:
                 await self._probes.spawn(self._verify_end, rumour.vm)
 
+    async def _welcome(self, newcomer: Member) -> None:
+        """Tell a VM that has just joined who else there is.
+
+        News is piggybacked only while it is new, so a newcomer would hear
+        of each old member at that member's next change, perhaps never.
+        """
+        rumours = [
+            self.members.rumour_of(member)
+            for member in self.members.others()
+            if member is not newcomer and member.state is MemberState.ALIVE
+        ]
+        for begin in range(0, len(rumours), _RUMOURS_PER_WELCOME):
+            part = rumours[begin : begin + _RUMOURS_PER_WELCOME]
+            await self._send(newcomer, self._ping(newcomer, 0), part)
+
     @singledispatchmethod
     async def _answer(self, content: Any, sender: VmId) -> None:
         raise TypeError(f'{type(content).__name__} is not a datagram')
@@ -398,15 +417,24 @@
     def _ping(self, target: Member, number: int) -> Ping:
         return Ping(target.vm.id, self.members.own_id, number)
 
-    async def _send(self, target: Member, content: Any) -> None:
+    async def _send(
+        self,
+        target: Member,
+        content: Any,
+        more: Iterable[Any] = (),
+    ) -> None:
         if self._socket is None:
             return
         self._sequence += 1
         count = max(len(self.members.by_id), 1)
         rumours = self.rumours.take(_RUMOURS_PER_DATAGRAM, count)
+        rumours.extend(more)
         if isinstance(content, Ping) and content.probe:
             # News that was missed, as in a partition, is met again here.
             rumours.extend(self.standing_rumours())
+            if self.members.own_vm is not None:
+                # Whoever does not know us yet can only answer after this.
+                rumours.append(self.members.own_rumour())
         if target.state is not MemberState.ALIVE:
             # It must hear what is said of it, or it cannot refute it.
             rumours.append(self.members.rumour_of(target))
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from flamingovalve.generated.ids import Incarnation, VmId
+from flamingovalve.generated.ids import DomainId, Incarnation, VmId
 from flamingovalve.generated.messages import MemberRumour
 from flamingovalve.generated.messages import MemberState as State
-from flamingovalve.generated.settings import VmState
+from flamingovalve.generated.settings import PublishedVm, VmState
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.settings import PublishedVm, VmList
+    from flamingovalve.generated.settings import VmList
 
 logger = get_logger(__name__)
 
@@ -88,6 +88,7 @@
         self.own_state = State.ALIVE
         self.by_id: dict[VmId, Member] = {}
         self.epoch = 0
+        self.own_vm: PublishedVm | None = None
         self._rumours_by_id: dict[VmId, MemberRumour] = {}
         self._present: list[Member] | None = None
         self._present_until = 0.0
@@ -107,6 +108,20 @@
                 del self._rumours_by_id[vm_id]
                 self.apply(rumour)
 
+    def open(self, own: PublishedVm, seeds: list[str]) -> None:
+        """Let VMs join by rumours, where nobody publishes a list of them.
+
+        In such a fleet the id of a VM is its peer address, so a seed can be
+        asked before anything else is known of it.
+        """
+        self.own_vm = own
+        self.by_id[self.own_id] = Member(own, self.own_incarnation)
+        for seed in seeds:
+            if seed != self.own_id:
+                vm = PublishedVm(VmId(seed), peer_address=seed)
+                self.by_id[vm.id] = Member(vm, changed_at=clock.now())
+        self._touch()
+
     def others(self) -> list[Member]:
         """Give every member but ourselves."""
         return [
@@ -156,11 +171,16 @@
         :returns: whether it was news
         """
         member = self.by_id.get(rumour.vm)
+        if member is None and self.own_vm is not None:
+            member = self._join(rumour)
         if member is None:
             self._remember(rumour)
             return False
         if not _is_newer(member, rumour):
             return False
+        if rumour.domain and not member.vm.failure_domain:
+            member.vm.failure_domain = rumour.domain
+            member.vm.http_address = rumour.http_address
         if rumour.incarnation != member.incarnation:
             self._replaced(member)
         member.incarnation = rumour.incarnation
@@ -199,6 +219,7 @@
             member.incarnation,
             member.counter,
             member.state,
+            *self._contact(member.vm),
         )
 
     def own_rumour(self) -> MemberRumour:
@@ -208,6 +229,7 @@
             self.own_incarnation,
             self.own_counter,
             self.own_state,
+            *self._contact(self.own_vm),
         )
 
     def leave(self) -> None:
@@ -225,6 +247,12 @@
 
         :returns: whether our own state has to be told
         """
+        if rumour.incarnation > self.own_incarnation:
+            # Our clock was set back before this process started, so the
+            # others take it for one that has long been replaced and drop
+            # all that it says. Only a higher number is heard again.
+            self.own_incarnation = Incarnation(rumour.incarnation + 1)
+            return True
         if rumour.incarnation != self.own_incarnation:
             return False
         if rumour.state is self.own_state:
@@ -232,6 +260,26 @@
         self.own_counter = max(self.own_counter, rumour.counter + 1)
         return True
 
+    def _join(self, rumour: MemberRumour) -> Member | None:
+        if not rumour.domain or rumour.state is State.DEAD:
+            return None
+        vm = PublishedVm(
+            rumour.vm,
+            DomainId(rumour.domain),
+            rumour.http_address,
+            rumour.vm,
+        )
+        member = Member(vm, changed_at=clock.now())
+        self.by_id[vm.id] = member
+        logger.info('VM {} joined', vm.id)
+        self._touch()
+        return member
+
+    def _contact(self, vm: PublishedVm | None) -> tuple[DomainId, str]:
+        if self.own_vm is None or vm is None:
+            return DomainId(''), ''
+        return vm.failure_domain, vm.http_address
+
     def _counts(self, member: Member) -> bool:
         if member.vm.id == self.own_id:
             published = member.vm.state is VmState.LIVE
--- a/flamingovalve/membership/rumours.py
+++ b/flamingovalve/membership/rumours.py
@@ -45,6 +45,16 @@
     return ('spread', rumour.adapter)
 
 
+@subject.register(messages.CatalogueRumour)
+def _catalogue(rumour: messages.CatalogueRumour) -> Hashable:
+    return 'catalogue'
+
+
+@subject.register(messages.OwnerRumour)
+def _owner(rumour: messages.OwnerRumour) -> Hashable:
+    return ('owner', rumour.group)
+
+
 class RumourQueue:
     """News to piggyback, least told first.
 
--- /dev/null
+++ b/flamingovalve/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and nothing else."""
--- /dev/null
+++ b/flamingovalve/platform/decode.py
@@ -0,0 +1,213 @@
+"""Decodes what the platform publishes into the product's types."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from flamingovalve.errors import Undecodable
+from flamingovalve.gateway.model import (
+    AdapterVersion,
+    CallerLimits,
+    Configuration,
+    EngineTraits,
+    ModelTraits,
+    Repeat,
+    Route,
+    Upstream,
+    UpstreamService,
+    UpstreamState,
+    WeightedService,
+)
+from flamingovalve.generated.ids import (
+    AdapterId,
+    DomainId,
+    ModelId,
+    ServiceId,
+    UpstreamId,
+)
+
+_MS_PER_SECOND = 1000.0
+
+_REPEAT = {
+    ('idempotent', False): Repeat.ANY,
+    ('non_idempotent', False): Repeat.ONCE,
+    ('streaming', False): Repeat.ONCE,
+    ('streaming', True): Repeat.RESUMABLE,
+}
+
+
+def json_object(content: bytes) -> dict[str, Any]:
+    """Decode one JSON object.
+
+    :raises Undecodable: when ``content`` is something else
+    """
+    try:
+        parsed = json.loads(content)
+    except (ValueError, RecursionError) as bad:
+        raise Undecodable(f'not JSON: {bad}') from bad
+    if not isinstance(parsed, dict):
+        raise Undecodable('JSON, but not an object')
+    return parsed
+
+
+def configuration(content: bytes) -> Configuration:
+    """Decode the operators' configuration.
+
+    :raises Undecodable: when a field is missing or of another type
+    """
+    raw = json_object(content)
+    try:
+        return _configuration(raw)
+    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+        raise Undecodable(f'configuration: {bad!r}') from bad
+
+
+def upstream(key: str, content: bytes) -> Upstream:
+    """Decode what an upstream says of itself.
+
+    Other writers may leave entries of their own beside these; one that is
+    not wholly understood names no upstream that could be used.
+
+    :raises Undecodable: when a field is missing or of another type
+    """
+    raw = json_object(content)
+    try:
+        return _upstream(key.rpartition('/')[2], raw)
+    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+        raise Undecodable(f'upstream {key}: {bad!r}') from bad
+
+
+def adapter_version(content: bytes) -> AdapterVersion:
+    """Decode the announcement of an adapter's version.
+
+    :raises Undecodable: when a field is missing or of another type
+    """
+    raw = json_object(content)
+    try:
+        return AdapterVersion(
+            ModelId(_text(raw['Model'])),
+            AdapterId(_text(raw['Adapter'])),
+            _whole(raw['Version']),
+        )
+    except (KeyError, TypeError, ValueError) as bad:
+        raise Undecodable(f'adapter version: {bad!r}') from bad
+
+
+def _configuration(raw: dict[str, Any]) -> Configuration:
+    by_host: dict[str, list[Route]] = {}
+    for entry in raw['Routes']:
+        route = _route(entry)
+        by_host.setdefault(route.host, []).append(route)
+    services = [_service(entry) for entry in raw['Services']]
+    return Configuration(
+        _whole(raw['Version']),
+        {
+            host: tuple(sorted(routes, key=_longest_first))
+            for host, routes in by_host.items()
+        },
+        {service.name: service for service in services},
+        _limits(raw.get('Limits', {})),
+    )
+
+
+def _longest_first(route: Route) -> int:
+    return -len(route.prefix)
+
+
+def _route(raw: dict[str, Any]) -> Route:
+    # A route names one service, or divides its requests among several.
+    shares = raw.get('TrafficSplit') or [
+        {'Service': raw['Service'], 'Weight': 1},
+    ]
+    kind = raw['Kind']
+    resumable = bool(raw.get('Resumable')) and kind == 'streaming'
+    return Route(
+        name=_text(raw['Name']),
+        host=_text(raw['Host']).lower(),
+        prefix=_text(raw['PathPrefix']),
+        repeat=_REPEAT[(kind, resumable)],
+        timeout=_seconds(raw['TimeoutMs']),
+        target_latency=_seconds(raw['TargetLatencyMs']),
+        priority=_whole(raw.get('Priority', 0)),
+        services=tuple(
+            WeightedService(
+                ServiceId(_text(share['Service'])),
+                float(share['Weight']),
+            )
+            for share in shares
+        ),
+        most_upstreams=max(1, _whole(raw.get('MaxAttempts', 1))),
+        streams=kind == 'streaming',
+    )
+
+
+def _service(raw: dict[str, Any]) -> UpstreamService:
+    engine = raw.get('Engine')
+    return UpstreamService(
+        ServiceId(_text(raw['Name'])),
+        _whole(raw.get('MaxConns', 0)),
+        _engine(engine) if engine else None,
+    )
+
+
+def _engine(raw: dict[str, Any]) -> EngineTraits:
+    models = [_model(entry) for entry in raw['Models']]
+    return EngineTraits(
+        batch=_whole(raw['Slots']),
+        kv_tokens=_whole(raw['KvCapacity']),
+        adapter_slots=_whole(raw.get('AdapterSlots', 0)),
+        weight_mb=float(raw['WeightsMb']),
+        models={model.name: model for model in models},
+    )
+
+
+def _model(raw: dict[str, Any]) -> ModelTraits:
+    return ModelTraits(
+        ModelId(_text(raw['Name'])),
+        float(raw['WeightsMb']),
+        float(raw.get('AdapterSizeMb', 0)),
+        _whole(raw.get('Adapters', 0)),
+    )
+
+
+def _limits(raw: dict[str, Any]) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        _whole(raw.get('MaxHeaderBytes', usual.header_bytes)),
+        _whole(raw.get('MaxBodyBytes', usual.body_bytes)),
+        _seconds(raw.get('HeaderTimeoutMs', usual.header_seconds * 1000)),
+        _seconds(raw.get('IdleTimeoutMs', usual.idle_seconds * 1000)),
+    )
+
+
+def _upstream(name: str, raw: dict[str, Any]) -> Upstream:
+    left = raw.get('TimeLeftMs')
+    return Upstream(
+        id=UpstreamId(name),
+        service=ServiceId(_text(raw['Service'])),
+        address=_text(raw['Addr']),
+        domain=DomainId(_text(raw['Zone'])),
+        state=UpstreamState(raw['State']),
+        slots=_whole(raw['Slots']),
+        leaves_in=None if left is None else _seconds(left),
+    )
+
+
+def _text(raw: Any) -> str:
+    if not isinstance(raw, str):
+        raise TypeError(f'{raw!r} is no text')
+    return raw
+
+
+def _whole(raw: Any) -> int:
+    if isinstance(raw, bool) or not isinstance(raw, int):
+        raise TypeError(f'{raw!r} is no whole number')
+    return raw
+
+
+def _seconds(raw: Any) -> float:
+    """Turn the platform's milliseconds into the product's seconds."""
+    if isinstance(raw, bool) or not isinstance(raw, int | float):
+        raise TypeError(f'{raw!r} is no number of milliseconds')
+    return raw / _MS_PER_SECOND
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -34,6 +34,20 @@
   incarnation @1 :UInt64 $ident("Incarnation");
   counter @2 :UInt32 $doc("Raised by the VM itself to refute a suspicion.");
   state @3 :MemberState;
+  domain @4 :Text $ident("DomainId") $doc("Its failure domain; empty where a published list says so.");
+  httpAddress @5 :Text $doc("Where callers connect to it; empty where a published list says so.");
+}
+
+struct CatalogueRumour $doc("The newest published document that a VM holds.") {
+  vm @0 :Text $ident("VmId");
+  revision @1 :UInt64 $doc("Revision of that document.");
+}
+
+struct OwnerRumour $doc("Which VM orders the engines of a group.") {
+  group @0 :Text $ident("GroupId");
+  vm @1 :Text $ident("VmId");
+  incarnation @2 :UInt64 $ident("Incarnation");
+  epoch @3 :UInt64 $doc("Raised with each new owner; the highest holds.");
 }
 
 struct VersionRumour $doc("The highest inventory version and VM list that a VM holds.") {
@@ -68,6 +82,8 @@
     poison @2 :PoisonRumour;
     store @3 :StoreRumour;
     spread @4 :SpreadRumour;
+    catalogue @5 :CatalogueRumour;
+    owner @6 :OwnerRumour;
   }
 }
 
@@ -219,6 +235,59 @@
   content @1 :Data $doc("The value, compressed by zlib.");
 }
 
+struct DocumentsAsk $doc("Asks for the published documents after a revision.") {
+  revision @0 :UInt64;
+}
+
+struct Document $doc("One published document as the store gave it.") {
+  key @0 :Text;
+  revision @1 :UInt64;
+  content @2 :Data;
+  deleted @3 :Bool;
+}
+
+struct DocumentsReply $doc("Published documents, oldest first.") {
+  documents @0 :List(Document);
+}
+
+struct PromptPart $doc("A part of a prompt that other prompts may share.") {
+  id @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct PlaceAsk $doc("Asks the owner of a group for a place on one of its engines.") {
+  requestId @0 :Text $ident("RequestId");
+  group @1 :Text $ident("GroupId");
+  model @2 :Text $ident("ModelId");
+  adapter @3 :Text $ident("AdapterId") $doc("Empty for the base model.");
+  promptTokens @4 :UInt32;
+  outputTokens @5 :UInt32 $doc("Most tokens of the answer.");
+  parts @6 :List(PromptPart);
+  priority @7 :UInt32 $doc("0 is the most urgent.");
+  target @8 :Float64 $unit("seconds") $doc("Time left until the first event would be late.");
+  remaining @9 :Float64 $unit("seconds") $doc("Time left until the deadline.");
+  avoided @10 :List(Text) $doc("Engines that have failed this request.");
+  domain @11 :Text $ident("DomainId") $doc("Failure domain of the asking VM.");
+}
+
+struct PlaceGrant $doc("The engine that holds a place, with the adapter loaded.") {
+  upstream @0 :Text $ident("UpstreamId");
+  address @1 :Text;
+  version @2 :UInt32 $doc("Version of the adapter there; 0 where none was announced.");
+}
+
+enum PlaceOutcome $doc("How the use of a place ended.") {
+  finished @0 $doc("The answer was whole.");
+  refused @1 $doc("The engine did not run the request.");
+  failed @2 $doc("The engine failed it or fell silent.");
+  abandoned @3 $doc("The caller left.");
+}
+
+struct PlaceEnd $doc("Gives a place back.") {
+  outcome @0 :PlaceOutcome;
+  firstEvent @1 :Float64 $unit("seconds") $doc("Time from sending the request to its first event; 0 when none came.");
+}
+
 struct Frame $doc("One message on a connection between two VMs.") {
   union {
     hello @0 :Hello;
@@ -237,5 +306,10 @@
     forwardCompletion @13 :ForwardCompletion;
     forwardCall @14 :ForwardCall;
     refusal @15 :Refusal;
+    documentsAsk @16 :DocumentsAsk;
+    documentsReply @17 :DocumentsReply;
+    placeAsk @18 :PlaceAsk;
+    placeGrant @19 :PlaceGrant;
+    placeEnd @20 :PlaceEnd;
   }
 }
--- a/flamingovalve/schema/settings.capnp
+++ b/flamingovalve/schema/settings.capnp
@@ -28,6 +28,26 @@
   peerAddress @3 :Text = "127.0.0.1:7946" $doc("Where other VMs connect: TCP and UDP (IP:port).");
 }
 
+struct PlatformSettings $section("platform") $doc("The users' platform; without it the daemon serves its own interface only.") {
+  store @0 :Text = "" $doc("Address of the platform's store (IP:port); empty for none.");
+  readyAddress @1 :Text = "" $doc("Where the platform asks whether this VM is ready (IP:port).");
+  directoryAddress @2 :Text = "" $doc("Where callers ask which address to use (IP:port).");
+  metricsAddress @3 :Text = "" $doc("Where metrics are served (IP:port); empty for nowhere.");
+}
+
+struct GatewaySettings $section("gateway") $doc("Serving published routes.") {
+  leaseSeconds @0 :Float64 = 3 $unit("seconds") $low(0.1) $high(60) $doc("Two VMs may not order one engine in turns within this time.");
+  reportLagSeconds @1 :Float64 = 0.3 $unit("seconds") $low(0) $high(10) $doc("Age that an engine's report can have.");
+  adapterLoadSeconds @2 :Float64 = 0.25 $unit("seconds") $low(0.001) $high(60) $doc("What loading an adapter takes at first guess.");
+  prefillTokensPerSecond @3 :Float64 = 38700 $unit("tokens/second") $low(1) $high(1e9) $doc("Prompt tokens an engine reads at first guess.");
+  retryRatio @4 :Float64 = 0.2 $unit("share") $low(0) $high(1) $doc("Repeats that all VMs together may send to a service, as a share of its requests.");
+  retrySlack @5 :Float64 = 100 $unit("retries") $low(0) $high(1e6) $doc("Repeats allowed beyond that share in each window.");
+  retryWindowSeconds @6 :Float64 = 10 $unit("seconds") $low(1) $high(600) $doc("The window of both.");
+  drainSeconds @7 :Float64 = 2 $unit("seconds") $low(0) $high(60) $doc("Within this time a leaving upstream gets its last request.");
+  graceSeconds @8 :Float64 = 8 $unit("seconds") $low(0.5) $high(600) $doc("Time from SIGTERM to SIGKILL.");
+  addressSeconds @9 :Float64 = 2 $unit("seconds") $low(0.1) $high(60) $doc("Time to live of an answer to which address to use.");
+}
+
 struct OperatorSettings $section("operators") $doc("What operators may do over HTTP.") {
   secret @0 :Text = "" $doc("Secret that 'flamingovalve drain' must send; empty refuses draining over HTTP (use SIGTERM).");
 }
@@ -50,6 +70,8 @@
   entrySeconds @6 :Float64 = 5 $unit("seconds") $low(0.5) $high(300) $doc("Time to live of an answer to which address to use.");
   seeds @9 :List(Text) $doc("Peer addresses to ask when the configuration service gives no list (IP:port, separated by commas).");
   leaveSeconds @7 :Float64 = 3 $unit("seconds") $low(0) $high(60) $doc("How long a leaving VM still accepts work, while callers learn of it.");
+  open @10 :Bool = false $doc("Whether VMs may join without a published list, by way of the seeds.");
+  seedPort @11 :UInt32 = 0 $low(0) $high(65535) $doc("Port at which seeds speak with other VMs; 0 for the one in their address.");
   drainSeconds @8 :Float64 = 600 $unit("seconds") $low(1) $high(86400) $doc("Longest wait for requests in progress on shutdown.");
 }
 
