--- a/flamingovalve/cmd/service.py
+++ b/flamingovalve/cmd/service.py
@@ -66,12 +66,33 @@
     await daemon.run()
 
 
+async def serve_and_end(
+    path: Path,
+    settings: Settings,
+    output: LogOutput,
+) -> None:
+    """Run the daemon, then end the process without waiting for its tasks."""
+    await serve(path, settings, output)
+    end_process()
+
+
 def run(path: Path, settings: Settings) -> None:
     """Run the daemon of checked settings."""
     output = LogOutput()
     output.apply(settings.logging)
     gc.set_threshold(_YOUNG_OBJECTS)
-    curio.run(serve, path, settings, output)
+    curio.run(serve_and_end, path, settings, output)
+
+
+def end_process() -> None:
+    """End at once with what was written.
+
+    Tasks that wait for peers that are gone would hold the interpreter past
+    the time after which the platform kills it.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 async def _obey_signals(
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -51,7 +51,8 @@
 # By then every other VM has dropped this one from its answers and callers
 # that got an older answer have found the port closed or moved on.
 _LISTEN_SECONDS: Final = 2.0
-_GRACE_MARGIN_SECONDS: Final = 0.7
+_GRACE_MARGIN_SECONDS: Final = 1.0
+_CLOSE_SECONDS: Final = 0.3
 _TICK_SECONDS: Final = 0.1
 
 
@@ -213,6 +214,10 @@
         await self.stop()
 
     async def _close(self) -> None:
+        async with curio.ignore_after(_CLOSE_SECONDS):
+            await self._close_all()
+
+    async def _close_all(self) -> None:
         await self.background.cancel()
         await self.http.close()
         await self.side.close()
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.gateway.ledger import HeldAdapter, Holding
+from flamingovalve.generated.ids import ModelId
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -106,6 +107,24 @@
     return Choice(engine, wait, load=True, victim=victim)
 
 
+def model_in_demand(
+    engines: list[EngineLedger],
+    asked_by_model: dict[ModelId, int],
+) -> ModelId:
+    """Give the model whose engines have most to do; empty for none.
+
+    Answers engines that begin empty. A model that no engine holds goes
+    first, then the one with most requests for each engine that holds it.
+    """
+    names = {name for engine in engines for name in engine.traits.models}
+
+    def need(name: ModelId) -> tuple[float, str]:
+        holders = sum(name in engine.models for engine in engines)
+        return ((asked_by_model.get(name, 0) + 1) / (holders + 0.01), name)
+
+    return max(names, key=need, default=ModelId(''))
+
+
 def load_seconds(ask: PlaceAsk, engine: EngineLedger) -> float:
     """Give what loading the adapter of ``ask`` should take."""
     seconds = engine.settings.adapter_load_seconds
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -71,6 +71,8 @@
     :ivar read_until: when the prompts given to it so far should be read
     :ivar pace: measured time to a first event over the expected one
     :ivar avoided_until: not chosen before this moment after a failure
+    :ivar silent: whether it did not answer when it was last asked
+    :ivar model_ready_at: when a base model on its way should be there
     """
 
     upstream: Upstream
@@ -86,6 +88,8 @@
     pace: float = 1.0
     avoided_until: float = 0
     failures: int = 0
+    silent: bool = False
+    model_ready_at: float = 0
     reported_at: float = float('-inf')
     recent: dict[AdapterId, None] = field(default_factory=dict)
 
@@ -198,6 +202,8 @@
         """Count everything as lost: the engine began anew."""
         self.born = born
         self.held.clear()
+        self.models.clear()
+        self.model_ready_at = 0
         self.parts.clear()
         self.recent.clear()
         self.read_until = 0
@@ -205,7 +211,19 @@
 
     def is_usable(self) -> bool:
         """Tell whether requests may be sent here at the moment."""
-        return clock.now() >= self.avoided_until
+        return not self.silent and clock.now() >= self.avoided_until
+
+    def is_loading_model(self) -> bool:
+        """Tell whether a base model is on its way here."""
+        return not self.models and clock.now() < self.model_ready_at
+
+    def note_answer(self) -> None:
+        """Note that the engine answers when it is asked."""
+        self.silent = False
+
+    def note_silence(self) -> None:
+        """Choose the engine no more until it answers again."""
+        self.silent = True
 
     def note_failure(self) -> None:
         """Avoid the engine for a while, longer with each failure in a row."""
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -23,6 +23,7 @@
     OrderChain,
     OrderOutcome,
 )
+from flamingovalve.generated.ids import AdapterId, ModelId
 from flamingovalve.generated.messages import PlaceOutcome
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger
@@ -42,7 +43,12 @@
 
 # Reports are priced; one a second notices a restart within its lag, and
 # orders are counted by ourselves.
-_REPORT_SECONDS: Final = 1.0
+_REPORT_SECONDS: Final = 0.7
+# After this an engine that still shows no model is ordered to load it again.
+_MODEL_LOAD_SECONDS: Final = 6.0
+# The weight store runs one load at full speed; two more cost the first ones
+# little and bring a group back sooner after it restarted as a whole.
+_MOST_MODEL_LOADS: Final = 3
 _EAGER_REPORT_SECONDS: Final = 0.3
 _PUMP_SECONDS: Final = 0.05
 # A load that was refused as not there yet is tried again after this.
@@ -83,6 +89,7 @@
     refused: int = 0
     loads: int = 0
     unloads: int = 0
+    model_loads: int = 0
     conflicts: int = 0
     foreign: int = 0
     restarts: int = 0
@@ -110,6 +117,7 @@
             await self._look()
             chain = self.ledger.chain
             unsure = chain.sequence is None or chain.unanswered
+            unsure = unsure or self.ledger.silent
             waits = _EAGER_REPORT_SECONDS if unsure else _REPORT_SECONDS
             paused = chain.stands_down_until - clock.now()
             if 0 < paused < waits:
@@ -141,7 +149,7 @@
     ) -> bool:
         if victim is not None and not await self._unload(victim):
             return False
-        outcome = await self._send(Action.LOAD, held)
+        outcome = await self._order_adapter(Action.LOAD, held)
         self._owner.counts.loads += 1
         if outcome is OrderOutcome.ACCEPTED:
             self.ledger.chain.note_accepted()
@@ -160,7 +168,7 @@
         return seconds * self._owner.store_slowness()
 
     async def _unload(self, victim: HeldAdapter) -> bool:
-        outcome = await self._send(Action.UNLOAD, victim)
+        outcome = await self._order_adapter(Action.UNLOAD, victim)
         self._owner.counts.unloads += 1
         if outcome is OrderOutcome.HOLDS:
             self.ledger.chain.note_accepted()
@@ -175,25 +183,40 @@
         self._note_refusal(outcome)
         return False
 
-    async def _send(self, action: Action, held: HeldAdapter) -> OrderOutcome:
+    async def _order_adapter(
+        self,
+        action: Action,
+        held: HeldAdapter,
+    ) -> OrderOutcome:
+        model = self._owner.model_of(self.ledger)
+        version = held.version if action is Action.LOAD else 0
+        return await self._send(action, model, held.name, version)
+
+    async def _send(
+        self,
+        action: Action,
+        model: ModelId,
+        adapter: AdapterId,
+        version: int,
+    ) -> OrderOutcome:
         chain = self.ledger.chain
         if not chain.may_order():
             return OrderOutcome.REFUSED
         order = Order(
             action,
-            self._owner.model_of(self.ledger),
-            held.name,
+            model,
+            adapter,
             chain.sequence or 0,
             self._owner.vm,
             self._owner.fence,
-            held.version if action is Action.LOAD else 0,
+            version,
         )
         outcome = await self._link.order(order)
         logger.info(
             'order upstream={} action={} adapter={} sequence={} outcome={}',
             self.ledger.upstream.id,
             action.value,
-            held.name,
+            adapter,
             order.sequence,
             outcome.value,
         )
@@ -218,9 +241,13 @@
 
     async def _look(self) -> None:
         report = await self._link.report()
+        ledger = self.ledger
         if report is None:
+            # A dark engine would take requests until its entry lapses, some
+            # four seconds later, and each of them would wait in vain.
+            ledger.note_silence()
             return
-        ledger = self.ledger
+        ledger.note_answer()
         if ledger.born and report.born != ledger.born:
             self._owner.counts.restarts += 1
             logger.warning('upstream {} restarted', ledger.upstream.id)
@@ -234,8 +261,30 @@
                 report.sequence,
             )
         ledger.adopt(report)
+        if not ledger.models and not ledger.is_loading_model():
+            await self.load_model()
         await self._owner.pump()
 
+    async def load_model(self) -> None:
+        """Load a base model into an engine that began without one.
+
+        An engine that was added, or that restarted, holds nothing. Without
+        this a fifth of the capacity of five engines stays idle after each
+        of them was replaced.
+        """
+        model = self._owner.missing_model()
+        if not model or not self.ledger.chain.may_order():
+            return
+        self.ledger.model_ready_at = clock.now() + _MODEL_LOAD_SECONDS
+        async with self._ordering:
+            outcome = await self._send(Action.LOAD, model, AdapterId(''), 0)
+        if outcome in {OrderOutcome.ACCEPTED, OrderOutcome.HOLDS}:
+            self.ledger.chain.note_accepted()
+            self._owner.counts.model_loads += 1
+            return
+        self.ledger.model_ready_at = 0
+        self._note_refusal(outcome)
+
 
 class GroupOwner:
     """Gives out the places of a group's engines."""
@@ -267,6 +316,7 @@
         self._link_to = link_to
         self._admission = Admission()
         self._waiting: list[Waiter] = []
+        self._asked_by_model: dict[ModelId, int] = {}
         self._tasks = TaskSet()
         self._followers: dict[UpstreamId, curio.Task] = {}
 
@@ -327,6 +377,8 @@
         :raises ServingError: when there will be none in time
         """
         self.counts.asked += 1
+        asked = self._asked_by_model.get(ask.model, 0)
+        self._asked_by_model[ask.model] = asked + 1
         if ask.adapter:
             self.popularity.note(ask.adapter)
         waiter = Waiter(ask, clock.now())
@@ -458,9 +510,17 @@
         coming = sum(ledger.coming() for ledger in self._ledgers())
         return max(1.0, coming / dispatch.FULL_SPEED_LOADS)
 
-    def model_of(self, ledger: EngineLedger) -> str:
+    def model_of(self, ledger: EngineLedger) -> ModelId:
         """Give the base model that adapters of an engine extend."""
-        return next(iter(ledger.models), '')
+        return next(iter(ledger.models), ModelId(''))
+
+    def missing_model(self) -> ModelId:
+        """Give the model that an empty engine should load; empty for none."""
+        ledgers = self._ledgers()
+        loading = sum(ledger.is_loading_model() for ledger in ledgers)
+        if loading >= _MOST_MODEL_LOADS:
+            return ModelId('')
+        return dispatch.model_in_demand(ledgers, self._asked_by_model)
 
     def raise_fence(self) -> None:
         """Order with a higher number: the engine has seen one."""
@@ -470,14 +530,13 @@
         return [engine.ledger for engine in self.engines_by_id.values()]
 
     def _candidates(self, ask: PlaceAsk) -> list[EngineLedger]:
-        usable = [
+        return [
             ledger
             for ledger in self._ledgers()
             if ledger.is_usable()
             and ledger.upstream.id not in ask.avoided
             and self._catalogue.takes_requests(ledger.upstream)
         ]
-        return usable
 
     def _version(self, ask: PlaceAsk) -> int:
         return self._catalogue.wanted_version(ask.model, ask.adapter)
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -143,11 +143,12 @@
     body: dict[str, Any] = {
         'Op': order.action.value,
         'Model': order.model,
-        'Adapter': order.adapter,
         'Precondition': order.sequence,
         'Holder': order.holder,
         'FencingToken': order.fence,
     }
+    if order.adapter:
+        body['Adapter'] = order.adapter
     if order.version:
         body['Version'] = order.version
     return body
