--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -27,10 +28,20 @@
 FULL_SPEED_LOADS: Final = 8
 # Low bits of a fencing number that name its VM.
 FENCE_BITS: Final = 24
-# What one more running request adds to the others' pauses, in seconds of
-# wait: step time grows by about 0.2 ms a request on the users' engines.
-_CROWD_SECONDS: Final = 0.004
-_OTHER_DOMAIN_SECONDS: Final = 0.003
+# Shares of a request's worth. A late answer is worth half of one in time or
+# less on the users' sheets.
+_LATE_SHARE: Final = 0.6
+_WAIT_SHARE: Final = 0.06
+# Step time grows by about 0.2 ms with each request in a batch of 64.
+_CROWD_SHARE: Final = 0.0015
+_OTHER_DOMAIN_SHARE: Final = 0.001
+# An adapter that is asked for once a second is fetched again within a second.
+_MISSED_SHARE: Final = 0.05
+# The weight store serves eight adapters at once at full speed and fetching
+# is billed at about a quarter of a request's worth.
+_FETCH_SHARE: Final = 0.15
+_SCATTER_SHARE: Final = 0.15
+_SAFE_SHARE: Final = 0.8
 
 
 @dataclass(slots=True)
@@ -54,7 +65,7 @@
     popularity: Popularity,
     wanted_version: int,
 ) -> Choice | None:
-    """Give the engine with the shortest wait for the first event.
+    """Give the engine where the least should be lost.
 
     :param wanted_version: the version that the adapter must have; 0 for any
     :returns: nothing while no engine has a place for the adapter
@@ -65,7 +76,7 @@
         choice = _consider(ask, engine, popularity, wanted_version)
         if choice is None:
             continue
-        cost = choice.wait + _extra_cost(ask, choice, popularity)
+        cost = expected_loss(ask, choice, popularity)
         if cost < best_cost:
             best, best_cost = choice, cost
     return best
@@ -155,20 +166,36 @@
     return engine.chain.may_order() and engine.coming() < MOST_COMING
 
 
-def _extra_cost(
+def expected_loss(
     ask: PlaceAsk,
     choice: Choice,
     popularity: Popularity,
 ) -> float:
-    """Give what a choice costs the requests that come after this one."""
+    """Give what a choice should cost, as a share of a request's worth.
+
+    The request itself loses by being late; those after it by what is
+    fetched from the weight store or pushed out of the engine.
+    """
     engine = choice.engine
-    cost = len(engine.places) * _CROWD_SECONDS
+    loss = _LATE_SHARE * _late_probability(choice.wait, ask.target)
+    loss += choice.wait * _WAIT_SHARE + len(engine.places) * _CROWD_SHARE
     if engine.upstream.domain != ask.domain:
-        cost += _OTHER_DOMAIN_SECONDS
+        loss += _OTHER_DOMAIN_SHARE
     if choice.victim is not None:
-        # It will be missed as often as it is asked for.
         rate = popularity.per_second(choice.victim.name)
-        cost += min(rate, 1) * engine.settings.adapter_load_seconds
-    if choice.load:
-        cost += 0.5 * engine.settings.adapter_load_seconds
-    return cost
+        loss += min(rate, 1) * _MISSED_SHARE
+    if choice.load and ask.adapter not in engine.recent:
+        loss += _FETCH_SHARE
+    return loss
+
+
+def _late_probability(wait: float, target: float) -> float:
+    """Give how likely a first event is late that should take ``wait``.
+
+    Waits are guesses: those measured scatter about them by a fifth.
+    """
+    if target <= 0:
+        return 1.0
+    scatter = _SCATTER_SHARE * target
+    exponent = (wait - _SAFE_SHARE * target) / scatter
+    return 1 / (1 + math.exp(-max(-30.0, min(30.0, exponent))))
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -22,6 +22,8 @@
 # Reading a long prompt costs more than its tokens: attention grows with the
 # square of its length, 0.74 ms a million token pairs on the users' engines.
 _SECONDS_PER_TOKEN_PAIR: Final = 0.737e-9
+# Adapters that an engine's host memory keeps after they gave up their slot.
+_RECENT_ADAPTERS: Final = 48
 _REMEMBERED_PARTS: Final = 400
 
 
@@ -166,6 +168,8 @@
         self.held.pop(name, None)
         self.recent.pop(name, None)
         self.recent[name] = None
+        while len(self.recent) > _RECENT_ADAPTERS:
+            self.recent.pop(next(iter(self.recent)))
         prefix = f'{name}/'
         for key in [key for key in self.parts if key.startswith(prefix)]:
             del self.parts[key]
