--- a/flamingovalve/schema/generate.py
+++ b/flamingovalve/schema/generate.py
@@ -271,6 +271,9 @@
         which = proto.slot.type.which()
         if which == 'enum':
             yield f'    builder.{proto.name} = message.{name}.value\n'
+        elif which == 'struct':
+            writer = f'write_{snake(self.type_name(proto.slot.type))[1:]}'
+            yield f'    {writer}(builder.{proto.name}, message.{name})\n'
         elif which == 'list' and self.is_struct_list(proto):
             element = self.type_name(proto.slot.type.list.elementType)
             writer = f'write_{snake(element)[1:]}'
@@ -287,6 +290,9 @@
         source = f'reader.{proto.name}'
         if which == 'enum':
             return f'{self.type_name(proto.slot.type)}(str({source}))'
+        if which == 'struct':
+            reader = f'read_{snake(self.type_name(proto.slot.type))[1:]}'
+            return f'{reader}({source})'
         if which == 'list' and self.is_struct_list(proto):
             element = self.type_name(proto.slot.type.list.elementType)
             return f'[read_{snake(element)[1:]}(entry) for entry in {source}]'
