--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -31,7 +31,7 @@
 from flamingovalve.peer.client import PeerPool
 from flamingovalve.peer.server import PeerServer
 from flamingovalve.util import clock
-from flamingovalve.util.logs import get_logger
+from flamingovalve.util.logs import get_logger, note
 from flamingovalve.util.network import split_address
 from flamingovalve.util.tasks import TaskSet
 
@@ -278,13 +278,14 @@
             self._log_request(request, outcome, began)
 
     def _log_request(self, request: Request, outcome: str, began: float) -> None:
-        logger.info(
-            'request id={} path={} outcome={} seconds={:.3f} version={}',
-            self.frontend.request_id(request),
-            request.path,
-            outcome,
-            clock.now() - began,
-            self.catalogue.configuration.version,
+        note(
+            logger,
+            'request',
+            id=self.frontend.request_id(request),
+            path=request.path,
+            outcome=outcome,
+            seconds=round(clock.now() - began, 3),
+            version=self.catalogue.configuration.version,
         )
 
     async def _serve(self, request: Request, responder: Responder) -> None:
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -26,7 +26,7 @@
 from flamingovalve.generated.ids import AdapterId, ModelId
 from flamingovalve.generated.messages import PlaceOutcome
 from flamingovalve.util import clock
-from flamingovalve.util.logs import get_logger
+from flamingovalve.util.logs import get_logger, note
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
@@ -212,13 +212,16 @@
             version,
         )
         outcome = await self._link.order(order)
-        logger.info(
-            'order upstream={} action={} adapter={} sequence={} outcome={}',
-            self.ledger.upstream.id,
-            action.value,
-            adapter,
-            order.sequence,
-            outcome.value,
+        note(
+            logger,
+            'order',
+            upstream=self.ledger.upstream.id,
+            action=action.value,
+            model=model,
+            adapter=adapter,
+            sequence=order.sequence,
+            fence=order.fence,
+            outcome=outcome.value,
         )
         return outcome
 
@@ -480,6 +483,14 @@
     async def _refuse(self, waiter: Waiter, refusal: ServingError) -> None:
         self._waiting.remove(waiter)
         self.counts.refused += 1
+        note(
+            logger,
+            'refused',
+            id=waiter.ask.request_id,
+            adapter=waiter.ask.adapter,
+            reason=refusal.message,
+            waited=round(clock.now() - waiter.asked_at, 3),
+        )
         waiter.refusal = refusal
         await waiter.settled.set()
 
@@ -492,6 +503,17 @@
         held = ledger.held.get(waiter.ask.adapter)
         ready_at = held.ready_at if held is not None else 0
         waiter.place = ledger.take(waiter.ask, ready_at)
+        note(
+            logger,
+            'place',
+            id=waiter.ask.request_id,
+            upstream=ledger.upstream.id,
+            adapter=waiter.ask.adapter,
+            load=choice.load,
+            expected=round(choice.wait, 3),
+            waited=round(clock.now() - waiter.asked_at, 3),
+            report_age=round(clock.now() - ledger.reported_at, 2),
+        )
         if held is None or held.state is Holding.RESIDENT:
             await waiter.settled.set()
             return
--- a/flamingovalve/gateway/serving.py
+++ b/flamingovalve/gateway/serving.py
@@ -19,7 +19,7 @@
 )
 from flamingovalve.generated.ids import GroupId
 from flamingovalve.generated.messages import PlaceAsk, PlaceOutcome
-from flamingovalve.util.logs import get_logger
+from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
     import random
@@ -248,7 +248,13 @@
                 if owner is not None:
                     return await self._places.take(owner, ask)
             except OwnerSilent as silent:
-                logger.info('request {}: {}', request.id, silent)
+                note(
+                    logger,
+                    'owner silent',
+                    id=request.id,
+                    owner=owner,
+                    reason=str(silent),
+                )
             except ServingError as refused:
                 if refused.kind is not ErrorKind.NOT_OWNER:
                     raise
@@ -308,14 +314,15 @@
     count: int,
 ) -> None:
     """Write what came of one send."""
-    logger.info(
-        'send id={} route={} upstream={} number={} result={} left={:.3f}',
-        request.id,
-        request.route.name,
-        upstream.id,
-        count + 1,
-        result.value,
-        request.remaining(),
+    note(
+        logger,
+        'send',
+        id=request.id,
+        route=request.route.name,
+        upstream=upstream.id,
+        number=count + 1,
+        result=result.value,
+        left=round(request.remaining(), 3),
     )
 
 
--- a/flamingovalve/util/logs.py
+++ b/flamingovalve/util/logs.py
@@ -1,4 +1,4 @@
-"""Log lines by logbook: text or JSON, for changes of state only."""
+"""Log lines by logbook: text or JSON, a line for each decision."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 import logbook
 
 from flamingovalve.generated.settings import LogFormat, LogLevel
+from flamingovalve.util.lines import LineWriter
 
 if TYPE_CHECKING:
     from flamingovalve.generated.settings import LoggingSettings
@@ -31,6 +32,20 @@
     return logbook.Logger(name.removeprefix('flamingovalve.'))
 
 
+def note(logger: logbook.Logger, event: str, **facts: Any) -> None:
+    """Write a line about one decision with the facts that decided it."""
+    logger.info(event, extra=facts)
+
+
+class TextHandler(logbook.StreamHandler):
+    """Writes each record as text, its facts behind the message."""
+
+    def format(self, record: Any) -> str:
+        """Give the line for ``record``."""
+        facts = [f' {name}={fact}' for name, fact in record.extra.items()]
+        return super().format(record) + ''.join(facts)
+
+
 class JsonHandler(logbook.StreamHandler):
     """Writes each record as one JSON object a line."""
 
@@ -53,15 +68,16 @@
     def __init__(self) -> None:
         """Install nothing yet."""
         self._output: logbook.Handler | None = None
+        self._lines = LineWriter(sys.stdout.fileno())
 
     def apply(self, settings: LoggingSettings) -> None:
         """Write from now on as ``settings`` say."""
         level = _LEVELS[settings.level]
         if settings.format is LogFormat.JSON:
-            output = JsonHandler(sys.stderr, level=level)
+            output = JsonHandler(self._lines, level=level)
         else:
-            output = logbook.StreamHandler(
-                sys.stderr,
+            output = TextHandler(
+                self._lines,
                 level=level,
                 format_string=_TEXT_FORMAT,
             )
