A VM that is cut off claims provisionally; a silent owner is probed at once

Cause, from reading the code: a cut-off VM claimed with a higher epoch than the rest, so ownership would change hands when the cut healed and engines get no loads for a lease.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -156,6 +156,7 @@
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
         self.gossip.rumour_listener = self._hear
         self.gossip.standing_rumours = self._standing_rumours
+        self.server.silence_listener = self.gossip.probe_now
         self.gossip.late_listeners.append(self.owned.note_late_wakeup)
         self.follower.listeners.append(self._published)
 
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -8,7 +8,7 @@
 from flamingovalve.generated.messages import MemberState, OwnerRumour
 from flamingovalve.membership.gossip import News
 from flamingovalve.util import clock, hashing
-from flamingovalve.util.logs import get_logger
+from flamingovalve.util.logs import get_logger, note
 from flamingovalve.util.network import split_address
 
 if TYPE_CHECKING:
@@ -67,7 +67,7 @@
             return False
         if self.members.own_state is not MemberState.ALIVE:
             return False
-        if self.owner(group) is not None:
+        if self.owner(group) is not None and not self._may_confirm(group):
             return False
         present = self.members.present_ids()
         return hashing.heaviest(group, present) == self.members.own_id
@@ -80,15 +80,29 @@
         after they ended together.
         """
         known = self.by_group.get(group)
+        provisional = not self.members.has_quorum()
         epoch = max(revision, known.epoch + 1 if known else 1)
+        if provisional and known is not None:
+            # Cut off from most VMs, this one cannot know that they have no
+            # owner. If it outbid theirs, ownership would change hands when
+            # the cut heals, and engines get no loads for a lease.
+            epoch = known.epoch
         rumour = OwnerRumour(
             group,
             self.members.own_id,
             self.members.own_incarnation,
             epoch,
+            provisional,
         )
         self.by_group[group] = rumour
-        logger.info('this VM claims group {}; epoch={}', group, epoch)
+        note(
+            logger,
+            'this VM claims a group',
+            group=group,
+            epoch=epoch,
+            provisional=provisional,
+            members=len(self.members.present()),
+        )
         return rumour
 
     def hear(self, rumour: OwnerRumour) -> News:
@@ -97,14 +111,22 @@
         if known is not None and _rank(known) >= _rank(rumour):
             return News.NONE
         self.by_group[rumour.group] = rumour
-        logger.info(
-            'VM {} owns group {}; epoch={}',
-            rumour.vm,
-            rumour.group,
-            rumour.epoch,
+        note(
+            logger,
+            'another VM owns a group',
+            group=rumour.group,
+            vm=rumour.vm,
+            epoch=rumour.epoch,
+            provisional=rumour.provisional,
         )
         return News.URGENT
 
+    def _may_confirm(self, group: GroupId) -> bool:
+        """Tell whether our provisional claim can be made a full one."""
+        claim = self.by_group[group]
+        ours = claim.vm == self.members.own_id and claim.provisional
+        return ours and self.members.has_quorum()
+
     def _lives(self, claim: OwnerRumour) -> bool:
         members = self.members
         if claim.vm == members.own_id:
@@ -131,8 +153,13 @@
     return epoch << FENCE_BITS | number
 
 
-def _rank(claim: OwnerRumour) -> tuple[int, str, int]:
-    return (claim.epoch, claim.vm, claim.incarnation)
+def _rank(claim: OwnerRumour) -> tuple[int, bool, str, int]:
+    return (
+        claim.epoch,
+        not claim.provisional,
+        claim.vm,
+        claim.incarnation,
+    )
 
 
 def _same_process(known: Incarnation, claimed: Incarnation) -> bool:
--- a/flamingovalve/gateway/serving.py
+++ b/flamingovalve/gateway/serving.py
@@ -32,7 +32,7 @@
     from flamingovalve.gateway.places import PlaceClient, PlaceLease
     from flamingovalve.gateway.relay import UpstreamRelay
     from flamingovalve.gateway.retries import FleetRetryBudget
-    from flamingovalve.generated.ids import DomainId, ServiceId
+    from flamingovalve.generated.ids import DomainId, ServiceId, VmId
     from flamingovalve.http.server import Responder
 
 logger = get_logger(__name__)
@@ -73,6 +73,7 @@
         self._claims = claims
         self._places = places
         self._chance = chance
+        self.silence_listener = _ignore_silence
 
     async def serve(
         self,
@@ -248,6 +249,7 @@
                 if owner is not None:
                     return await self._places.take(owner, ask)
             except OwnerSilent as silent:
+                await self.silence_listener(owner)
                 note(
                     logger,
                     'owner silent',
@@ -287,6 +289,10 @@
         )
 
 
+async def _ignore_silence(_vm: VmId | None) -> None:
+    """Leave a silent owner to the usual probes."""
+
+
 def note_send(
     request: InboundRequest,
     upstream: Upstream,
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -104,6 +104,7 @@
         self._probe = 0
         self._acked: dict[int, curio.Event] = {}
         self._order: list[VmId] = []
+        self._hurried: set[VmId] = set()
         self._windows: dict[VmId, tuple[Incarnation, ReplayWindow]] = {}
 
     def open(self, address: str) -> None:
@@ -143,6 +144,19 @@
             if target is not None:
                 await self._probes.spawn(self._probe_one, target)
 
+    async def probe_now(self, vm: VmId) -> None:
+        """Probe a VM that somebody found silent, without waiting its turn."""
+        member = self.members.by_id.get(vm)
+        if member is not None and vm not in self._hurried:
+            await self._probes.spawn(self._probe_hurried, member)
+
+    async def _probe_hurried(self, member: Member) -> None:
+        self._hurried.add(member.vm.id)
+        try:
+            await self._probe_one(member)
+        finally:
+            self._hurried.discard(member.vm.id)
+
     async def push(self, rumour: Any) -> None:
         """Tell ``rumour`` at once to a few VMs, and to the rest in time.
 
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -48,6 +48,7 @@
   vm @1 :Text $ident("VmId");
   incarnation @2 :UInt64 $ident("Incarnation");
   epoch @3 :UInt64 $doc("Raised with each new owner; the highest holds.");
+  provisional @4 :Bool $doc("Made without seeing most VMs; yields to any other of its epoch.");
 }
 
 struct VersionRumour $doc("The highest inventory version and VM list that a VM holds.") {
