--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -130,8 +130,7 @@
         return [
             known.upstream
             for known in self._upstreams_by_id.values()
-            if known.upstream.service == service
-            and self._takes_requests(known)
+            if known.upstream.service == service and self._takes_requests(known)
         ]
 
     def takes_requests(self, upstream: Upstream) -> bool:
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -9,8 +9,11 @@
 import curio
 
 from flamingovalve.errors import ConnectionLost, ErrorKind, ServingError
+from flamingovalve.gateway.attempts import Attempts
 from flamingovalve.gateway.balancer import Balancer
+from flamingovalve.gateway.calls import CallServer
 from flamingovalve.gateway.catalogue import Catalogue
+from flamingovalve.gateway.completions import CompletionServer
 from flamingovalve.gateway.directory import AddressDirectory
 from flamingovalve.gateway.follower import CatalogueFollower
 from flamingovalve.gateway.metrics import GatewayMetrics
@@ -125,19 +128,27 @@
         )
         self.places = PlaceClient(self.members, self.peers, self.owned.find)
         self.directory = AddressDirectory(self.members)
-        self.budget = FleetRetryBudget(
+        budget = FleetRetryBudget(
             settings.gateway,
             lambda: len(self.members.present()),
         )
-        self.balancer = Balancer(domain, self.chance)
-        self.server = RequestServer(
+        attempts = Attempts(budget)
+        relay = UpstreamRelay(self.pool, self.frontend.wire)
+        balancer = Balancer(domain, self.chance)
+        calls = CallServer(self.catalogue, balancer, relay, attempts)
+        self.completions = CompletionServer(
             domain,
             self.catalogue,
-            self.balancer,
-            UpstreamRelay(self.pool, self.frontend.wire),
-            self.budget,
+            relay,
+            attempts,
             self.claims,
             self.places,
+        )
+        self.server = RequestServer(
+            self.catalogue,
+            budget,
+            calls,
+            self.completions,
             self.chance,
         )
 
@@ -156,7 +167,7 @@
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
         self.gossip.rumour_listener = self._hear
         self.gossip.standing_rumours = self._standing_rumours
-        self.server.silence_listener = self.gossip.probe_now
+        self.completions.silence_listener = self.gossip.probe_now
         self.gossip.late_listeners.append(self.owned.note_late_wakeup)
         self.follower.listeners.append(self._published)
 
@@ -278,7 +289,9 @@
             self.metrics.note(outcome, clock.now() - began)
             self._log_request(request, outcome, began)
 
-    def _log_request(self, request: Request, outcome: str, began: float) -> None:
+    def _log_request(
+        self, request: Request, outcome: str, began: float
+    ) -> None:
         note(
             logger,
             'request',
@@ -382,8 +395,7 @@
                 for name, member in self.members.by_id.items()
             },
             'owners': {
-                group: claim.vm
-                for group, claim in self.claims.by_group.items()
+                group: claim.vm for group, claim in self.claims.by_group.items()
             },
             'owned': self.owned.state_dump(),
             'catalogue': asdict(self.catalogue.counts),
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -43,6 +43,9 @@
 # Beyond this share of its caller's patience a first event is likely to come
 # when the caller has left; reading the prompt would only delay others.
 _USEFUL_SHARE: Final = 0.85
+# Weighs a model that no engine holds before any that one does.
+_NO_HOLDER: Final = 0.01
+_LARGEST_EXPONENT: Final = 30.0
 _SCATTER_SHARE: Final = 0.15
 _SAFE_SHARE: Final = 0.8
 
@@ -95,28 +98,33 @@
         return None
     if ask.model not in engine.models:
         return None
-    reading = engine.reading_seconds(ask)
-    backlog = engine.reading.ahead_of(ask.priority)
     if not ask.adapter:
-        return Choice(engine, backlog + reading)
+        return Choice(engine, _wait(ask, engine, 0))
     held = engine.held.get(ask.adapter)
-    if held is not None and held.state is Holding.GOING:
+    if held is None:
+        return _with_load(ask, engine, popularity)
+    if held.state is Holding.GOING:
         # Its unload is on the way. A load beside it would be forgotten with
         # it, and the engine crashes when it is ordered to hold one too many.
         return None
-    if held is not None:
-        if not wanted_version or held.version >= wanted_version:
-            loading = max(0, held.ready_at - clock.now())
-            return Choice(engine, max(backlog, loading) + reading)
-        if held.uses:
-            return None
-    loading = load_seconds(ask, engine)
-    wait = max(backlog, loading) + reading
+    if held.version >= wanted_version:
+        loading = max(0, held.ready_at - clock.now())
+        return Choice(engine, _wait(ask, engine, loading))
+    if held.uses or not _may_load(engine):
+        return None
+    # Another version of it: the load replaces the one that is there.
+    wait = _wait(ask, engine, load_seconds(ask, engine))
+    return Choice(engine, wait, load=True)
+
+
+def _with_load(
+    ask: PlaceAsk,
+    engine: EngineLedger,
+    popularity: Popularity,
+) -> Choice | None:
     if not _may_load(engine):
         return None
-    if held is not None:
-        # Another version of it: the load replaces the one that is there.
-        return Choice(engine, wait, load=True)
+    wait = _wait(ask, engine, load_seconds(ask, engine))
     if engine.free_slots() > 0:
         return Choice(engine, wait, load=True)
     victim = least_valuable(engine, popularity)
@@ -125,6 +133,12 @@
     return Choice(engine, wait, load=True, victim=victim)
 
 
+def _wait(ask: PlaceAsk, engine: EngineLedger, loading: float) -> float:
+    """Give the seconds until the first event; loading overlaps the queue."""
+    backlog = engine.reading.ahead_of(ask.priority)
+    return max(backlog, loading) + engine.reading_seconds(ask)
+
+
 def soonest(ask: PlaceAsk, engines: Iterable[EngineLedger]) -> float:
     """Give the wait for a first event where it is shortest, places aside."""
     waits = [
@@ -144,13 +158,20 @@
     Answers engines that begin empty. A model that no engine holds goes
     first, then the one with most requests for each engine that holds it.
     """
-    names = {name for engine in engines for name in engine.traits.models}
+    names = sorted(
+        {name for engine in engines for name in engine.traits.models}
+    )
+    needs = [
+        asked_by_model.get(name, 0) / max(_holders(name, engines), _NO_HOLDER)
+        for name in names
+    ]
+    if not names:
+        return ModelId('')
+    return names[needs.index(max(needs))]
 
-    def need(name: ModelId) -> tuple[float, str]:
-        holders = sum(name in engine.models for engine in engines)
-        return ((asked_by_model.get(name, 0) + 1) / (holders + 0.01), name)
 
-    return max(names, key=need, default=ModelId(''))
+def _holders(name: ModelId, engines: list[EngineLedger]) -> int:
+    return sum(name in engine.models for engine in engines)
 
 
 def load_seconds(ask: PlaceAsk, engine: EngineLedger) -> float:
@@ -215,4 +236,8 @@
         return 1.0
     scatter = _SCATTER_SHARE * target
     exponent = (wait - _SAFE_SHARE * target) / scatter
-    return 1 / (1 + math.exp(-max(-30.0, min(30.0, exponent))))
+    return 1 / (1 + math.exp(-_bounded(exponent)))
+
+
+def _bounded(exponent: float) -> float:
+    return max(-_LARGEST_EXPONENT, min(_LARGEST_EXPONENT, exponent))
--- /dev/null
+++ b/flamingovalve/gateway/engine.py
@@ -0,0 +1,265 @@
+"""One engine that this VM owns: reports, orders in turn, loads."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final, Protocol
+
+import curio
+
+from flamingovalve.gateway import dispatch
+from flamingovalve.gateway.ledger import HeldAdapter, Holding
+from flamingovalve.gateway.orders import Action, Order, OrderOutcome
+from flamingovalve.generated.ids import AdapterId, ModelId
+from flamingovalve.util import clock
+from flamingovalve.util.logs import get_logger, note
+
+if TYPE_CHECKING:
+    from flamingovalve.errors import ServingError
+    from flamingovalve.gateway.ledger import EngineLedger, Place
+    from flamingovalve.gateway.orders import EngineReport
+    from flamingovalve.gateway.owner import GroupOwner
+    from flamingovalve.generated.messages import PlaceAsk
+
+logger = get_logger(__name__)
+
+# Reports are billed; one every 0.7 s notices a restart within its lag, and
+# orders are counted by ourselves.
+_REPORT_SECONDS: Final = 0.7
+_EAGER_REPORT_SECONDS: Final = 0.3
+# After this an engine that still shows no model is ordered to load it again.
+_MODEL_LOAD_SECONDS: Final = 6.0
+
+
+class EngineLink(Protocol):
+    """Speaks with one engine."""
+
+    async def report(self) -> EngineReport | None:
+        """Give what the engine says of itself, or nothing."""
+
+    async def order(self, order: Order) -> OrderOutcome:
+        """Send one order."""
+
+
+@dataclass(eq=False)
+class Waiter:
+    """One request that waits for a place.
+
+    :ivar place: the place, once an engine was chosen
+    :ivar refusal: why there will be none
+    """
+
+    ask: PlaceAsk
+    asked_at: float
+    settled: curio.Event = field(default_factory=curio.Event)
+    place: Place | None = None
+    refusal: ServingError | None = None
+
+
+@dataclass
+class OwnerCounts:
+    """What the owner of a group did."""
+
+    asked: int = 0
+    granted: int = 0
+    refused: int = 0
+    loads: int = 0
+    unloads: int = 0
+    model_loads: int = 0
+    conflicts: int = 0
+    foreign: int = 0
+    restarts: int = 0
+
+
+class OwnedEngine:
+    """One engine of the group: its ledger, its link, its orders in turn."""
+
+    def __init__(
+        self,
+        owner: GroupOwner,
+        ledger: EngineLedger,
+        link: EngineLink,
+    ) -> None:
+        """Keep ``ledger`` up to date by ``link``."""
+        self.ledger = ledger
+        self._owner = owner
+        self._link = link
+        self._ordering = curio.Lock()
+        self.waiting: dict[str, list[Waiter]] = {}
+
+    async def follow(self) -> None:
+        """Read reports until cancelled."""
+        while True:
+            await self._look()
+            chain = self.ledger.chain
+            unsure = chain.sequence is None or chain.unanswered
+            unsure = unsure or self.ledger.silent
+            waits = _EAGER_REPORT_SECONDS if unsure else _REPORT_SECONDS
+            paused = chain.stands_down_until - clock.now()
+            if 0 < paused < waits:
+                waits = paused
+            await curio.sleep(waits)
+
+    async def load(self, held: HeldAdapter, victim: HeldAdapter | None) -> None:
+        """Make room and load an adapter; then let those who wait go on."""
+        done = False
+        try:
+            async with self._ordering:
+                done = await self._load(held, victim)
+        finally:
+            if not done:
+                self._drop(held)
+        if not done:
+            await self._owner.requeue(self.waiting.pop(held.name, []))
+            return
+        await curio.sleep(max(0, held.ready_at - clock.now()))
+        if held.state is Holding.COMING:
+            held.state = Holding.RESIDENT
+        for waiter in self.waiting.pop(held.name, []):
+            await waiter.settled.set()
+
+    async def _load(
+        self,
+        held: HeldAdapter,
+        victim: HeldAdapter | None,
+    ) -> bool:
+        if victim is not None and not await self._unload(victim):
+            return False
+        outcome = await self._order_adapter(Action.LOAD, held)
+        self._owner.counts.loads += 1
+        if outcome is OrderOutcome.ACCEPTED:
+            self.ledger.chain.note_accepted()
+            held.ready_at = clock.now() + self._load_seconds(held)
+            return True
+        if outcome is OrderOutcome.HOLDS:
+            held.ready_at = clock.now()
+            return True
+        self._note_refusal(outcome)
+        return False
+
+    def _load_seconds(self, held: HeldAdapter) -> float:
+        seconds = self.ledger.settings.adapter_load_seconds
+        if held.name in self.ledger.recent:
+            return seconds * dispatch.RECENT_SHARE
+        return seconds * self._owner.store_slowness()
+
+    async def _unload(self, victim: HeldAdapter) -> bool:
+        outcome = await self._order_adapter(Action.UNLOAD, victim)
+        self._owner.counts.unloads += 1
+        if outcome is OrderOutcome.HOLDS:
+            self.ledger.chain.note_accepted()
+            self.ledger.forget(victim.name)
+            return True
+        if outcome is OrderOutcome.ACCEPTED:
+            # Somebody's request still runs on it. It goes when that ends;
+            # reports show when.
+            self.ledger.chain.note_accepted()
+            return False
+        victim.state = Holding.RESIDENT
+        self._note_refusal(outcome)
+        return False
+
+    async def _order_adapter(
+        self,
+        action: Action,
+        held: HeldAdapter,
+    ) -> OrderOutcome:
+        model = self._owner.model_of(self.ledger)
+        version = held.version if action is Action.LOAD else 0
+        return await self._send(action, model, held.name, version)
+
+    async def _send(
+        self,
+        action: Action,
+        model: ModelId,
+        adapter: AdapterId,
+        version: int,
+    ) -> OrderOutcome:
+        chain = self.ledger.chain
+        if not chain.may_order():
+            return OrderOutcome.REFUSED
+        order = Order(
+            action,
+            model,
+            adapter,
+            chain.sequence or 0,
+            self._owner.vm,
+            self._owner.fence,
+            version,
+        )
+        outcome = await self._link.order(order)
+        note(
+            logger,
+            'order',
+            upstream=self.ledger.upstream.id,
+            action=action.value,
+            model=model,
+            adapter=adapter,
+            sequence=order.sequence,
+            fence=order.fence,
+            outcome=outcome.value,
+        )
+        return outcome
+
+    def _note_refusal(self, outcome: OrderOutcome) -> None:
+        chain = self.ledger.chain
+        if outcome is OrderOutcome.UNKNOWN:
+            chain.note_unanswered()
+        elif outcome is OrderOutcome.CONFLICT:
+            self._owner.counts.conflicts += 1
+            chain.note_conflict()
+        elif outcome is OrderOutcome.OUTBID:
+            chain.note_conflict()
+            self._owner.raise_fence()
+        elif outcome is OrderOutcome.GONE:
+            self.ledger.note_failure()
+
+    def _drop(self, held: HeldAdapter) -> None:
+        if self.ledger.held.get(held.name) is held:
+            self.ledger.forget(held.name)
+
+    async def _look(self) -> None:
+        report = await self._link.report()
+        ledger = self.ledger
+        if report is None:
+            # A dark engine would take requests until its entry lapses, some
+            # four seconds later, and each of them would wait in vain.
+            ledger.note_silence()
+            return
+        ledger.note_answer()
+        if ledger.born and report.born != ledger.born:
+            self._owner.counts.restarts += 1
+            logger.warning('upstream {} restarted', ledger.upstream.id)
+            ledger.restart(report.born)
+        ledger.born = report.born
+        if ledger.chain.note_report(report):
+            self._owner.counts.foreign += 1
+            logger.warning(
+                'upstream {} obeys somebody else; sequence={}',
+                ledger.upstream.id,
+                report.sequence,
+            )
+        ledger.adopt(report)
+        if not ledger.models and not ledger.is_loading_model():
+            await self.load_model()
+        await self._owner.pump()
+
+    async def load_model(self) -> None:
+        """Load a base model into an engine that began without one.
+
+        An engine that was added, or that restarted, holds nothing. Without
+        this a fifth of the capacity of five engines stays idle after each
+        of them was replaced.
+        """
+        model = self._owner.missing_model()
+        if not model or not self.ledger.chain.may_order():
+            return
+        self.ledger.model_ready_at = clock.now() + _MODEL_LOAD_SECONDS
+        async with self._ordering:
+            outcome = await self._send(Action.LOAD, model, AdapterId(''), 0)
+        if outcome in {OrderOutcome.ACCEPTED, OrderOutcome.HOLDS}:
+            self.ledger.chain.note_accepted()
+            self._owner.counts.model_loads += 1
+            return
+        self.ledger.model_ready_at = 0
+        self._note_refusal(outcome)
--- a/flamingovalve/gateway/frontend.py
+++ b/flamingovalve/gateway/frontend.py
@@ -7,10 +7,10 @@
 if TYPE_CHECKING:
     from flamingovalve.errors import ServingError
     from flamingovalve.gateway.catalogue import Decoder
+    from flamingovalve.gateway.engine import EngineLink
     from flamingovalve.gateway.follower import Store
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Route, Upstream
-    from flamingovalve.gateway.owner import EngineLink
     from flamingovalve.gateway.relay import Wire
     from flamingovalve.generated.ids import DomainId
     from flamingovalve.http.client import ConnectionPool
--- a/flamingovalve/gateway/inbound.py
+++ b/flamingovalve/gateway/inbound.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from flamingovalve.generated.ids import ServiceId
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -13,6 +14,7 @@
     from flamingovalve.generated.messages import PromptPart
     from flamingovalve.http.messages import HeaderList
 
+_MOMENT_SECONDS: Final = 0.001
 # When callers of the users' platform leave a stream that is silent.
 _SHORTEST_SILENCE_SECONDS: Final = 2.0
 _TARGETS_OF_SILENCE: Final = 4
@@ -45,7 +47,9 @@
     :ivar received_at: when it was read, on our clock
     :ivar deadline: when its caller or its route stops waiting, on our clock
     :ivar patience: seconds that the caller was ready to wait
+    :ivar service: the one of the route's services that it goes to
     :ivar tried: upstreams that it was sent to and that may have run it
+    :ivar refused_by: upstreams that did not run it
     """
 
     id: RequestId
@@ -57,6 +61,7 @@
     received_at: float
     deadline: float
     patience: float
+    service: ServiceId = ServiceId('')
     completion: Completion | None = None
     tried: list[str] = field(default_factory=list)
     refused_by: list[str] = field(default_factory=list)
@@ -65,6 +70,10 @@
         """Give the seconds left until the deadline."""
         return self.deadline - clock.now()
 
+    def time_left(self) -> float:
+        """Give the seconds left, at least a moment, for a wait with a limit."""
+        return max(self.remaining(), _MOMENT_SECONDS)
+
     def until_first_event(self) -> float:
         """Give the seconds after which the caller of a stream has left.
 
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -26,11 +26,14 @@
 # Adapters that an engine's host memory keeps after they gave up their slot.
 _RECENT_ADAPTERS: Final = 48
 _REMEMBERED_PARTS: Final = 400
+# An engine that failed a request is left alone for twice this, then longer.
+_FIRST_PAUSE_SECONDS: Final = 0.25
+_LONGEST_PAUSE_SECONDS: Final = 4.0
 # First events sooner than this tell of the network, not of the engine.
 _SHORTEST_EXPECTATION_SECONDS: Final = 0.1
 # One odd request in sixteen moves the pace by less than a tenth; an engine
 # that is slow by half is known after a second or two of load.
-_PACE_STEP: Final = 1 / 12
+_PACE_STEP: Final = 0.08
 _MOST_RATIO: Final = 3.0
 # Engines of one service differ by 1.3 on the users' sites; steps of other
 # requests between the pieces of a prompt take up to another 1.5.
@@ -181,7 +184,8 @@
         while len(self.recent) > _RECENT_ADAPTERS:
             self.recent.pop(next(iter(self.recent)))
         prefix = f'{name}/'
-        for key in [key for key in self.parts if key.startswith(prefix)]:
+        lost = [key for key in self.parts if key.startswith(prefix)]
+        for key in lost:
             del self.parts[key]
 
     def adopt(self, report: EngineReport) -> None:
@@ -194,25 +198,35 @@
         if report.sequence != self.chain.sequence:
             return
         for name, version in report.resident.items():
-            known = self.held.get(name)
-            if known is None:
-                self.held[name] = HeldAdapter(name, version, Holding.RESIDENT)
-            elif known.state is Holding.COMING:
-                known.state = Holding.RESIDENT
-                known.version = version
+            self._adopt_resident(name, version)
         for name in report.coming:
             if name not in self.held:
-                ready = clock.now() + self.settings.adapter_load_seconds
-                self.held[name] = HeldAdapter(
-                    name, 0, Holding.COMING, ready_at=ready
-                )
-        shown = {*report.resident, *report.coming}
+                held = HeldAdapter(name, 0, Holding.COMING)
+                held.ready_at = clock.now() + self.settings.adapter_load_seconds
+                self.held[name] = held
+        self._forget_missing({*report.resident, *report.coming})
+
+    def _adopt_resident(self, name: AdapterId, version: int) -> None:
+        known = self.held.get(name)
+        if known is None:
+            self.held[name] = HeldAdapter(name, version, Holding.RESIDENT)
+            return
+        if known.state is Holding.COMING:
+            known.state = Holding.RESIDENT
+            known.version = version
+        if known.version == 0:
+            known.version = version
+
+    def _forget_missing(self, shown: set[AdapterId]) -> None:
+        # A report may be older than what was ordered a moment ago.
         oldest = clock.now() - self.settings.report_lag_seconds * 2
-        for name, known in list(self.held.items()):
-            if name not in shown and known.used_at < oldest:
-                self.forget(name)
-            elif known.version == 0 and name in report.resident:
-                known.version = report.resident[name]
+        missing = [
+            held.name
+            for held in self.held.values()
+            if held.name not in shown and held.used_at < oldest
+        ]
+        for name in missing:
+            self.forget(name)
 
     def restart(self, born: int) -> None:
         """Count everything as lost: the engine began anew."""
@@ -244,7 +258,8 @@
     def note_failure(self) -> None:
         """Avoid the engine for a while, longer with each failure in a row."""
         self.failures += 1
-        pause = min(0.25 * 2**self.failures, 4)
+        pause = _FIRST_PAUSE_SECONDS * 2**self.failures
+        pause = min(pause, _LONGEST_PAUSE_SECONDS)
         self.avoided_until = clock.now() + pause
 
     def note_first_event(self, place: Place, seconds: float) -> None:
--- a/flamingovalve/gateway/model.py
+++ b/flamingovalve/gateway/model.py
@@ -4,15 +4,16 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Final
-
-from flamingovalve.generated.ids import (
-    AdapterId,
-    DomainId,
-    ModelId,
-    ServiceId,
-    UpstreamId,
-)
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from flamingovalve.generated.ids import (
+        AdapterId,
+        DomainId,
+        ModelId,
+        ServiceId,
+        UpstreamId,
+    )
 
 
 class Repeat(Enum):
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from flamingovalve.generated.ids import AdapterId, ModelId
 
+
 class Action(Enum):
     """What an order asks for."""
 
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -16,8 +16,8 @@
     from collections.abc import Awaitable, Callable
 
     from flamingovalve.gateway.catalogue import Catalogue
+    from flamingovalve.gateway.engine import EngineLink
     from flamingovalve.gateway.model import Upstream, UpstreamService
-    from flamingovalve.gateway.owner import EngineLink
     from flamingovalve.gateway.ownership import GroupClaims
     from flamingovalve.generated.messages import OwnerRumour
     from flamingovalve.generated.settings import GatewaySettings
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -46,7 +46,7 @@
     UNSIGNED = 'unsigned'
 
 
-class Result(Enum):
+class Outcome(Enum):
     """How sending a request to one upstream ended."""
 
     DONE = 'done'
@@ -67,7 +67,7 @@
     :ivar first_event: seconds from sending to the first event; 0 for none
     """
 
-    result: Result
+    outcome: Outcome
     response: Response | None = None
     first_event: float = 0
 
@@ -123,7 +123,7 @@
         """Send a request and read its whole answer."""
         connection = await self._open(upstream, sending.seconds)
         if connection is None:
-            return Sent(Result.UNREACHABLE)
+            return Sent(Outcome.UNREACHABLE)
         try:
             sent = await self._whole(connection, request, upstream, sending)
         except BaseException:
@@ -142,7 +142,7 @@
         """Send a request and pass its events on as they come."""
         connection = await self._open(upstream, sending.seconds)
         if connection is None:
-            return Sent(Result.UNREACHABLE)
+            return Sent(Outcome.UNREACHABLE)
         try:
             sent = await self._stream(
                 connection, request, upstream, sending, sink
@@ -171,7 +171,7 @@
         connection: UpstreamConnection,
         sent: Sent,
     ) -> None:
-        if sent.result in {Result.LOST, Result.TIMED_OUT, Result.BROKEN}:
+        if sent.outcome in {Outcome.LOST, Outcome.TIMED_OUT, Outcome.BROKEN}:
             await connection.close()
         else:
             await self._pool.give(connection)
@@ -185,12 +185,12 @@
     ) -> ResponseHead:
         call = self._wire.call_of(request, upstream, sending)
         await connection.send(call, request.remaining())
-        head = await connection.head(max(request.remaining(), 0.001))
+        head = await connection.head(request.time_left())
         while self._wire.verdict(head, request) is Verdict.OTHER_REQUEST:
             # A second answer to an earlier call may come late; ours follows.
-            await connection.body(max(request.remaining(), 0.001))
+            await connection.body(request.time_left())
             connection.expect_another()
-            head = await connection.head(max(request.remaining(), 0.001))
+            head = await connection.head(request.time_left())
         kept = self._wire.kept_seconds(head)
         if kept is not None:
             connection.kept_seconds = kept * _KEPT_SHARE
@@ -205,11 +205,11 @@
     ) -> Sent:
         try:
             head = await self._head(connection, request, upstream, sending)
-            body = await connection.body(max(request.remaining(), 0.001))
+            body = await connection.body(request.time_left())
         except TimeoutError:
-            return Sent(Result.TIMED_OUT)
+            return Sent(Outcome.TIMED_OUT)
         except ConnectionLost:
-            return Sent(Result.LOST)
+            return Sent(Outcome.LOST)
         return self._judge(head, body, request)
 
     def _judge(
@@ -221,12 +221,12 @@
         verdict = self._wire.verdict(head, request)
         response = Response(head.status, passed_back(head.lines), body)
         if verdict is Verdict.SUCCESS:
-            return Sent(Result.DONE, response)
+            return Sent(Outcome.DONE, response)
         if verdict is Verdict.NOT_RUN:
-            return Sent(Result.NOT_RUN)
+            return Sent(Outcome.NOT_RUN)
         if verdict is Verdict.FAILURE:
-            return Sent(Result.FAILED, response)
-        return Sent(Result.BROKEN)
+            return Sent(Outcome.FAILED, response)
+        return Sent(Outcome.BROKEN)
 
     async def _stream(
         self,
@@ -241,22 +241,22 @@
         try:
             head = await self._head(connection, request, upstream, sending)
             if self._wire.verdict(head, request) is not Verdict.SUCCESS:
-                body = await connection.body(max(request.remaining(), 0.001))
+                body = await connection.body(request.time_left())
                 return self._judge(head, body, request)
             await sink.begin(head.status, passed_back(head.lines))
-            part = await connection.chunk(max(request.remaining(), 0.001))
+            part = await connection.chunk(request.time_left())
             while part:
                 first = first or clock.now() - began
                 await sink.write(part)
-                left = max(request.remaining(), 0.001)
+                left = request.time_left()
                 part = await connection.chunk(left)
         except TimeoutError:
-            return Sent(Result.TIMED_OUT, first_event=first)
+            return Sent(Outcome.TIMED_OUT, first_event=first)
         except ConnectionLost:
-            return Sent(Result.LOST, first_event=first)
+            return Sent(Outcome.LOST, first_event=first)
         if sink.holds_fragment():
-            return Sent(Result.LOST, first_event=first)
-        return Sent(Result.DONE, first_event=first)
+            return Sent(Outcome.LOST, first_event=first)
+        return Sent(Outcome.DONE, first_event=first)
 
 
 # An upstream closes an idle connection after the whole seconds that it names;
@@ -311,11 +311,11 @@
                 self.last_event = line[3:].strip().decode('latin-1')
 
 
-def may_send_again(request: InboundRequest, result: Result) -> bool:
-    """Tell whether a request may go to another upstream after ``result``."""
-    if result in {Result.NOT_RUN, Result.UNREACHABLE}:
+def may_send_again(request: InboundRequest, outcome: Outcome) -> bool:
+    """Tell whether a request may go to another upstream after ``outcome``."""
+    if outcome in {Outcome.NOT_RUN, Outcome.UNREACHABLE}:
         return True
-    if result in {Result.DONE, Result.TIMED_OUT}:
+    if outcome in {Outcome.DONE, Outcome.TIMED_OUT}:
         return False
     return request.route.repeat is not Repeat.ONCE
 
@@ -329,15 +329,15 @@
     ]
 
 
-def failure(result: Result) -> ServingError:
+def failure(outcome: Outcome) -> ServingError:
     """Give the error for a request that nobody will answer."""
-    if result is Result.TIMED_OUT:
+    if outcome is Outcome.TIMED_OUT:
         return ServingError(
             ErrorKind.DEADLINE_PASSED,
             'the upstream did not answer in time; it may have run',
             ran=Ran.UNKNOWN,
         )
-    if result in {Result.NOT_RUN, Result.UNREACHABLE}:
+    if outcome in {Outcome.NOT_RUN, Outcome.UNREACHABLE}:
         return ServingError(
             ErrorKind.OVERLOADED,
             'no upstream took the request; it has not run',
