--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -79,11 +79,7 @@
         resumable = request.route.repeat is Repeat.RESUMABLE
         sink = EventSink(responder, whole_events=resumable)
         ask = self._ask_of(request, completion)
-        last = await self._send(request, ask, sink)
-        for _send in range(1, MOST_SENDS):
-            if not self._attempts.may_repeat(request, last):
-                break
-            last = await self._send(request, ask, sink)
+        last = await self._send_until_answered(request, ask, sink)
         if last.outcome is Outcome.DONE:
             await responder.end()
         elif sink.started:
@@ -93,6 +89,19 @@
         else:
             await responder.send(last.response)
 
+    async def _send_until_answered(
+        self,
+        request: InboundRequest,
+        ask: PlaceAsk,
+        sink: EventSink,
+    ) -> Sent:
+        last = await self._send(request, ask, sink)
+        for _send in range(1, MOST_SENDS):
+            if not self._attempts.may_repeat(request, last):
+                break
+            last = await self._send(request, ask, sink)
+        return last
+
     async def _send(
         self,
         request: InboundRequest,
@@ -145,7 +154,7 @@
             ask.target = request.until_late()
             ask.remaining = request.remaining()
             ask.patience = request.until_first_event()
-            ask.avoided = [*request.tried]
+            ask.avoided = list(request.tried)
             lease = await self._ask_owner(request, ask)
             if lease is not None:
                 return lease
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -4,6 +4,7 @@
 
 import random
 from dataclasses import asdict
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final, Self
 
 import curio
@@ -177,25 +178,32 @@
         """Serve until :meth:`stop`, or until cancelled."""
         settings = self.settings
         self._join()
-        spawn = self.background.spawn
-        front = self.network.listen(settings.vm.http_address)
-        peer = self.network.listen(settings.vm.peer_address)
         self.gossip.open(settings.vm.peer_address)
         try:
-            accepting = await spawn(self.http.serve, front)
-            for address in self._side_addresses():
-                await spawn(self.side.serve, self.network.listen(address))
-            await spawn(self.peer_server.serve, peer)
-            await spawn(self.gossip.receive_forever)
-            await spawn(self.gossip.probe_forever)
-            await spawn(self.follower.follow_forever)
-            await spawn(self.owned.tend_forever, self._tell_claim)
+            await self._listen()
+            await self._start()
             logger.info('VM {} started', settings.vm.id)
-            self._accepting = accepting
             await self.stopped.wait()
         finally:
             await self._close()
 
+    async def _listen(self) -> None:
+        settings = self.settings
+        spawn = self.background.spawn
+        front = self.network.listen(settings.vm.http_address)
+        self._accepting = await spawn(self.http.serve, front)
+        for address in self._side_addresses():
+            await spawn(self.side.serve, self.network.listen(address))
+        peer = self.network.listen(settings.vm.peer_address)
+        await spawn(self.peer_server.serve, peer)
+
+    async def _start(self) -> None:
+        spawn = self.background.spawn
+        await spawn(self.gossip.receive_forever)
+        await spawn(self.gossip.probe_forever)
+        await spawn(self.follower.follow_forever)
+        await spawn(self.owned.tend_forever, self._tell_claim)
+
     async def begin_leaving(self) -> None:
         """Leave the fleet: no new callers, finish what is in progress."""
         if self.is_leaving:
@@ -285,13 +293,16 @@
             outcome = 'abandoned'
             raise
         finally:
-            self.in_progress -= 1
-            self.metrics.note(outcome, clock.now() - began)
-            self._log_request(request, outcome, began)
+            self._note_request(request, outcome, began)
 
-    def _log_request(
-        self, request: Request, outcome: str, began: float
+    def _note_request(
+        self,
+        request: Request,
+        outcome: str,
+        began: float,
     ) -> None:
+        self.in_progress -= 1
+        self.metrics.note(outcome, clock.now() - began)
         note(
             logger,
             'request',
@@ -332,11 +343,16 @@
             await responder.send(self._addresses(domain))
         elif request.path == '/metrics':
             body = self.metrics.exposition()
-            await responder.send(Response(200, _TEXT, body))
+            await responder.send(Response(HTTPStatus.OK, _TEXT, body))
         elif request.path == '/state':
             await responder.send(Response.from_json(self.state_dump()))
         else:
-            await responder.send(Response(200 if self.is_ready else 503))
+            await responder.send(Response(self._readiness()))
+
+    def _readiness(self) -> HTTPStatus:
+        if self.is_ready:
+            return HTTPStatus.OK
+        return HTTPStatus.SERVICE_UNAVAILABLE
 
     def _addresses(self, domain: DomainId) -> Response:
         seconds = self.settings.gateway.address_seconds
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -94,9 +94,8 @@
     popularity: Popularity,
     wanted_version: int,
 ) -> Choice | None:
-    if len(engine.places) >= engine.traits.batch:
-        return None
-    if ask.model not in engine.models:
+    full = len(engine.places) >= engine.traits.batch
+    if full or ask.model not in engine.models:
         return None
     if not ask.adapter:
         return Choice(engine, _wait(ask, engine, 0))
@@ -107,12 +106,20 @@
         # Its unload is on the way. A load beside it would be forgotten with
         # it, and the engine crashes when it is ordered to hold one too many.
         return None
-    if held.version >= wanted_version:
-        loading = max(0, held.ready_at - clock.now())
-        return Choice(engine, _wait(ask, engine, loading))
+    if held.version < wanted_version:
+        return _with_replacement(ask, engine, held)
+    loading = max(0, held.ready_at - clock.now())
+    return Choice(engine, _wait(ask, engine, loading))
+
+
+def _with_replacement(
+    ask: PlaceAsk,
+    engine: EngineLedger,
+    held: HeldAdapter,
+) -> Choice | None:
+    """Load another version in the place of the one that is there."""
     if held.uses or not _may_load(engine):
         return None
-    # Another version of it: the load replaces the one that is there.
     wait = _wait(ask, engine, load_seconds(ask, engine))
     return Choice(engine, wait, load=True)
 
--- a/flamingovalve/gateway/places.py
+++ b/flamingovalve/gateway/places.py
@@ -39,6 +39,9 @@
 # longer than two beats and a lost packet is taken for gone.
 _BEAT_SECONDS: Final = 0.15
 _SILENCE_SECONDS: Final = 0.5
+# A place counts as ended this long after its request's deadline.
+_LATEST_END_SECONDS: Final = 1.0
+_OWNER_CHANGE_SECONDS: Final = 0.2
 
 
 class PlaceLease:
@@ -189,7 +192,8 @@
         return lease
 
     async def _ask(self, vm: VmId, ask: PlaceAsk) -> PlaceLease:
-        address = self._members.by_id[vm].vm.peer_address
+        member = self._members.by_id[vm]
+        address = member.vm.peer_address
         try:
             connection = await self._peers.fresh_enough(address, vm)
         except PeerUnreachable as failed:
@@ -223,25 +227,42 @@
 
     async def serve(self, ask: PlaceAsk, connection: PeerConnection) -> None:
         """Give one place and wait until it is given back."""
-        place: Place | None = None
-        ended = PlaceEnd(PlaceOutcome.ABANDONED, 0)
         owner = self._owned(ask.group)
         try:
             if owner is None:
                 raise _not_owned(ask.group)
-            await connection.send(Heartbeat(0))
+            await self._serve(owner, ask, connection)
+        except ServingError as refused:
+            await connection.send(refusal_of(refused))
+
+    async def _serve(
+        self,
+        owner: GroupOwner,
+        ask: PlaceAsk,
+        connection: PeerConnection,
+    ) -> None:
+        place: Place | None = None
+        ended = PlaceEnd(PlaceOutcome.ABANDONED, 0)
+        await connection.send(Heartbeat(0))
+        try:
             async with PeerWatch(connection, _BEAT_SECONDS):
                 place = await owner.place(ask)
             await connection.send(grant_of(place))
-            message = await connection.receive(ask.remaining + 1)
-            if isinstance(message, PlaceEnd):
-                ended = message
-        except ServingError as refused:
-            await connection.send(refusal_of(refused))
+            ended = await self._until_ended(connection, ask)
         finally:
-            if place is not None and owner is not None:
+            if place is not None:
                 await owner.end(place, ended.outcome, ended.first_event)
 
+    async def _until_ended(
+        self,
+        connection: PeerConnection,
+        ask: PlaceAsk,
+    ) -> PlaceEnd:
+        message = await connection.receive(ask.remaining + _LATEST_END_SECONDS)
+        if isinstance(message, PlaceEnd):
+            return message
+        return PlaceEnd(PlaceOutcome.ABANDONED, 0)
+
     async def serve_hold(
         self,
         hold: PlaceHold,
@@ -250,14 +271,12 @@
         """Count a place that a former owner gave until it is given back."""
         owner = self._owned(hold.ask.group)
         place = owner.adopt_place(hold) if owner is not None else None
-        outcome = PlaceOutcome.ABANDONED
+        ended = PlaceEnd(PlaceOutcome.ABANDONED, 0)
         try:
-            message = await connection.receive(hold.ask.remaining + 1)
-            if isinstance(message, PlaceEnd):
-                outcome = message.outcome
+            ended = await self._until_ended(connection, hold.ask)
         finally:
             if place is not None and owner is not None:
-                await owner.end(place, outcome, 0)
+                await owner.end(place, ended.outcome, 0)
 
 
 def grant_of(place: Place) -> PlaceGrant:
@@ -272,5 +291,5 @@
     return ServingError(
         ErrorKind.NOT_OWNER,
         f'group {group} belongs to another VM; ask that one',
-        retry_after=0.2,
+        retry_after=_OWNER_CHANGE_SECONDS,
     )
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -237,26 +237,33 @@
         sink: EventSink,
     ) -> Sent:
         began = clock.now()
-        first = 0.0
+        outcome = Outcome.DONE
         try:
             head = await self._head(connection, request, upstream, sending)
             if self._wire.verdict(head, request) is not Verdict.SUCCESS:
                 body = await connection.body(request.time_left())
                 return self._judge(head, body, request)
             await sink.begin(head.status, passed_back(head.lines))
-            part = await connection.chunk(request.time_left())
-            while part:
-                first = first or clock.now() - began
-                await sink.write(part)
-                left = request.time_left()
-                part = await connection.chunk(left)
+            await self._pass_on(connection, request, sink)
         except TimeoutError:
-            return Sent(Outcome.TIMED_OUT, first_event=first)
+            outcome = Outcome.TIMED_OUT
         except ConnectionLost:
-            return Sent(Outcome.LOST, first_event=first)
+            outcome = Outcome.LOST
+        first = max(0, sink.first_at - began) if sink.first_at else 0
+        return Sent(outcome, first_event=first)
+
+    async def _pass_on(
+        self,
+        connection: UpstreamConnection,
+        request: InboundRequest,
+        sink: EventSink,
+    ) -> None:
+        part = await connection.chunk(request.time_left())
+        while part:
+            await sink.write(part)
+            part = await connection.chunk(request.time_left())
         if sink.holds_fragment():
-            return Sent(Outcome.LOST, first_event=first)
-        return Sent(Outcome.DONE, first_event=first)
+            raise ConnectionLost('the stream ended within an event')
 
 
 # An upstream closes an idle connection after the whole seconds that it names;
@@ -274,6 +281,7 @@
     def __init__(self, responder: Responder, *, whole_events: bool) -> None:
         """Write to ``responder``."""
         self.last_event = ''
+        self.first_at = 0.0
         self._responder = responder
         self._whole_events = whole_events
         self._buffer = b''
@@ -291,6 +299,7 @@
 
     async def write(self, part: bytes) -> None:
         """Write what came."""
+        self.first_at = self.first_at or clock.now()
         if not self._whole_events:
             await self._responder.chunk(part)
             return
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -98,7 +98,7 @@
             may have reached the upstream
         :raises TimeoutError: when it took over ``seconds``; likewise
         """
-        headers = [*call.headers]
+        headers = list(call.headers)
         if call.host is None:
             headers.append(('host', self.address))
         if call.body or call.method != 'GET':
--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -218,9 +218,12 @@
         except (OSError, ConnectionLost):
             self.counts.callers_gone += 1
         finally:
-            self.note_busy(connection)
-            self.counts.open_connections -= 1
-            await self._network.discard(opened)
+            await self._end(connection, opened)
+
+    async def _end(self, connection: ServerConnection, opened: Socket) -> None:
+        self.note_busy(connection)
+        self.counts.open_connections -= 1
+        await self._network.discard(opened)
 
     def _is_full(self) -> bool:
         return self.counts.open_connections > self._limits.connections
--- a/flamingovalve/peer/server.py
+++ b/flamingovalve/peer/server.py
@@ -246,12 +246,13 @@
     ) -> None:
         kind = type(message)
         asker = self._askers.get(kind)
+        session = self._sessions.get(kind)
         if asker is not None:
             await connection.send(await asker(message, connection.remote))
+        elif session is not None:
+            await session(message, connection)
         elif kind in self._workers:
             await self._work(message, connection)
-        elif kind in self._sessions:
-            await self._sessions[kind](message, connection)
         else:
             raise WrongPeer(f'{kind.__name__} is not asked on its own')
 
--- a/flamingovalve/platform/decode.py
+++ b/flamingovalve/platform/decode.py
@@ -6,19 +6,7 @@
 from typing import Any
 
 from flamingovalve.errors import Undecodable
-from flamingovalve.gateway.model import (
-    AdapterVersion,
-    CallerLimits,
-    Configuration,
-    EngineTraits,
-    ModelTraits,
-    Repeat,
-    Route,
-    Upstream,
-    UpstreamService,
-    UpstreamState,
-    WeightedService,
-)
+from flamingovalve.gateway import model
 from flamingovalve.generated.ids import (
     AdapterId,
     DomainId,
@@ -27,13 +15,16 @@
     UpstreamId,
 )
 
+# What taking apart JSON of an unexpected shape raises.
+WRONG_SHAPE = (KeyError, TypeError, ValueError, AttributeError)
+
 _MS_PER_SECOND = 1000.0
 
 _REPEAT = {
-    ('idempotent', False): Repeat.ANY,
-    ('non_idempotent', False): Repeat.ONCE,
-    ('streaming', False): Repeat.ONCE,
-    ('streaming', True): Repeat.RESUMABLE,
+    ('idempotent', False): model.Repeat.ANY,
+    ('non_idempotent', False): model.Repeat.ONCE,
+    ('streaming', False): model.Repeat.ONCE,
+    ('streaming', True): model.Repeat.RESUMABLE,
 }
 
 
@@ -51,7 +42,7 @@
     return parsed
 
 
-def configuration(content: bytes) -> Configuration:
+def configuration(content: bytes) -> model.Configuration:
     """Decode the operators' configuration.
 
     :raises Undecodable: when a field is missing or of another type
@@ -59,11 +50,11 @@
     raw = json_object(content)
     try:
         return _configuration(raw)
-    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+    except WRONG_SHAPE as bad:
         raise Undecodable(f'configuration: {bad!r}') from bad
 
 
-def upstream(key: str, content: bytes) -> Upstream:
+def upstream(key: str, content: bytes) -> model.Upstream:
     """Decode what an upstream says of itself.
 
     Other writers may leave entries of their own beside these; one that is
@@ -74,33 +65,33 @@
     raw = json_object(content)
     try:
         return _upstream(key.rpartition('/')[2], raw)
-    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+    except WRONG_SHAPE as bad:
         raise Undecodable(f'upstream {key}: {bad!r}') from bad
 
 
-def adapter_version(content: bytes) -> AdapterVersion:
+def adapter_version(content: bytes) -> model.AdapterVersion:
     """Decode the announcement of an adapter's version.
 
     :raises Undecodable: when a field is missing or of another type
     """
     raw = json_object(content)
     try:
-        return AdapterVersion(
+        return model.AdapterVersion(
             ModelId(_text(raw['Model'])),
             AdapterId(_text(raw['Adapter'])),
             _whole(raw['Version']),
         )
-    except (KeyError, TypeError, ValueError) as bad:
+    except WRONG_SHAPE as bad:
         raise Undecodable(f'adapter version: {bad!r}') from bad
 
 
-def _configuration(raw: dict[str, Any]) -> Configuration:
-    by_host: dict[str, list[Route]] = {}
+def _configuration(raw: dict[str, Any]) -> model.Configuration:
+    by_host: dict[str, list[model.Route]] = {}
     for entry in raw['Routes']:
         route = _route(entry)
         by_host.setdefault(route.host, []).append(route)
     services = [_service(entry) for entry in raw['Services']]
-    return Configuration(
+    return model.Configuration(
         _whole(raw['Version']),
         {
             host: tuple(sorted(routes, key=_longest_first))
@@ -111,18 +102,18 @@
     )
 
 
-def _longest_first(route: Route) -> int:
+def _longest_first(route: model.Route) -> int:
     return -len(route.prefix)
 
 
-def _route(raw: dict[str, Any]) -> Route:
+def _route(raw: dict[str, Any]) -> model.Route:
     # A route names one service, or divides its requests among several.
     shares = raw.get('TrafficSplit') or [
         {'Service': raw['Service'], 'Weight': 1},
     ]
     kind = raw['Kind']
     resumable = bool(raw.get('Resumable')) and kind == 'streaming'
-    return Route(
+    return model.Route(
         name=_text(raw['Name']),
         host=_text(raw['Host']).lower(),
         prefix=_text(raw['PathPrefix']),
@@ -131,7 +122,7 @@
         target_latency=_seconds(raw['TargetLatencyMs']),
         priority=_whole(raw.get('Priority', 0)),
         services=tuple(
-            WeightedService(
+            model.WeightedService(
                 ServiceId(_text(share['Service'])),
                 float(share['Weight']),
             )
@@ -143,28 +134,28 @@
     )
 
 
-def _service(raw: dict[str, Any]) -> UpstreamService:
+def _service(raw: dict[str, Any]) -> model.UpstreamService:
     engine = raw.get('Engine')
-    return UpstreamService(
+    return model.UpstreamService(
         ServiceId(_text(raw['Name'])),
         _whole(raw.get('MaxConns', 0)),
         _engine(engine) if engine else None,
     )
 
 
-def _engine(raw: dict[str, Any]) -> EngineTraits:
+def _engine(raw: dict[str, Any]) -> model.EngineTraits:
     models = [_model(entry) for entry in raw['Models']]
-    return EngineTraits(
+    return model.EngineTraits(
         batch=_whole(raw['Slots']),
         kv_tokens=_whole(raw['KvCapacity']),
         adapter_slots=_whole(raw.get('AdapterSlots', 0)),
         weight_mb=float(raw['WeightsMb']),
-        models={model.name: model for model in models},
+        models={entry.name: entry for entry in models},
     )
 
 
-def _model(raw: dict[str, Any]) -> ModelTraits:
-    return ModelTraits(
+def _model(raw: dict[str, Any]) -> model.ModelTraits:
+    return model.ModelTraits(
         ModelId(_text(raw['Name'])),
         float(raw['WeightsMb']),
         float(raw.get('AdapterSizeMb', 0)),
@@ -172,9 +163,9 @@
     )
 
 
-def _limits(raw: dict[str, Any]) -> CallerLimits:
-    usual = CallerLimits()
-    return CallerLimits(
+def _limits(raw: dict[str, Any]) -> model.CallerLimits:
+    usual = model.CallerLimits()
+    return model.CallerLimits(
         _whole(raw.get('MaxHeaderBytes', usual.header_bytes)),
         _whole(raw.get('MaxBodyBytes', usual.body_bytes)),
         _seconds(raw.get('HeaderTimeoutMs', usual.header_seconds * 1000)),
@@ -182,14 +173,14 @@
     )
 
 
-def _upstream(name: str, raw: dict[str, Any]) -> Upstream:
+def _upstream(name: str, raw: dict[str, Any]) -> model.Upstream:
     left = raw.get('TimeLeftMs')
-    return Upstream(
+    return model.Upstream(
         id=UpstreamId(name),
         service=ServiceId(_text(raw['Service'])),
         address=_text(raw['Addr']),
         domain=DomainId(_text(raw['Zone'])),
-        state=UpstreamState(raw['State']),
+        state=model.UpstreamState(raw['State']),
         slots=_whole(raw['Slots']),
         leaves_in=None if left is None else _seconds(left),
     )
--- a/flamingovalve/platform/ingress.py
+++ b/flamingovalve/platform/ingress.py
@@ -102,9 +102,9 @@
 
 def _status(error: ServingError) -> int:
     # 503 promises that the request has not run; 502 promises nothing.
-    if error.kind.status == ErrorKind.OVERLOADED.status:
-        if error.ran is not Ran.NOT:
-            return ErrorKind.OUTCOME_UNKNOWN.status
+    promises = error.kind.status == ErrorKind.OVERLOADED.status
+    if promises and error.ran is not Ran.NOT:
+        return ErrorKind.OUTCOME_UNKNOWN.status
     return error.kind.status
 
 
--- a/flamingovalve/platform/store.py
+++ b/flamingovalve/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import urlencode
@@ -118,7 +117,7 @@
 def _documents(entries: Any) -> list[Document]:
     try:
         return [_document(entry) for entry in entries]
-    except (KeyError, TypeError, ValueError, binascii.Error) as bad:
+    except decode.WRONG_SHAPE as bad:
         raise StoreUnavailable(f'an unreadable item: {bad!r}') from bad
 
 
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -10,6 +10,7 @@
 from flamingovalve.generated.ids import AdapterId, ModelId
 from flamingovalve.http.client import UpstreamCall
 from flamingovalve.platform import decode
+from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.inbound import InboundRequest
@@ -18,12 +19,17 @@
     from flamingovalve.gateway.relay import Sending
     from flamingovalve.http.client import ConnectionPool, ResponseHead
 
+logger = get_logger(__name__)
+
 # A report answers without a slot; twice the slowest seen on a busy engine.
 _REPORT_SECONDS: Final = 0.6
 _ORDER_SECONDS: Final = 0.6
 _MS_PER_SECOND: Final = 1000
 _MOST_PRIORITY: Final = 9
 _OK: Final = 200
+_FIRST_SUCCESS: Final = 200
+_LAST_SUCCESS: Final = 299
+_MISDIRECTED: Final = 421
 _RESUME: Final = 'last-event-id'
 
 
@@ -69,11 +75,11 @@
         headers = head.headers
         if headers.get('attempt-id', request.id) != request.id:
             return Verdict.OTHER_REQUEST
-        if 'not-executed' in headers or head.status == 421:
+        if 'not-executed' in headers or head.status == _MISDIRECTED:
             return Verdict.NOT_RUN
         if 'response-seal' not in headers or 'content-encoding' in headers:
             return Verdict.UNSIGNED
-        if 200 <= head.status < 300:
+        if _FIRST_SUCCESS <= head.status <= _LAST_SUCCESS:
             return Verdict.SUCCESS
         return Verdict.FAILURE
 
@@ -109,8 +115,9 @@
         if response.status != _OK:
             return None
         try:
-            return _report(decode.json_object(response.body))
-        except (Undecodable, KeyError, TypeError, ValueError):
+            return _report(response.body)
+        except Undecodable as bad:
+            logger.warning('report of {}: {}', self._upstream.id, bad)
             return None
 
     async def order(self, order: Order) -> OrderOutcome:
@@ -154,7 +161,15 @@
     return body
 
 
-def _report(raw: dict[str, Any]) -> EngineReport:
+def _report(content: bytes) -> EngineReport:
+    raw = decode.json_object(content)
+    try:
+        return _decoded_report(raw)
+    except decode.WRONG_SHAPE as bad:
+        raise Undecodable(f'a report of another shape: {bad!r}') from bad
+
+
+def _decoded_report(raw: dict[str, Any]) -> EngineReport:
     resident: dict[AdapterId, int] = {}
     models = []
     for model in raw['Models']:
--- a/flamingovalve/util/lines.py
+++ b/flamingovalve/util/lines.py
@@ -27,7 +27,7 @@
         """Write one line, shortened to what a pipe takes at once."""
         encoded = text.encode()
         if len(encoded) > _LONGEST_LINE_BYTES:
-            encoded = encoded[: _LONGEST_LINE_BYTES - 1] + b'\n'
+            encoded = b''.join((encoded[: _LONGEST_LINE_BYTES - 1], b'\n'))
         if self.dropped and self._put(self._dropped_line()):
             self.dropped = 0
         if not self._put(encoded):
