--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -74,7 +74,18 @@
     async def close(self) -> None:
         """Give up every group."""
         for group in list(self._owners):
-            await self._owners.pop(group).close()
+            await self._give_up(group)
+
+    async def _give_up(self, group: GroupId) -> None:
+        """Stop ordering, and begin no more within a lease.
+
+        Whoever follows may order at once. If this VM came back meanwhile,
+        the engine would see the two take turns.
+        """
+        await self._owners.pop(group).close()
+        quiet = self._settings.lease_seconds
+        quiet += 2 * self._settings.report_lag_seconds
+        self._orders_after = clock.now() + quiet
 
     def note_late_wakeup(self) -> None:
         """Stop ordering for a lease: others may own what we still believe."""
@@ -114,7 +125,7 @@
         if owner is None and is_ours:
             owner = await self._take_up(group, predecessor_ended=ended)
         elif owner is not None and not is_ours:
-            await self._owners.pop(group).close()
+            await self._give_up(group)
             return
         if owner is not None and service.engine is not None:
             upstreams = self._catalogue.upstreams(service.name)
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -12,7 +12,7 @@
 from flamingovalve.util.network import split_address
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.ids import GroupId, Incarnation, VmId
+    from flamingovalve.generated.ids import GroupId, VmId
     from flamingovalve.membership.members import MemberTable
 
 logger = get_logger(__name__)
@@ -21,6 +21,10 @@
 # the last one, on two sites of 12 and 20; whoever claims before that would
 # claim beside others.
 _SETTLE_SECONDS: Final = 0.7
+# Views of who lives can differ for seconds. A claim holds this long unless
+# its process has provably ended, so two VMs that each miss the other cannot
+# take an engine from each other within a lease of three seconds.
+_HELD_SECONDS: Final = 4.0
 
 
 class GroupClaims:
@@ -38,6 +42,7 @@
         self.members = members
         self.started_at = started_at
         self.by_group: dict[GroupId, OwnerRumour] = {}
+        self._heard_at: dict[GroupId, float] = {}
 
     def owner(self, group: GroupId) -> VmId | None:
         """Give the VM whose claim holds, if it lives."""
@@ -49,17 +54,9 @@
     def predecessor_ended(self, group: GroupId) -> bool:
         """Tell whether the last owner has provably stopped ordering."""
         claim = self.by_group.get(group)
-        if claim is None:
+        if claim is None or claim.vm == self.members.own_id:
             return False
-        member = self.members.by_id.get(claim.vm)
-        if member is None:
-            return False
-        if claim.vm == self.members.own_id:
-            return False
-        return (
-            claim.incarnation in member.ended
-            or member.state is MemberState.LEAVING
-        )
+        return self._has_ended(claim)
 
     def should_claim(self, group: GroupId) -> bool:
         """Tell whether this VM is the one to claim ``group`` now."""
@@ -95,6 +92,7 @@
             provisional,
         )
         self.by_group[group] = rumour
+        self._heard_at[group] = clock.now()
         note(
             logger,
             'this VM claims a group',
@@ -111,6 +109,7 @@
         if known is not None and _rank(known) >= _rank(rumour):
             return News.NONE
         self.by_group[rumour.group] = rumour
+        self._heard_at[rumour.group] = clock.now()
         note(
             logger,
             'another VM owns a group',
@@ -134,10 +133,21 @@
                 claim.incarnation == members.own_incarnation
                 and members.own_state is MemberState.ALIVE
             )
+        if self._has_ended(claim):
+            return False
+        if clock.now() < self._heard_at[claim.group] + _HELD_SECONDS:
+            return True
         member = members.by_id.get(claim.vm)
-        if member is None or not member.is_present():
+        return member is not None and member.is_present()
+
+    def _has_ended(self, claim: OwnerRumour) -> bool:
+        member = self.members.by_id.get(claim.vm)
+        if member is None:
             return False
-        return _same_process(member.incarnation, claim.incarnation)
+        if member.state is MemberState.LEAVING:
+            return True
+        replaced = member.incarnation > claim.incarnation
+        return replaced or claim.incarnation in member.ended
 
 
 def fence_of(vm: VmId, epoch: int) -> int:
@@ -160,7 +170,3 @@
         claim.vm,
         claim.incarnation,
     )
-
-
-def _same_process(known: Incarnation, claimed: Incarnation) -> bool:
-    return known in {0, claimed}
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -370,20 +370,26 @@
                 self.counts.refuted += 1
                 await self.push(self.members.own_rumour())
             return
-        known = rumour.vm in self.members.by_id
+        known = self.members.by_id.get(rumour.vm)
+        process = known.incarnation if known else None
         if self.members.apply(rumour):
             await self.push(rumour)
-            if not known:
-                await self._welcome(self.members.by_id[rumour.vm])
+            if process != rumour.incarnation:
+                await self._welcome(rumour.vm)
             if rumour.state is MemberState.DEAD:
                 await self._probes.spawn(self._verify_end, rumour.vm)
 
-    async def _welcome(self, newcomer: Member) -> None:
-        """Tell a VM that has just joined who else there is.
+    async def _welcome(self, vm: VmId) -> None:
+        """Tell a process that has just joined who else there is.
 
         News is piggybacked only while it is new, so a newcomer would hear
-        of each old member at that member's next change, perhaps never.
+        of each old member at that member's next change, perhaps never. One
+        that was restarted knew 5 of 20 members seconds later and, with what
+        it took for a quorum, claimed what others owned.
         """
+        newcomer = self.members.by_id.get(vm)
+        if newcomer is None or self.members.own_vm is None:
+            return
         rumours = [
             self.members.rumour_of(member)
             for member in self.members.others()
--- a/tests/test_group_claims.py
+++ b/tests/test_group_claims.py
@@ -84,6 +84,7 @@
         claim = self.claimer.claim(GROUP, 7)
         cut = self.others[0]
         cut.hear(claim)
+        self.advance(5)
         self.silence(cut, *(vm for vm in VMS if vm != cut.members.own_id))
         self.assertTrue(cut.should_claim(GROUP))
         provisional = cut.claim(GROUP, 50)
@@ -91,6 +92,29 @@
         self.assertIs(self.claimer.hear(provisional), News.NONE)
         self.assertIs(cut.hear(claim), News.URGENT)
 
+    def test_claim_of_an_unknown_vm_holds_for_a_lease(self):
+        """A VM that was just restarted knows a quarter of the others.
+
+        It took the owner, which it did not know, for gone, and claimed; the
+        owner claimed back. Engines saw two holders take turns.
+        """
+        claim = self.claimer.claim(GROUP, 7)
+        fresh = GroupClaims(table_of(VMS[0]), self.moment)
+        del fresh.members.by_id[claim.vm]
+        fresh.members.forget_present()
+        fresh.hear(claim)
+        self.advance(3)
+        self.assertEqual(fresh.owner(GROUP), claim.vm)
+        self.advance(2)
+        self.assertIsNone(fresh.owner(GROUP))
+
+    def test_owner_that_provably_ended_holds_nothing(self):
+        claim = self.claimer.claim(GROUP, 7)
+        other = self.others[0]
+        other.hear(claim)
+        other.members.by_id[claim.vm].note_end(claim.incarnation)
+        self.assertIsNone(other.owner(GROUP))
+
     def test_provisional_claim_is_confirmed(self):
         alone = self.claimer
         others = [vm for vm in VMS if vm != alone.members.own_id]
--- /dev/null
+++ b/tests/test_joining.py
@@ -0,0 +1,95 @@
+"""Fleets without a published list: VMs that join by way of others."""
+
+from __future__ import annotations
+
+import random
+
+import curio
+
+from flamingovalve.generated.ids import DomainId, Incarnation, VmId
+from flamingovalve.generated.messages import MemberRumour, MemberState
+from flamingovalve.generated.settings import FleetSettings, PublishedVm
+from flamingovalve.membership.gossip import Gossip
+from flamingovalve.membership.members import MemberTable
+from tests.rig.timeline import TimedTestCase
+
+OWN, OTHER, THIRD = (VmId(f'10.0.0.{n}:7000') for n in (1, 2, 3))
+
+
+def rumour(vm: VmId, incarnation: int, **changes: object) -> MemberRumour:
+    """Give the rumour that a VM lives."""
+    made = MemberRumour(
+        vm,
+        Incarnation(incarnation),
+        0,
+        MemberState.ALIVE,
+        DomainId('east'),
+        f'{vm}-front',
+    )
+    for name, content in changes.items():
+        setattr(made, name, content)
+    return made
+
+
+class TestJoining(TimedTestCase):
+    """One VM and those that it hears of."""
+
+    def setUp(self) -> None:
+        """Start a VM that knows a seed by its address alone."""
+        super().setUp()
+        self.members = MemberTable(OWN, Incarnation(5))
+        own = PublishedVm(OWN, DomainId('east'), 'front', OWN)
+        self.members.open(own, [OWN, OTHER])
+        settings = FleetSettings()
+        self.gossip = Gossip(None, self.members, settings, random.Random(1))
+        self.told: list[tuple[VmId, VmId]] = []
+        self.gossip._send = self._note
+
+    async def _note(self, target, _content, more=()):
+        """Note who is told of whom."""
+        self.told.extend((target.vm.id, entry.vm) for entry in more)
+
+    def hear(self, *rumours: MemberRumour) -> None:
+        """Let the VM hear rumours."""
+
+        async def take():
+            for entry in rumours:
+                await self.gossip._take_member(entry)
+
+        curio.run(take)
+
+    def test_seed_is_a_member_before_it_answers(self):
+        self.assertIn(OTHER, self.members.by_id)
+
+    def test_vm_joins_by_a_rumour(self):
+        self.hear(rumour(THIRD, 1))
+        self.assertEqual(self.members.by_id[THIRD].vm.failure_domain, 'east')
+
+    def test_rumour_of_a_dead_stranger_is_left_out(self):
+        self.hear(rumour(THIRD, 1, state=MemberState.DEAD))
+        self.assertNotIn(THIRD, self.members.by_id)
+
+    def test_newcomer_is_told_of_the_others(self):
+        self.hear(rumour(OTHER, 1), rumour(THIRD, 1))
+        self.assertIn((THIRD, OTHER), self.told)
+
+    def test_restarted_vm_is_told_of_the_others(self):
+        """A VM is restarted at its old address.
+
+        Nobody told it who else there is, so it knew a quarter of the fleet
+        for seconds, took itself for the owner of the engines, and the two
+        owners ordered in turns.
+        """
+        self.hear(rumour(OTHER, 1), rumour(THIRD, 1))
+        self.told.clear()
+        self.hear(rumour(THIRD, 2))
+        self.assertIn((THIRD, OTHER), self.told)
+
+    def test_process_whose_clock_was_set_back_is_heard_again(self):
+        """The clock was set back before this process started.
+
+        Its number is lower than that of the process before it, so all that
+        it said was dropped as old, and nobody sent callers to it.
+        """
+        self.hear(rumour(OWN, 9))
+        self.assertGreater(self.members.own_incarnation, 9)
