--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -169,6 +169,7 @@
         self.gossip.rumour_listener = self._hear
         self.gossip.standing_rumours = self._standing_rumours
         self.completions.silence_listener = self.gossip.probe_now
+        self.owned.hurry = self.gossip.probe_now
         self.gossip.late_listeners.append(self.owned.note_late_wakeup)
         self.follower.listeners.append(self._published)
 
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -9,7 +9,7 @@
 
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.ownership import fence_of
-from flamingovalve.generated.ids import GroupId
+from flamingovalve.generated.ids import GroupId, VmId
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -47,6 +47,7 @@
         self._link_to = link_to
         self._owners: dict[GroupId, GroupOwner] = {}
         self._tending = curio.Lock()
+        self.hurry: Callable[[VmId | None], Awaitable[None]] = _leave
         # A process that has just started does not know whether the one
         # before it on this VM ordered a moment ago: taking turns with
         # whoever followed that one would be seen as two holders. That one
@@ -120,7 +121,12 @@
         claim: OwnerRumour | None = None
         if self._claims.should_claim(group):
             claim = self._claims.claim(group, self._catalogue.revision)
-        is_ours = self._claims.owner(group) == self._members.own_id
+        owner_vm = self._claims.owner(group)
+        if owner_vm is None:
+            # Many VMs may have ended together; the next in turn is looked at
+            # now and not when its turn for a probe comes.
+            await self.hurry(self._claims.candidate(group))
+        is_ours = owner_vm == self._members.own_id
         owner = self._owners.get(group)
         if owner is None and is_ours:
             owner = await self._take_up(group, predecessor_ended=ended)
@@ -154,3 +160,7 @@
         self._owners[group] = owner
         await owner.start()
         return owner
+
+
+async def _leave(_vm: VmId | None) -> None:
+    """Leave a candidate to the usual probes."""
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.gateway.dispatch import FENCE_BITS
+from flamingovalve.generated.ids import VmId
 from flamingovalve.generated.messages import MemberState, OwnerRumour
 from flamingovalve.membership.gossip import News
 from flamingovalve.util import clock, hashing
@@ -12,7 +13,7 @@
 from flamingovalve.util.network import split_address
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.ids import GroupId, VmId
+    from flamingovalve.generated.ids import GroupId
     from flamingovalve.membership.members import MemberTable
 
 logger = get_logger(__name__)
@@ -25,6 +26,8 @@
 # its process has provably ended, so two VMs that each miss the other cannot
 # take an engine from each other within a lease of three seconds.
 _HELD_SECONDS: Final = 4.0
+# A lease, and what news of a start takes to spread.
+_SEASONED_SECONDS: Final = 4.0
 
 
 class GroupClaims:
@@ -66,8 +69,23 @@
             return False
         if self.owner(group) is not None and not self._may_confirm(group):
             return False
-        present = self.members.present_ids()
-        return hashing.heaviest(group, present) == self.members.own_id
+        return self.candidate(group) == self.members.own_id
+
+    def candidate(self, group: GroupId) -> VmId | None:
+        """Give the VM that should claim a group without an owner.
+
+        A process that has just started orders nothing for a lease, since the
+        one before it may have ordered a moment ago. One that has run for
+        longer can go on at once, so it goes first: after a kill of 12 VMs of
+        20, a fresh owner cost its group 3 s without loads.
+        """
+        oldest = clock.now() - _SEASONED_SECONDS
+        present = self.members.present()
+        seasoned = [
+            member.vm.id for member in present if member.process_since <= oldest
+        ]
+        names = seasoned or [member.vm.id for member in present]
+        return VmId(hashing.heaviest(group, names) or '') or None
 
     def claim(self, group: GroupId, revision: int) -> OwnerRumour:
         """Claim ``group``.
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -144,16 +144,21 @@
             if target is not None:
                 await self._probes.spawn(self._probe_one, target)
 
-    async def probe_now(self, vm: VmId) -> None:
+    async def probe_now(self, vm: VmId | None) -> None:
         """Probe a VM that somebody found silent, without waiting its turn."""
+        if vm is None or vm in self._hurried or vm == self.members.own_id:
+            return
         member = self.members.by_id.get(vm)
-        if member is not None and vm not in self._hurried:
+        if member is not None:
             await self._probes.spawn(self._probe_hurried, member)
 
     async def _probe_hurried(self, member: Member) -> None:
         self._hurried.add(member.vm.id)
         try:
-            await self._probe_one(member)
+            if await self._refuses_connections(member):
+                await self._declare_ended(member)
+            else:
+                await self._probe_one(member)
         finally:
             self._hurried.discard(member.vm.id)
 
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -42,6 +42,7 @@
     :ivar heard_at: when a datagram last came straight from it
     :ivar direct: whether the direct path to it works
     :ivar held_until: when it counts as present again after it flapped
+    :ivar process_since: when its present process was first heard of
     :ivar ended: processes of it that are provably gone, the latest last
     """
 
@@ -54,6 +55,7 @@
     direct: bool = True
     returns: list[float] = field(default_factory=list)
     held_until: float = 0
+    process_since: float = float('-inf')
     ended: list[Incarnation] = field(default_factory=list)
 
     def note_end(self, incarnation: Incarnation) -> None:
@@ -115,7 +117,9 @@
         asked before anything else is known of it.
         """
         self.own_vm = own
-        self.by_id[self.own_id] = Member(own, self.own_incarnation)
+        member = Member(own, self.own_incarnation)
+        member.process_since = clock.now()
+        self.by_id[self.own_id] = member
         for seed in seeds:
             if seed != self.own_id:
                 vm = PublishedVm(VmId(seed), peer_address=seed)
@@ -183,6 +187,7 @@
             member.vm.http_address = rumour.http_address
         if rumour.incarnation != member.incarnation:
             self._replaced(member)
+            member.process_since = clock.now()
         member.incarnation = rumour.incarnation
         member.counter = rumour.counter
         self.change(member, rumour.state)
