--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -95,6 +95,9 @@
                 await self._watch_forever()
             except HistoryGone:
                 logger.warning('the store dropped history; reading anew')
+                # A store that drops it again and again would otherwise be
+                # read without a pause, by every VM.
+                await curio.sleep(jittered(self._chance, pause))
             except StoreUnavailable as failed:
                 self._lost(failed)
                 await curio.sleep(jittered(self._chance, pause))
