--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -121,12 +121,14 @@
 
     def report(self) -> dict[str, Any]:
         """Give what the engine holds."""
-        adapters = [f'{name}@{v}' for name, v in self.resident.items()]
+        adapters = [f'{name}@{held}' for name, held in self.resident.items()]
         models = [{'Name': name, 'Adapters': adapters} for name in self.models]
         return {
             'Models': models,
             'Seq': self.sequence,
-            'Coming': [f'base/{name}@{v}' for name, v in self.coming.items()],
+            'Coming': [
+                f'base/{name}@{due}' for name, due in self.coming.items()
+            ],
             'born': 1,
         }
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -58,8 +58,8 @@
         if self.refusal:
             await responder.send(Response(self.refusal))
         elif request.path == '/kv-range':
-            items = self._items(query['PathPrefix'])
-            reply = {'items': items, 'MorePages': False}
+            listed = self._listed(query['PathPrefix'])
+            reply = {'items': listed, 'MorePages': False}
             await self._reply(responder, reply)
         elif int(query['after']) < self.oldest:
             await responder.send(Response(410))
@@ -86,7 +86,7 @@
         reply['StoreRevision'] = self.revision
         await responder.send(Response.from_json(reply))
 
-    def _items(self, prefix: str, after: int = 0) -> list[dict[str, Any]]:
+    def _listed(self, prefix: str, after: int = 0) -> list[dict[str, Any]]:
         return [
             {
                 'Key': key,
@@ -103,5 +103,5 @@
             for key, revision in self.tombstones_by_key.items()
             if key.startswith(prefix) and revision > after
         ]
-        events = [*self._items(prefix, after), *gone]
+        events = [*self._listed(prefix, after), *gone]
         return sorted(events, key=lambda event: event['Revision'])
