Patience counts down while a request waits; a fresh engine is not flooded

Ruled out: the engines, whose first events came as expected. Now what is left of each time counts down, a first event is expected within 0.55 of the caller's patience, and a refusal says when loads resume.

--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -34,27 +34,25 @@
     def judge(
         self,
         ask: PlaceAsk,
-        waited: float,
         ahead: int,
         engines: list[EngineLedger],
     ) -> ServingError | None:
         """Give the refusal of a request that cannot be served in time.
 
-        :param waited: seconds since it was asked
         :param ahead: requests that wait and go first
         """
         slots = sum(engine.slots() for engine in engines)
         if not slots:
             return _refusal('no engine of this group answers yet', 0.5)
-        left = ask.patience - waited
         for_place = (ahead + 1) * _HOLD_SECONDS / slots
+        for_place = max(for_place, dispatch.until_loads(ask, engines))
         for_event = dispatch.soonest(ask, engines)
-        if for_event > left:
+        if for_event > ask.patience:
             return _refusal(
                 'every engine has too much to read',
                 for_event - _USEFUL_TARGETS * ask.target,
             )
-        if for_place + for_event > left * _LONGEST_WAIT_SHARE:
+        if for_place + for_event > ask.patience * _LONGEST_WAIT_SHARE:
             return _refusal('every place of this group is taken', for_place)
         return None
 
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -40,9 +40,11 @@
 # The weight store serves eight adapters at once at full speed and fetching
 # is billed at about a quarter of a request's worth.
 _FETCH_SHARE: Final = 0.15
-# Beyond this share of its caller's patience a first event is likely to come
-# when the caller has left; reading the prompt would only delay others.
-_USEFUL_SHARE: Final = 0.85
+# A first event that is expected later than this share of its caller's
+# patience often comes when the caller has left, and reading the prompt delays
+# the others: an engine that had just come in was given eleven reviews with
+# 0.9 to 3.4 s of four, and none of their callers saw an event.
+_USEFUL_SHARE: Final = 0.55
 # Weighs a model that no engine holds before any that one does.
 _NO_HOLDER: Final = 0.01
 _LARGEST_EXPONENT: Final = 30.0
@@ -156,6 +158,20 @@
     return min(waits, default=float('inf'))
 
 
+def until_loads(ask: PlaceAsk, engines: Iterable[EngineLedger]) -> float:
+    """Give the seconds until some engine holds or may load the adapter.
+
+    An owner that has just started orders nothing for a lease.
+    """
+    waits = [
+        0.0
+        if not ask.adapter or ask.adapter in engine.held
+        else max(0, engine.chain.stands_down_until - clock.now())
+        for engine in engines
+    ]
+    return min(waits, default=0.0)
+
+
 def model_in_demand(
     engines: list[EngineLedger],
     asked_by_model: dict[ModelId, int],
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -45,16 +45,32 @@
 class Waiter:
     """One request that waits for a place.
 
+    :ivar aged_at: up to when its times left were counted down
     :ivar place: the place, once an engine was chosen
     :ivar refusal: why there will be none
     """
 
     ask: PlaceAsk
     asked_at: float
+    aged_at: float
     settled: curio.Event = field(default_factory=curio.Event)
     place: Place | None = None
     refusal: ServingError | None = None
 
+    def age(self) -> None:
+        """Count down what is left of its request's times.
+
+        Without this a request that waited for two seconds got a place as if
+        its caller had all of its patience left, and the caller was gone
+        before the first event: 20 of 390 chats on one heavy day.
+        """
+        moment = clock.now()
+        elapsed = moment - self.aged_at
+        self.aged_at = moment
+        self.ask.target -= elapsed
+        self.ask.patience -= elapsed
+        self.ask.remaining -= elapsed
+
 
 @dataclass
 class OwnerCounts:
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -137,7 +137,7 @@
         self._asked_by_model[ask.model] = asked + 1
         if ask.adapter:
             self.popularity.note(ask.adapter)
-        waiter = Waiter(ask, clock.now())
+        waiter = Waiter(ask, clock.now(), clock.now())
         self._waiting.append(waiter)
         try:
             await self.pump()
@@ -214,6 +214,7 @@
     async def pump(self) -> None:
         """Give places to those who wait, the most urgent first."""
         for waiter in sorted(self._waiting, key=_turn):
+            waiter.age()
             choice = dispatch.choose(
                 waiter.ask,
                 self._candidates(waiter.ask),
@@ -233,12 +234,10 @@
     async def _refuse_hopeless(self) -> None:
         ahead = 0
         for waiter in sorted(self._waiting, key=_turn):
-            waited = clock.now() - waiter.asked_at
             refusal = self._admission.judge(
                 waiter.ask,
-                waited,
                 ahead,
-                self._ledgers(),
+                self._candidates(waiter.ask),
             )
             if refusal is None:
                 ahead += 1
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -102,6 +102,29 @@
         choice = self.choose(ask('a'), poor, good)
         self.assertIs(choice.engine, good)
 
+    def test_fresh_engine_is_not_flooded(self):
+        """An engine comes in while the others have no place left.
+
+        It was given every review that came, and had so much to read that no
+        caller waited for its first event.
+        """
+        fresh = ledger('engine-0')
+        granted = 0
+        for number in range(12):
+            request = ask(
+                f'a{number % 8}', number, prompt_tokens=9000, parts=[]
+            )
+            choice = self.choose(request, fresh)
+            if choice is None:
+                continue
+            granted += 1
+            if choice.load:
+                hold(fresh, request.adapter)
+            fresh.take(request)
+            self.assertLess(choice.wait, 0.6 * request.patience)
+        self.assertGreater(granted, 3)
+        self.assertLess(granted, 9)
+
     def test_full_batch_takes_no_more(self):
         engine = ledger('engine-0', 'a')
         for number in range(engine.traits.batch):
