Loads that an engine refuses are not ordered again; callers' names are bounded

Cause, found on reading: a request for an adapter that does not exist had its load ordered again and again, and each name that callers thought of was kept for ever.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -27,6 +27,7 @@
 # orders are counted by ourselves.
 _REPORT_SECONDS: Final = 0.7
 _EAGER_REPORT_SECONDS: Final = 0.3
+_LOADING: Final = frozenset((OrderOutcome.ACCEPTED, OrderOutcome.HOLDS))
 # After this an engine that still shows no model is ordered to load it again.
 _MODEL_LOAD_SECONDS: Final = 6.0
 
@@ -121,15 +122,16 @@
 
     async def load(self, held: HeldAdapter, victim: HeldAdapter | None) -> None:
         """Make room and load an adapter; then let those who wait go on."""
-        done = False
+        outcome = OrderOutcome.UNKNOWN
         try:
             async with self._ordering:
-                done = await self._load(held, victim)
+                outcome = await self._load(held, victim)
         finally:
-            if not done:
+            if outcome not in _LOADING:
                 self._drop(held)
-        if not done:
-            await self._owner.requeue(self.waiting.pop(held.name, []))
+        if outcome not in _LOADING:
+            waiters = self.waiting.pop(held.name, [])
+            await self._owner.load_failed(waiters, outcome)
             return
         await curio.sleep(max(0, held.ready_at - clock.now()))
         if held.state is Holding.COMING:
@@ -141,20 +143,19 @@
         self,
         held: HeldAdapter,
         victim: HeldAdapter | None,
-    ) -> bool:
+    ) -> OrderOutcome:
         if victim is not None and not await self._unload(victim):
-            return False
+            return OrderOutcome.HELD_BACK
         outcome = await self._order_adapter(Action.LOAD, held)
         self._owner.counts.loads += 1
         if outcome is OrderOutcome.ACCEPTED:
             self.ledger.chain.note_accepted()
             held.ready_at = clock.now() + self._load_seconds(held)
-            return True
-        if outcome is OrderOutcome.HOLDS:
+        elif outcome is OrderOutcome.HOLDS:
             held.ready_at = clock.now()
-            return True
-        self._note_refusal(outcome)
-        return False
+        else:
+            self._note_refusal(outcome)
+        return outcome
 
     def _load_seconds(self, held: HeldAdapter) -> float:
         seconds = self.ledger.settings.adapter_load_seconds
@@ -196,7 +197,7 @@
     ) -> OrderOutcome:
         chain = self.ledger.chain
         if not chain.may_order():
-            return OrderOutcome.REFUSED
+            return OrderOutcome.HELD_BACK
         order = Order(
             action,
             model,
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -26,6 +26,9 @@
 # Adapters that an engine's host memory keeps after they gave up their slot.
 _RECENT_ADAPTERS: Final = 48
 _REMEMBERED_PARTS: Final = 400
+# Callers name adapters as they like; 100 bytes for each that was asked for
+# lately, and 40 times as many as five engines hold.
+_RATED_ADAPTERS: Final = 2000
 # Of five requests in a row that fail, an engine is known to fail most.
 _FAILING_STEP: Final = 0.15
 # An engine that failed a request is left alone for twice this, then longer.
@@ -305,11 +308,13 @@
 
     def note(self, name: AdapterId) -> None:
         """Count one request for an adapter."""
-        rate = self._by_name.get(name)
+        rate = self._by_name.pop(name, None)
         if rate is None:
             rate = DecayingRate(_RATE_HALF_LIFE_SECONDS)
-            self._by_name[name] = rate
+        self._by_name[name] = rate
         rate.add()
+        while len(self._by_name) > _RATED_ADAPTERS:
+            self._by_name.pop(next(iter(self._by_name)))
 
     def per_second(self, name: AdapterId) -> float:
         """Give the requests a second for an adapter."""
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -26,13 +26,18 @@
 
 
 class OrderOutcome(Enum):
-    """What became of an order."""
+    """What became of an order.
+
+    ``HELD_BACK`` was not sent, as two VMs might take turns; ``REFUSED`` is
+    one that the engine will never carry out, such as an unknown adapter.
+    """
 
     HOLDS = 'holds'
     ACCEPTED = 'accepted'
     CONFLICT = 'conflict'
     OUTBID = 'outbid'
     REFUSED = 'refused'
+    HELD_BACK = 'held_back'
     GONE = 'gone'
     UNKNOWN = 'unknown'
 
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -17,7 +17,7 @@
     Place,
     Popularity,
 )
-from flamingovalve.gateway.orders import OrderChain
+from flamingovalve.gateway.orders import OrderChain, OrderOutcome
 from flamingovalve.generated.ids import ModelId
 from flamingovalve.generated.messages import PlaceOutcome
 from flamingovalve.util import clock
@@ -40,6 +40,7 @@
 # A load that was refused as not there yet is tried again after this.
 _LATE_LOAD_SECONDS: Final = 0.03
 _OWNER_CHANGE_SECONDS: Final = 0.2
+_REFUSED_LOAD_SECONDS: Final = 1.0
 
 
 class GroupOwner:
@@ -133,8 +134,9 @@
         :raises ServingError: when there will be none in time
         """
         self.counts.asked += 1
-        asked = self._asked_by_model.get(ask.model, 0)
-        self._asked_by_model[ask.model] = asked + 1
+        if ask.model in self._models():
+            asked = self._asked_by_model.get(ask.model, 0)
+            self._asked_by_model[ask.model] = asked + 1
         if ask.adapter:
             self.popularity.note(ask.adapter)
         waiter = Waiter(ask, clock.now(), clock.now())
@@ -196,6 +198,21 @@
         if held is not None and held.state is Holding.RESIDENT:
             held.ready_at = clock.now() + _LATE_LOAD_SECONDS
 
+    async def load_failed(
+        self,
+        waiters: list[Waiter],
+        outcome: OrderOutcome,
+    ) -> None:
+        """Let requests wait again, or refuse those that can never be served.
+
+        An engine refuses to load an adapter that its model does not have.
+        Ordered again and again, it would get hundreds of orders a second.
+        """
+        await self.requeue(waiters)
+        if outcome is OrderOutcome.REFUSED:
+            for waiter in waiters:
+                await self._refuse(waiter, _load_refused(waiter.ask.adapter))
+
     async def requeue(self, waiters: list[Waiter]) -> None:
         """Let requests wait again whose load did not come about."""
         for waiter in waiters:
@@ -322,6 +339,10 @@
         """Order with a higher number: the engine has seen one."""
         self.fence += 1 << dispatch.FENCE_BITS
 
+    def _models(self) -> set[ModelId]:
+        ledgers = self._ledgers()
+        return {name for ledger in ledgers for name in ledger.traits.models}
+
     def _ledgers(self) -> list[EngineLedger]:
         return [engine.ledger for engine in self.engines_by_id.values()]
 
@@ -348,3 +369,11 @@
         'another VM owns these engines now; ask it',
         retry_after=_OWNER_CHANGE_SECONDS,
     )
+
+
+def _load_refused(adapter: str) -> ServingError:
+    return ServingError(
+        ErrorKind.LOAD_FAILED,
+        f'no engine can load adapter {adapter!r}; see whether it exists',
+        retry_after=_REFUSED_LOAD_SECONDS,
+    )
--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -164,10 +164,6 @@
         self.is_closing = False
         self.error_response = Response.from_error
 
-    def replace_limits(self, limits: LimitSettings) -> None:
-        """Bound what is read from now on by ``limits``."""
-        self._limits = limits
-
     def note_idle(self, connection: ServerConnection, opened: Socket) -> None:
         """Remember that no request is being read or answered."""
         self._idle[connection] = opened
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -85,6 +85,7 @@
     """An engine that obeys orders and streams events.
 
     :ivar orders: every order that was accepted: holder, fence, what
+    :ivar refused_orders: orders for adapters that the model does not have
     :ivar crashes: times that it was ordered to hold too much
     :ivar break_after: break the next run after that many events; 0 never
     """
@@ -106,6 +107,7 @@
         self.sequence = 0
         self.orders: list[tuple[str, int, str]] = []
         self.crashes = 0
+        self.refused_orders = 0
         self.break_after = 0
         self.load_seconds = 0.25
 
@@ -139,6 +141,9 @@
             return 202
         if order.get('Precondition') != self.sequence:
             return 409
+        if name.startswith('unknown'):
+            self.refused_orders += 1
+            return 400
         self.sequence += 1
         what = f'{order["Op"]} {name or order["Model"]}'
         self.orders.append((order['Holder'], order['FencingToken'], what))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -140,6 +140,18 @@
         newest = [e.resident.get('a') for e in self.site.engines]
         self.assertIn(2, newest)
 
+    def test_unknown_adapter_is_refused_at_once(self):
+        """A caller names an adapter that does not exist.
+
+        The owner ordered its load again and again until the caller left.
+        """
+        began = self.site.world.monotonic()
+        response = self.site.send('vm-0', self.site.chat('unknown'))
+        self.assertEqual(response.status, 503)
+        self.assertLess(self.site.world.monotonic() - began, 0.5)
+        refused = sum(e.refused_orders for e in self.site.engines)
+        self.assertLessEqual(refused, 2)
+
     def test_engine_without_a_model_gets_one(self):
         self.site.engines[0].models.clear()
         self.site.world.advance(3)
