--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -55,7 +55,6 @@
 @dataclass(slots=True)
 class _KnownUpstream:
     upstream: Upstream
-    known_at: float
     lapses_at: float = float('inf')
 
 
@@ -138,10 +137,6 @@
         known = self._upstreams_by_id.get(upstream.id)
         return known is not None and self._takes_requests(known)
 
-    def knows(self, upstream: UpstreamId) -> bool:
-        """Tell whether an upstream is published, leaving or not."""
-        return upstream in self._upstreams_by_id
-
     def wanted_version(self, model: ModelId, adapter: AdapterId) -> int:
         """Give the version an adapter must have; 0 where any will do."""
         return self._versions.get((model, adapter), (0, 0))[0]
@@ -193,10 +188,7 @@
 
     def _take_upstream(self, upstream: Upstream) -> None:
         known = self._upstreams_by_id.get(upstream.id)
-        self._upstreams_by_id[upstream.id] = _KnownUpstream(
-            upstream,
-            clock.now(),
-        )
+        self._upstreams_by_id[upstream.id] = _KnownUpstream(upstream)
         if known is None or known.upstream.state is not upstream.state:
             logger.info(
                 'upstream {} of {} is {}',
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -77,14 +77,11 @@
 
     :ivar reading_seconds: what reading its prompt should take
     :ivar expected: seconds from its start to the first event, as expected
-    :ivar expires_at: when it counts as ended whatever we heard
     """
 
     ask: PlaceAsk
     engine: EngineLedger
     expected: float
-    expires_at: float
-    began_at: float = 0
 
 
 @dataclass(slots=True)
@@ -165,7 +162,7 @@
         """Count a request as running here."""
         seconds = self.reading_seconds(ask)
         expected = self.reading.ahead_of(ask.priority) + seconds
-        place = Place(ask, self, expected, clock.now() + ask.remaining + 1)
+        place = Place(ask, self, expected)
         self.places[ask.request_id] = place
         self.reading.add(ask.priority, seconds)
         for key, _tokens in part_keys(ask):
--- a/flamingovalve/gateway/model.py
+++ b/flamingovalve/gateway/model.py
@@ -81,7 +81,6 @@
     """
 
     batch: int
-    kv_tokens: int
     adapter_slots: int
     weight_mb: float
     models: dict[ModelId, ModelTraits]
@@ -102,7 +101,6 @@
     """A service; without ``engine`` it is a plain one."""
 
     name: ServiceId
-    most_connections: int
     engine: EngineTraits | None = None
 
 
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -76,9 +76,6 @@
     models: list[ModelId]
     resident: dict[AdapterId, int]
     coming: list[AdapterId]
-    queued: int = 0
-    active: int = 0
-    kv_used: int = 0
     at_hand: frozenset[ModelId] = frozenset()
 
 
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -151,7 +151,6 @@
             raise waiter.refusal
         assert waiter.place is not None
         self.counts.granted += 1
-        waiter.place.began_at = clock.now()
         return waiter.place
 
     def adopt_place(self, hold: PlaceHold) -> Place | None:
--- a/flamingovalve/platform/decode.py
+++ b/flamingovalve/platform/decode.py
@@ -138,7 +138,6 @@
     engine = raw.get('Engine')
     return model.UpstreamService(
         ServiceId(_text(raw['Name'])),
-        _whole(raw.get('MaxConns', 0)),
         _engine(engine) if engine else None,
     )
 
@@ -147,7 +146,6 @@
     models = [_model(entry) for entry in raw['Models']]
     return model.EngineTraits(
         batch=_whole(raw['Slots']),
-        kv_tokens=_whole(raw['KvCapacity']),
         adapter_slots=_whole(raw.get('AdapterSlots', 0)),
         weight_mb=float(raw['WeightsMb']),
         models={entry.name: entry for entry in models},
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -188,9 +188,6 @@
         models=models,
         resident=resident,
         coming=coming,
-        queued=int(raw.get('Queued', 0)),
-        active=int(raw.get('Active', 0)),
-        kv_used=int(raw.get('KvUsed', 0)),
         at_hand=frozenset(_at_hand(raw.get('AtHand', {}))),
     )
 
--- a/tests/rig/engines.py
+++ b/tests/rig/engines.py
@@ -25,7 +25,6 @@
 MODEL = ModelId('base')
 TRAITS = EngineTraits(
     batch=64,
-    kv_tokens=232000,
     adapter_slots=8,
     weight_mb=67100,
     models={MODEL: ModelTraits(MODEL, 65500, 40, 3000)},
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -34,7 +34,7 @@
         """Start as the VM whose turn it is to claim."""
         super().setUp()
         self.catalogue = Catalogue(lambda document: document)
-        service = UpstreamService(ServiceId('engines'), 100, TRAITS)
+        service = UpstreamService(ServiceId('engines'), TRAITS)
         self.catalogue.configuration = Configuration(
             1, {}, {service.name: service}
         )
