No place is held for a caller that left, nor counted twice

Found on reading: a caller that left while its adapter's load was under way was queued again when the load failed, got a place, and nobody gave it back; a place told twice to a new owner counted twice. Either kept an adapter in use for ever. Two tests play them; both failed before.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -49,6 +49,7 @@
     :ivar aged_at: up to when its times left were counted down
     :ivar place: the place, once an engine was chosen
     :ivar refusal: why there will be none
+    :ivar is_gone: whether its caller has left
     """
 
     ask: PlaceAsk
@@ -57,6 +58,7 @@
     settled: curio.Event = field(default_factory=curio.Event)
     place: Place | None = None
     refusal: ServingError | None = None
+    is_gone: bool = False
 
     def age(self) -> None:
         """Count down what is left of its request's times.
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -159,7 +159,10 @@
         return (unread / rate + pairs * _SECONDS_PER_TOKEN_PAIR) * self.pace
 
     def take(self, ask: PlaceAsk) -> Place:
-        """Count a request as running here."""
+        """Count a request as running here, once however often it is told."""
+        known = self.places.get(ask.request_id)
+        if known is not None:
+            self.give_back(known)
         seconds = self.reading_seconds(ask)
         expected = self.reading.ahead_of(ask.priority) + seconds
         place = Place(ask, self, expected)
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -209,7 +209,8 @@
         """
         await self.requeue(waiters)
         if outcome is OrderOutcome.REFUSED:
-            for waiter in waiters:
+            still_here = [one for one in waiters if not one.is_gone]
+            for waiter in still_here:
                 await self._refuse(waiter, _load_refused(waiter.ask.adapter))
 
     async def requeue(self, waiters: list[Waiter]) -> None:
@@ -218,14 +219,17 @@
             if waiter.place is not None:
                 waiter.place.engine.give_back(waiter.place)
             waiter.place = None
-            self._waiting.append(waiter)
+            if not waiter.is_gone:
+                self._waiting.append(waiter)
 
     def _forget(self, waiter: Waiter) -> None:
         if waiter in self._waiting:
             self._waiting.remove(waiter)
         if waiter.place is not None:
             waiter.place.engine.give_back(waiter.place)
-        waiter.settled = curio.Event()
+        # A load that fails later must not queue it again: nobody would give
+        # the place back, and its adapter could never be unloaded.
+        waiter.is_gone = True
 
     async def pump(self) -> None:
         """Give places to those who wait, the most urgent first."""
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -86,6 +86,8 @@
 
     :ivar orders: every order that was accepted: holder, fence, what
     :ivar refused_orders: orders for adapters that the model does not have
+    :ivar order_seconds: what an order takes to be answered
+    :ivar dropped_orders: lose that many next orders
     :ivar crashes: times that it was ordered to hold too much
     :ivar break_after: break the next run after that many events; 0 never
     """
@@ -108,6 +110,8 @@
         self.orders: list[tuple[str, int, str]] = []
         self.crashes = 0
         self.refused_orders = 0
+        self.order_seconds = 0.0
+        self.dropped_orders = 0
         self.break_after = 0
         self.load_seconds = 0.25
 
@@ -116,6 +120,10 @@
         if request.path == '/report':
             await responder.send(Response.from_json(self.report()))
         elif request.path == '/order':
+            await curio.sleep(self.order_seconds)
+            if self.dropped_orders:
+                self.dropped_orders -= 1
+                raise ConnectionLost('the order is lost')
             status = await self.obey(request.json_object())
             await responder.send(Response(status))
         else:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -189,6 +189,19 @@
         engine.give_back(place)
         self.assertEqual(engine.held[AdapterId('a')].uses, 0)
 
+    def test_place_that_is_told_twice_counts_once(self):
+        """A VM tells a new owner of one place twice.
+
+        Given back once, its adapter counted as in use for ever.
+        """
+        engine = ledger('engine-0', 'a')
+        first = engine.take(ask('a'))
+        second = engine.take(ask('a'))
+        engine.give_back(first)
+        engine.give_back(second)
+        self.assertEqual(engine.held[AdapterId('a')].uses, 0)
+        self.assertFalse(engine.places)
+
     def test_slots_leave_room_for_weights(self):
         engine = ledger('engine-0')
         self.assertEqual(engine.slots(), SLOTS)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -140,6 +140,23 @@
         newest = [e.resident.get('a') for e in self.site.engines]
         self.assertIn(2, newest)
 
+    def test_caller_that_leaves_while_a_load_fails_holds_no_place(self):
+        """A caller leaves while its adapter is being loaded, in vain.
+
+        Its request was queued again and got a place that nobody gave back.
+        """
+        for engine in self.site.engines:
+            engine.order_seconds = 0.3
+            engine.dropped_orders = 1
+        task = self.site.begin('vm-0', self.site.chat('a'))
+        self.site.world.advance(0.1)
+        self.site.caller.network.hang_up()
+        self.site.world.advance(8)
+        self.assertTrue(task.terminated)
+        owner = self.site.vms_by_id[self.site.owner()].daemon
+        for engine in owner.owned.find('engines').engines_by_id.values():
+            self.assertFalse(engine.ledger.places)
+
     def test_unknown_adapter_is_refused_at_once(self):
         """A caller names an adapter that does not exist.
 
