Lease, grace and retry bounds come from the platform's settings

Cause, found on reading: the budget of repeats was a default of 100, while deployments name 104, 129 and 344, and others may name less.

--- a/flamingovalve/schema/settings.capnp
+++ b/flamingovalve/schema/settings.capnp
@@ -43,9 +43,8 @@
   retryRatio @4 :Float64 = 0.2 $unit("share") $low(0) $high(1) $doc("Repeats that all VMs together may send to a service, as a share of its requests.");
   retrySlack @5 :Float64 = 100 $unit("retries") $low(0) $high(1e6) $doc("Repeats allowed beyond that share in each window.");
   retryWindowSeconds @6 :Float64 = 10 $unit("seconds") $low(1) $high(600) $doc("The window of both.");
-  drainSeconds @7 :Float64 = 2 $unit("seconds") $low(0) $high(60) $doc("Within this time a leaving upstream gets its last request.");
-  graceSeconds @8 :Float64 = 8 $unit("seconds") $low(0.5) $high(600) $doc("Time from SIGTERM to SIGKILL.");
-  addressSeconds @9 :Float64 = 2 $unit("seconds") $low(0.1) $high(60) $doc("Time to live of an answer to which address to use.");
+  graceSeconds @7 :Float64 = 8 $unit("seconds") $low(0.5) $high(600) $doc("Time from SIGTERM to SIGKILL.");
+  addressSeconds @8 :Float64 = 2 $unit("seconds") $low(0.1) $high(60) $doc("Time to live of an answer to which address to use.");
 }
 
 struct OperatorSettings $section("operators") $doc("What operators may do over HTTP.") {
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,64 @@
+"""The platform's settings template gives settings that the daemon takes."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+from flamingovalve.config.settings import parse_settings
+
+TEMPLATE = Path(__file__).parent.parent / 'deploy' / 'settings.ini'
+
+# The fields that the platform fills in, as its pages name them.
+FIELDS = {
+    'Node': 'entry-1',
+    'Ip': '10.1.0.38',
+    'Zone': 'east',
+    'Listen.Front': '10.1.0.38:8149',
+    'Listen.Ready': '10.1.0.38:8141',
+    'Listen.Directory': '10.1.0.38:8143',
+    'PortRange.0': '7380',
+    'Seeds': '10.1.0.38:8144,10.2.0.40:8144',
+    'Platform.Addr': '10.200.1.7:8142',
+    'Bounds.LeaseMs': '3000',
+    'Bounds.GraceS': '8',
+    'Bounds.RetryWindowS': '10',
+    'Bounds.RetryRatio': '0.2',
+    'Bounds.RetrySlack': '104',
+}
+
+
+WITH = re.compile(r'\{\{#([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n', re.DOTALL)
+WITHOUT = re.compile(r'\{\{\^([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n', re.DOTALL)
+VALUE = re.compile(r'\{\{([\w.]+)\}\}')
+
+
+def rendered(fields: dict[str, str]) -> str:
+    """Fill in the template as the platform does."""
+    text = TEMPLATE.read_text('utf-8')
+    text = WITH.sub(lambda f: f[2] if f[1] in fields else '', text)
+    text = WITHOUT.sub(lambda f: '' if f[1] in fields else f[2], text)
+    return VALUE.sub(lambda f: fields.get(f[1], ''), text)
+
+
+class TestTemplate(unittest.TestCase):
+    """What a process reads on the platform."""
+
+    def test_settings_are_valid(self):
+        outcome = parse_settings(rendered(FIELDS), 'template')
+        self.assertTrue(outcome.is_ok(), outcome)
+        settings = outcome.ok
+        self.assertEqual(settings.gateway.lease_seconds, 3)
+        self.assertEqual(settings.gateway.retry_slack, 104)
+        self.assertEqual(len(settings.fleet.seeds), 2)
+
+    def test_bounds_that_are_not_in_force(self):
+        """A deployment does not name some bounds.
+
+        A setting without a value would keep the daemon from starting.
+        """
+        fields = {k: v for k, v in FIELDS.items() if 'Bounds' not in k}
+        outcome = parse_settings(rendered(fields), 'template')
+        self.assertTrue(outcome.is_ok(), outcome)
+        self.assertEqual(outcome.ok.gateway.retry_slack, 0)
