--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -399,6 +399,30 @@
 
     # -- What others may see
 
+    def all_counts(self) -> dict[str, Any]:
+        """Give the counts of every part by its name."""
+        return {
+            'http': self.http.counts,
+            'gossip': self.gossip.counts,
+            'peer': self.peers.counts,
+            'peer_server': self.peer_server.counts,
+            'catalogue': self.catalogue.counts,
+            'owner': self.owned.total_counts(),
+        }
+
+    def gauges(self) -> dict[str, float]:
+        """Give the gauges by their name."""
+        return {
+            'ready': self.is_ready,
+            'leaving': self.is_leaving,
+            'requests_in_progress': self.in_progress,
+            'configuration_version': self.catalogue.configuration.version,
+            'catalogue_revision': self.catalogue.revision,
+            'store_reachable': self.follower.reachable,
+            'members_present': len(self.members.present()),
+            'engines_owned': self.owned.engine_count(),
+        }
+
     def state_dump(self) -> dict[str, Any]:
         """Give the state of this process as JSON values."""
         return {
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from typing import TYPE_CHECKING, Final, Protocol
 
 import curio
@@ -89,6 +89,12 @@
     foreign: int = 0
     restarts: int = 0
 
+    def add(self, other: OwnerCounts) -> None:
+        """Add the counts of another owner."""
+        for entry in fields(self):
+            total = getattr(self, entry.name) + getattr(other, entry.name)
+            setattr(self, entry.name, total)
+
 
 class OwnedEngine:
     """One engine of the group: its ledger, its link, its orders in turn."""
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any, Final
 
 import curio
 
+from flamingovalve.gateway.engine import OwnerCounts
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.ownership import fence_of
 from flamingovalve.generated.ids import GroupId, VmId
@@ -46,6 +48,7 @@
         self._catalogue = catalogue
         self._link_to = link_to
         self._owners: dict[GroupId, GroupOwner] = {}
+        self._given_up = OwnerCounts()
         self._tending = curio.Lock()
         self.hurry: Callable[[VmId | None], Awaitable[None]] = _leave
         # A process that has just started does not know whether the one
@@ -83,7 +86,9 @@
         Whoever follows may order at once. If this VM came back meanwhile,
         the engine would see the two take turns.
         """
-        await self._owners.pop(group).close()
+        owner = self._owners.pop(group)
+        await owner.close()
+        self._given_up.add(owner.counts)
         quiet = self._settings.lease_seconds
         quiet += 2 * self._settings.report_lag_seconds
         self._orders_after = clock.now() + quiet
@@ -97,6 +102,17 @@
                 chain = engine.ledger.chain
                 chain.stands_down_until = clock.now() + quiet
 
+    def engine_count(self) -> int:
+        """Count the engines that this VM owns."""
+        return sum(len(one.engines_by_id) for one in self._owners.values())
+
+    def total_counts(self) -> OwnerCounts:
+        """Give the counts of all groups that this VM has owned, added up."""
+        total = dataclasses.replace(self._given_up)
+        for owner in self._owners.values():
+            total.add(owner.counts)
+        return total
+
     def state_dump(self) -> dict[str, Any]:
         """Give what each owned group is doing."""
         return {
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -43,6 +43,20 @@
         self.assertEqual(lines['send']['outcome'], 'lost')
         self.assertIn(lines['send']['upstream'], {'app-0', 'app-1'})
 
+    def test_metrics_count_it(self):
+        self.start()
+        for app in self.site.apps:
+            app.full = True
+        self.site.send('vm-0', self.site.call('/orders/1'))
+        daemon = self.site.vms_by_id['vm-0'].daemon
+        text = daemon.metrics.exposition().decode()
+        self.assertIn(
+            'flamingovalve_requests_total{outcome="overloaded"} 1.0',
+            text,
+        )
+        self.assertIn('flamingovalve_members_present 3.0', text)
+        self.assertIn('flamingovalve_http_requests_total 1.0', text)
+
     def test_late(self):
         self.start()
         for app in self.site.apps:
