--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -4,12 +4,10 @@
 
 import random
 from dataclasses import asdict
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final, Self
 
 import curio
 
-from flamingovalve.errors import ConnectionLost, ErrorKind, ServingError
 from flamingovalve.gateway.attempts import Attempts
 from flamingovalve.gateway.balancer import Balancer
 from flamingovalve.gateway.calls import CallServer
@@ -17,6 +15,7 @@
 from flamingovalve.gateway.completions import CompletionServer
 from flamingovalve.gateway.directory import AddressDirectory
 from flamingovalve.gateway.follower import CatalogueFollower
+from flamingovalve.gateway.front import Front, SideAnswers
 from flamingovalve.gateway.metrics import GatewayMetrics
 from flamingovalve.gateway.owned import OwnedGroups
 from flamingovalve.gateway.ownership import GroupClaims
@@ -28,22 +27,19 @@
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
 from flamingovalve.generated.settings import LimitSettings, PublishedVm
 from flamingovalve.http.client import ConnectionPool
-from flamingovalve.http.messages import Response
 from flamingovalve.http.server import HttpServer
 from flamingovalve.membership.gossip import Gossip, News
 from flamingovalve.membership.members import MemberTable
 from flamingovalve.peer.client import PeerPool
 from flamingovalve.peer.server import PeerServer
 from flamingovalve.util import clock
-from flamingovalve.util.logs import get_logger, note
+from flamingovalve.util.logs import get_logger
 from flamingovalve.util.network import split_address
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.frontend import Frontend
     from flamingovalve.generated.settings import Settings
-    from flamingovalve.http.messages import Request
-    from flamingovalve.http.server import Responder
     from flamingovalve.util.network import Network
 
 logger = get_logger(__name__)
@@ -80,7 +76,6 @@
         self.frontend = frontend
         self.chance = chance
         self.incarnation = incarnation
-        self.in_progress = 0
         self.is_leaving = False
         self.stopped = curio.Event()
         self.background = TaskSet()
@@ -156,10 +151,17 @@
     def _build_servers(self) -> None:
         settings = self.settings
         limits = settings.limits
-        self.http = HttpServer(self.network, self.answer, limits)
-        self.http.error_response = self.frontend.error_response
-        self.side = HttpServer(self.network, self.answer_side, LimitSettings())
         self.metrics = GatewayMetrics(self)
+        self.front = Front(
+            self.frontend,
+            self.catalogue,
+            self.server,
+            self.metrics,
+        )
+        self.http = HttpServer(self.network, self.front.answer, limits)
+        self.http.error_response = self.frontend.error_response
+        side = SideAnswers(self)
+        self.side = HttpServer(self.network, side.answer, LimitSettings())
         self.peer_server = PeerServer(self.network, settings, self.incarnation)
         place_server = PlaceServer(self.owned.find)
         on_session = self.peer_server.on_session
@@ -210,7 +212,9 @@
         if self.is_leaving:
             return
         self.is_leaving = True
-        logger.info('this VM is leaving; in_progress={}', self.in_progress)
+        logger.info(
+            'this VM is leaving; in_progress={}', self.front.in_progress
+        )
         self.http.is_closing = True
         self.members.leave()
         await self.owned.close()
@@ -228,10 +232,10 @@
         await self.http.close_idle()
         await curio.sleep(_LISTEN_SECONDS - _IDLE_CLOSE_SECONDS)
         await self._accepting.cancel()
-        while self.in_progress and clock.now() < began + grace:
+        while self.front.in_progress and clock.now() < began + grace:
             await self.http.close_idle()
             await curio.sleep(_TICK_SECONDS)
-        logger.info('this VM stops; in_progress={}', self.in_progress)
+        logger.info('this VM stops; in_progress={}', self.front.in_progress)
         await self.stop()
 
     async def _close(self) -> None:
@@ -277,91 +281,6 @@
         """Tell whether callers should come here."""
         return self.catalogue.is_ready and not self.is_leaving
 
-    async def answer(self, request: Request, responder: Responder) -> None:
-        """Answer a caller's request."""
-        self.in_progress += 1
-        began = clock.now()
-        outcome = 'answered'
-        try:
-            await self._serve(request, responder)
-        except ServingError as refused:
-            outcome = refused.kind.label
-            raise
-        except ConnectionLost:
-            outcome = 'broken'
-            raise
-        except curio.CancelledError:
-            outcome = 'abandoned'
-            raise
-        finally:
-            self._note_request(request, outcome, began)
-
-    def _note_request(
-        self,
-        request: Request,
-        outcome: str,
-        began: float,
-    ) -> None:
-        self.in_progress -= 1
-        self.metrics.note(outcome, clock.now() - began)
-        note(
-            logger,
-            'request',
-            id=self.frontend.request_id(request),
-            path=request.path,
-            outcome=outcome,
-            seconds=round(clock.now() - began, 3),
-            version=self.catalogue.configuration.version,
-        )
-
-    async def _serve(self, request: Request, responder: Responder) -> None:
-        if not self.catalogue.is_ready:
-            raise ServingError(
-                ErrorKind.NOT_READY,
-                'this VM has no configuration yet; try another one',
-                retry_after=0.5,
-            )
-        configuration = self.catalogue.configuration
-        host = self.frontend.host_of(request)
-        route = configuration.find(host, request.path)
-        if route is None:
-            raise ServingError(
-                ErrorKind.UNKNOWN_PATH,
-                f'no route of host {host!r} begins {request.path!r}',
-            )
-        inbound = self.frontend.inbound(request, route)
-        async with responder.watch_caller():
-            await self.server.serve(inbound, responder)
-
-    async def answer_side(
-        self,
-        request: Request,
-        responder: Responder,
-    ) -> None:
-        """Answer the platform, or a caller that asks where to connect."""
-        domain = self.frontend.asked_domain(request)
-        if domain is not None:
-            await responder.send(self._addresses(domain))
-        elif request.path == '/metrics':
-            body = self.metrics.exposition()
-            await responder.send(Response(HTTPStatus.OK, _TEXT, body))
-        elif request.path == '/state':
-            await responder.send(Response.from_json(self.state_dump()))
-        else:
-            await responder.send(Response(self._readiness()))
-
-    def _readiness(self) -> HTTPStatus:
-        if self.is_ready:
-            return HTTPStatus.OK
-        return HTTPStatus.SERVICE_UNAVAILABLE
-
-    def _addresses(self, domain: DomainId) -> Response:
-        seconds = self.settings.gateway.address_seconds
-        return self.frontend.addresses_response(
-            self.directory.addresses(domain),
-            seconds,
-        )
-
     # -- News
 
     async def _published(self) -> None:
@@ -415,7 +334,7 @@
         return {
             'ready': self.is_ready,
             'leaving': self.is_leaving,
-            'requests_in_progress': self.in_progress,
+            'requests_in_progress': self.front.in_progress,
             'configuration_version': self.catalogue.configuration.version,
             'catalogue_revision': self.catalogue.revision,
             'store_reachable': self.follower.reachable,
@@ -430,7 +349,7 @@
             'leaving': self.is_leaving,
             'configuration': self.catalogue.configuration.version,
             'revision': self.catalogue.revision,
-            'in_progress': self.in_progress,
+            'in_progress': self.front.in_progress,
             'members': {
                 name: member.state.value
                 for name, member in self.members.by_id.items()
@@ -443,9 +362,6 @@
         }
 
 
-_TEXT: Final = [('content-type', 'text/plain; version=0.0.4; charset=utf-8')]
-
-
 def _at_port(seed: str, port: int) -> str:
     host, own_port = split_address(seed)
     return f'{host}:{port or own_port}'
--- /dev/null
+++ b/flamingovalve/gateway/front.py
@@ -0,0 +1,131 @@
+"""Answers callers, the platform, and whoever looks at metrics and state."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final
+
+import curio
+
+from flamingovalve.errors import ConnectionLost, ErrorKind, ServingError
+from flamingovalve.http.messages import Response
+from flamingovalve.util import clock
+from flamingovalve.util.logs import get_logger, note
+
+if TYPE_CHECKING:
+    from flamingovalve.gateway.catalogue import Catalogue
+    from flamingovalve.gateway.daemon import GatewayDaemon
+    from flamingovalve.gateway.frontend import Frontend
+    from flamingovalve.gateway.metrics import GatewayMetrics
+    from flamingovalve.gateway.serving import RequestServer
+    from flamingovalve.generated.ids import DomainId
+    from flamingovalve.http.messages import Request
+    from flamingovalve.http.server import Responder
+
+logger = get_logger(__name__)
+
+_TEXT: Final = [('content-type', 'text/plain; version=0.0.4; charset=utf-8')]
+# A first reading of the store takes a few of its 4 ms; slow, a few of 0.25 s.
+_NO_CONFIGURATION_SECONDS: Final = 0.5
+
+
+class Front:
+    """Serves the requests of published routes and notes how each ended."""
+
+    def __init__(
+        self,
+        frontend: Frontend,
+        catalogue: Catalogue,
+        server: RequestServer,
+        metrics: GatewayMetrics,
+    ) -> None:
+        """Serve by ``server`` what ``frontend`` decodes."""
+        self.in_progress = 0
+        self._frontend = frontend
+        self._catalogue = catalogue
+        self._server = server
+        self._metrics = metrics
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Answer a caller's request."""
+        self.in_progress += 1
+        began = clock.now()
+        outcome = 'answered'
+        try:
+            await self._serve(request, responder)
+        except ServingError as refused:
+            outcome = refused.kind.label
+            raise
+        except ConnectionLost:
+            outcome = 'broken'
+            raise
+        except curio.CancelledError:
+            outcome = 'abandoned'
+            raise
+        finally:
+            self._note(request, outcome, began)
+
+    def _note(self, request: Request, outcome: str, began: float) -> None:
+        self.in_progress -= 1
+        self._metrics.note(outcome, clock.now() - began)
+        note(
+            logger,
+            'request',
+            id=self._frontend.request_id(request),
+            path=request.path,
+            outcome=outcome,
+            seconds=round(clock.now() - began, 3),
+            version=self._catalogue.configuration.version,
+        )
+
+    async def _serve(self, request: Request, responder: Responder) -> None:
+        if not self._catalogue.is_ready:
+            raise ServingError(
+                ErrorKind.NOT_READY,
+                'this VM has no configuration yet; try another one',
+                retry_after=_NO_CONFIGURATION_SECONDS,
+            )
+        host = self._frontend.host_of(request)
+        route = self._catalogue.configuration.find(host, request.path)
+        if route is None:
+            raise ServingError(
+                ErrorKind.UNKNOWN_PATH,
+                f'no route of host {host!r} begins {request.path!r}',
+            )
+        inbound = self._frontend.inbound(request, route)
+        async with responder.watch_caller():
+            await self._server.serve(inbound, responder)
+
+
+class SideAnswers:
+    """Answers who asks for addresses, readiness, metrics or the state."""
+
+    def __init__(self, daemon: GatewayDaemon) -> None:
+        """Answer for ``daemon``."""
+        self._daemon = daemon
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Answer one question."""
+        domain = self._daemon.frontend.asked_domain(request)
+        if domain is not None:
+            response = self._addresses(domain)
+        elif request.path == '/metrics':
+            body = self._daemon.metrics.exposition()
+            response = Response(HTTPStatus.OK, _TEXT, body)
+        elif request.path == '/state':
+            response = Response.from_json(self._daemon.state_dump())
+        else:
+            response = Response(self._readiness())
+        await responder.send(response)
+
+    def _readiness(self) -> HTTPStatus:
+        if self._daemon.is_ready:
+            return HTTPStatus.OK
+        return HTTPStatus.SERVICE_UNAVAILABLE
+
+    def _addresses(self, domain: DomainId) -> Response:
+        daemon = self._daemon
+        return daemon.frontend.addresses_response(
+            daemon.directory.addresses(domain),
+            daemon.settings.gateway.address_seconds,
+        )
