A version that is being replaced keeps its slot until it is gone

Found on reading, both with a test that failed before: a replacement whose order was refused made the ledger forget the version that still took the slot, and the next load overfilled the engine; a report older than the load was taken for the new version, and requests then named the old one.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -142,6 +142,7 @@
             await self._owner.load_failed(waiters, outcome)
             return
         await curio.sleep(max(0, held.ready_at - clock.now()))
+        held.replaces = None
         if held.state is Holding.COMING:
             held.state = Holding.RESIDENT
         for waiter in self.waiting.pop(held.name, []):
@@ -243,8 +244,13 @@
             self.ledger.note_failure()
 
     def _drop(self, held: HeldAdapter) -> None:
-        if self.ledger.held.get(held.name) is held:
+        if self.ledger.held.get(held.name) is not held:
+            return
+        if held.replaces is None:
             self.ledger.forget(held.name)
+        else:
+            # The version before it still takes the slot.
+            self.ledger.held[held.name] = held.replaces
 
     async def _look(self) -> None:
         report = await self._link.report()
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -61,6 +61,7 @@
 
     :ivar uses: places in use on it
     :ivar ready_at: when its load should be complete, on our clock
+    :ivar replaces: the version that stays if the load does not come about
     """
 
     name: AdapterId
@@ -69,6 +70,7 @@
     uses: int = 0
     ready_at: float = 0
     used_at: float = 0
+    replaces: HeldAdapter | None = None
 
 
 @dataclass(slots=True)
@@ -223,11 +225,12 @@
         if known is None:
             self.held[name] = HeldAdapter(name, version, Holding.RESIDENT)
             return
+        if version < known.version:
+            # A report that is older than the load of this version.
+            return
+        known.version = version
         if known.state is Holding.COMING:
             known.state = Holding.RESIDENT
-            known.version = version
-        if known.version == 0:
-            known.version = version
 
     def _forget_missing(self, shown: set[AdapterId]) -> None:
         # A report may be older than what was ordered a moment ago.
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -315,6 +315,7 @@
             self._version(ask),
             Holding.COMING,
             ready_at=clock.now() + dispatch.load_seconds(ask, owned.ledger),
+            replaces=owned.ledger.held.get(ask.adapter),
         )
         owned.ledger.held[ask.adapter] = held
         await self._tasks.spawn(owned.load, held, victim)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -86,6 +86,7 @@
 
     :ivar orders: every order that was accepted: holder, fence, what
     :ivar refused_orders: orders for adapters that the model does not have
+    :ivar refuses_versions: refuse orders that name a version
     :ivar order_seconds: what an order takes to be answered
     :ivar dropped_orders: lose that many next orders
     :ivar crashes: times that it was ordered to hold too much
@@ -110,6 +111,7 @@
         self.orders: list[tuple[str, int, str]] = []
         self.crashes = 0
         self.refused_orders = 0
+        self.refuses_versions = False
         self.order_seconds = 0.0
         self.dropped_orders = 0
         self.break_after = 0
@@ -149,7 +151,8 @@
             return 202
         if order.get('Precondition') != self.sequence:
             return 409
-        if name.startswith('unknown'):
+        odd = self.refuses_versions and 'Version' in order
+        if odd or name.startswith('unknown'):
             self.refused_orders += 1
             return 400
         self.sequence += 1
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -5,7 +5,7 @@
 from flamingovalve.gateway import dispatch
 from flamingovalve.gateway.ledger import Holding, Popularity
 from flamingovalve.generated.ids import AdapterId, ModelId
-from tests.rig.engines import MODEL, ask, hold, ledger
+from tests.rig.engines import MODEL, ask, hold, ledger, report
 from tests.rig.timeline import TimedTestCase
 
 SLOTS = 8
@@ -189,6 +189,19 @@
         engine.give_back(place)
         self.assertEqual(engine.held[AdapterId('a')].uses, 0)
 
+    def test_old_report_is_not_taken_for_the_new_version(self):
+        """A report shows the version that is just being replaced.
+
+        Taken for the new one, requests named the old version and the engine
+        refused them.
+        """
+        engine = ledger('engine-0')
+        coming = hold(engine, 'a', Holding.COMING)
+        coming.version = 2
+        engine.adopt(report(0, 'a'))
+        self.assertIs(coming.state, Holding.COMING)
+        self.assertEqual(coming.version, 2)
+
     def test_place_that_is_told_twice_counts_once(self):
         """A VM tells a new owner of one place twice.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -140,6 +140,25 @@
         newest = [e.resident.get('a') for e in self.site.engines]
         self.assertIn(2, newest)
 
+    def test_replacement_that_fails_keeps_its_slot(self):
+        """The load of a newer version is lost on its way.
+
+        The old version was forgotten while it still took a slot, and the
+        next load overfilled the engine.
+        """
+        for name in ('a', 'b', 'c', 'd'):
+            self.site.send('vm-0', self.site.chat(name))
+        announced = {'Model': 'base', 'Adapter': 'a', 'Version': 2}
+        self.site.store.put('op/version/base.a', announced)
+        self.site.world.advance(1)
+        for engine in self.site.engines:
+            engine.newest = 2
+            engine.refuses_versions = True
+        self.site.send('vm-0', self.site.chat('a'))
+        for name in ('e', 'f', 'g'):
+            self.site.send('vm-1', self.site.chat(name))
+        self.assertEqual([e.crashes for e in self.site.engines], [0, 0])
+
     def test_caller_that_leaves_while_a_load_fails_holds_no_place(self):
         """A caller leaves while its adapter is being loaded, in vain.
 
