One rule for what a load takes; a time and an import that nothing reads

The seconds of a load stood twice, in dispatch and in engine; the catalogue kept the moment of each adapter version for nobody; the outcomes of a load that goes on were listed a second time.

--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -77,7 +77,7 @@
         self._decode = decode
         self._documents_by_key: dict[str, Document] = {}
         self._upstreams_by_id: dict[UpstreamId, _KnownUpstream] = {}
-        self._versions: dict[tuple[str, str], tuple[int, float]] = {}
+        self._versions: dict[tuple[str, str], int] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -139,7 +139,7 @@
 
     def wanted_version(self, model: ModelId, adapter: AdapterId) -> int:
         """Give the version an adapter must have; 0 where any will do."""
-        return self._versions.get((model, adapter), (0, 0))[0]
+        return self._versions.get((model, adapter), 0)
 
     def note_store_away(self) -> None:
         """Note that the store could not be read at this moment."""
@@ -168,7 +168,7 @@
             self._take_upstream(decoded)
         elif isinstance(decoded, AdapterVersion):
             name = (decoded.model, decoded.adapter)
-            self._versions[name] = (decoded.version, clock.now())
+            self._versions[name] = decoded.version
 
     def _take_configuration(self, configuration: Configuration) -> None:
         if configuration.version < self.configuration.version:
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -18,12 +18,13 @@
     from collections.abc import Iterable
 
     from flamingovalve.gateway.ledger import EngineLedger, Popularity
+    from flamingovalve.generated.ids import AdapterId
     from flamingovalve.generated.messages import PlaceAsk
 
 # An engine carries this many adapters on their way at once.
 MOST_COMING: Final = 4
 # An adapter that an engine held lately loads ten times as fast.
-RECENT_SHARE: Final = 0.1
+_RECENT_SHARE: Final = 0.1
 # Loads from the weight store that run at full speed over all engines.
 FULL_SPEED_LOADS: Final = 8
 # Low bits of a fencing number that name its VM.
@@ -122,7 +123,7 @@
     """Load another version in the place of the one that is there."""
     if held.uses or not _may_load(engine):
         return None
-    wait = _wait(ask, engine, load_seconds(ask, engine))
+    wait = _wait(ask, engine, load_seconds(ask.adapter, engine))
     return Choice(engine, wait, load=True)
 
 
@@ -133,7 +134,7 @@
 ) -> Choice | None:
     if not _may_load(engine):
         return None
-    wait = _wait(ask, engine, load_seconds(ask, engine))
+    wait = _wait(ask, engine, load_seconds(ask.adapter, engine))
     if engine.free_slots() > 0:
         return Choice(engine, wait, load=True)
     victim = least_valuable(engine, popularity)
@@ -209,12 +210,19 @@
     return sum(name in engine.models for engine in engines)
 
 
-def load_seconds(ask: PlaceAsk, engine: EngineLedger) -> float:
-    """Give what loading the adapter of ``ask`` should take."""
+def load_seconds(
+    adapter: AdapterId,
+    engine: EngineLedger,
+    slowness: float = 1,
+) -> float:
+    """Give what loading an adapter should take.
+
+    :param slowness: how much longer the weight store takes because of others
+    """
     seconds = engine.settings.adapter_load_seconds
-    if ask.adapter in engine.recent:
-        return seconds * RECENT_SHARE
-    return seconds
+    if adapter in engine.recent:
+        return seconds * _RECENT_SHARE
+    return seconds * slowness
 
 
 def least_valuable(
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -159,19 +159,15 @@
         self._owner.counts.loads += 1
         if outcome is OrderOutcome.ACCEPTED:
             self.ledger.chain.note_accepted()
-            held.ready_at = clock.now() + self._load_seconds(held)
+            slowness = self._owner.store_slowness()
+            seconds = dispatch.load_seconds(held.name, self.ledger, slowness)
+            held.ready_at = clock.now() + seconds
         elif outcome is OrderOutcome.HOLDS:
             held.ready_at = clock.now()
         else:
             self._note_refusal(outcome)
         return outcome
 
-    def _load_seconds(self, held: HeldAdapter) -> float:
-        seconds = self.ledger.settings.adapter_load_seconds
-        if held.name in self.ledger.recent:
-            return seconds * dispatch.RECENT_SHARE
-        return seconds * self._owner.store_slowness()
-
     async def _unload(self, victim: HeldAdapter) -> bool:
         outcome = await self._order_adapter(Action.UNLOAD, victim)
         self._owner.counts.unloads += 1
@@ -292,7 +288,7 @@
         self.ledger.model_ready_at = clock.now() + _MODEL_LOAD_SECONDS
         async with self._ordering:
             outcome = await self._send(Action.LOAD, model, AdapterId(''), 0)
-        if outcome in {OrderOutcome.ACCEPTED, OrderOutcome.HOLDS}:
+        if outcome in _LOADING:
             self.ledger.chain.note_accepted()
             self._owner.counts.model_loads += 1
             return
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any, Final
 
 import curio
@@ -117,7 +116,7 @@
         """Give what each owned group is doing."""
         return {
             group: {
-                'counts': asdict(owner.counts),
+                'counts': dataclasses.asdict(owner.counts),
                 'fence': owner.fence,
                 'engines': {
                     name: {
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -314,7 +314,8 @@
             ask.adapter,
             self._version(ask),
             Holding.COMING,
-            ready_at=clock.now() + dispatch.load_seconds(ask, owned.ledger),
+            ready_at=clock.now()
+            + dispatch.load_seconds(ask.adapter, owned.ledger),
             replaces=owned.ledger.held.get(ask.adapter),
         )
         owned.ledger.held[ask.adapter] = held
