Engines of a large service are divided among several owners

Cause: one VM gave out the places of all 70 engines. A place costs its owner about 4 ms of a small VM's processor, so requests waited for the owner and not for engines: 437 of 2,372 took over half of their target to reach an engine.

Ruled out: each VM deciding alone (docs/design/platform.md); one owner on the largest VM, which ends at a few hundred engines.

Change: the engines of a service form groups of about nine, a power of two of them (gateway/shards). A request asks the owner of its adapter's first group; an owner without a good place declines at once and the next in the adapter's order is asked (gateway/seeking), so a popular adapter spreads by itself and a group without an owner costs an exchange. Owners are the VMs with the most processor time. A claim's epoch exceeds those of all groups, so an engine that changes its group never sees a lower fencing number after a higher one.

--- a/flamingovalve/errors.py
+++ b/flamingovalve/errors.py
@@ -35,6 +35,7 @@
     NOT_READY = ('not_ready', 503)
     LEAVING = ('leaving', 503)
     NOT_OWNER = ('not_owner', 503)
+    NO_GOOD_PLACE = ('no_good_place', 503)
     NO_UPSTREAM = ('no_upstream', 503)
     UPSTREAM_UNREACHABLE = ('upstream_unreachable', 502)
     UPSTREAM_FAILED = ('upstream_failed', 502)
--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -41,11 +41,9 @@
 
         :param ahead: requests that wait and go first
         """
-        slots = sum(engine.slots() for engine in engines)
-        if not slots:
+        if not _slots(engines):
             return _refusal('no engine of this group answers yet', 0.5)
-        for_place = (ahead + 1) * _HOLD_SECONDS / slots
-        for_place = max(for_place, dispatch.until_loads(ask, engines))
+        for_place = _until_place(ask, ahead, engines)
         for_event = dispatch.soonest(ask, engines)
         if for_event > ask.patience:
             return _refusal(
@@ -56,6 +54,32 @@
             return _refusal('every place of this group is taken', for_place)
         return None
 
+    def expected_wait(
+        self,
+        ask: PlaceAsk,
+        ahead: int,
+        engines: list[EngineLedger],
+    ) -> float:
+        """Give the seconds until a first event, a place awaited."""
+        for_event = dispatch.soonest(ask, engines)
+        return _until_place(ask, ahead, engines) + for_event
+
+
+def _slots(engines: list[EngineLedger]) -> int:
+    return sum(engine.slots() for engine in engines)
+
+
+def _until_place(
+    ask: PlaceAsk,
+    ahead: int,
+    engines: list[EngineLedger],
+) -> float:
+    slots = _slots(engines)
+    if not slots:
+        return float('inf')
+    for_slot = (ahead + 1) * _HOLD_SECONDS / slots
+    return max(for_slot, dispatch.until_loads(ask, engines))
+
 
 def _refusal(reason: str, retry_after: float) -> ServingError:
     pause = max(retry_after, _SHORTEST_RETRY_SECONDS)
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -4,40 +4,23 @@
 
 from typing import TYPE_CHECKING, Final
 
-import curio
-
-from flamingovalve.errors import ConnectionLost, ErrorKind, ServingError
+from flamingovalve.errors import ConnectionLost
 from flamingovalve.gateway.attempts import MOST_SENDS, no_upstream, settle
 from flamingovalve.gateway.model import Repeat
-from flamingovalve.gateway.places import OwnerSilent
 from flamingovalve.gateway.relay import EventSink, Outcome, Sending
-from flamingovalve.generated.ids import GroupId
 from flamingovalve.generated.messages import PlaceAsk, PlaceOutcome
-from flamingovalve.util import clock
-from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from flamingovalve.gateway.attempts import Attempts
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.inbound import Completion, InboundRequest
     from flamingovalve.gateway.model import Upstream
-    from flamingovalve.gateway.ownership import GroupClaims
     from flamingovalve.gateway.places import PlaceClient, PlaceLease
     from flamingovalve.gateway.relay import Sent, UpstreamRelay
-    from flamingovalve.generated.ids import DomainId, VmId
+    from flamingovalve.gateway.seeking import PlaceSeeker
+    from flamingovalve.generated.ids import DomainId
     from flamingovalve.http.server import Responder
 
-logger = get_logger(__name__)
-
-# A new owner claims within about this time after the old one was seen to be
-# gone; asking more often only adds load to it.
-_OWNER_PAUSE_SECONDS: Final = 0.1
-# Beyond this a caller had better come back than wait for an owner.
-_OWNER_PATIENCE_SECONDS: Final = 0.8
-_NO_OWNER_RETRY_SECONDS: Final = 0.5
-
 _PLACE_OUTCOMES: Final = {
     Outcome.DONE: PlaceOutcome.FINISHED,
     Outcome.NOT_RUN: PlaceOutcome.REFUSED,
@@ -55,16 +38,15 @@
         catalogue: Catalogue,
         relay: UpstreamRelay,
         attempts: Attempts,
-        claims: GroupClaims,
+        seeker: PlaceSeeker,
         places: PlaceClient,
     ) -> None:
         """Serve from a VM in ``domain``."""
-        self.silence_listener: Callable[[VmId], Awaitable[None]] = _ignore
         self._domain = domain
         self._catalogue = catalogue
         self._relay = relay
         self._attempts = attempts
-        self._claims = claims
+        self._seeker = seeker
         self._places = places
 
     async def serve(
@@ -110,7 +92,7 @@
         ask: PlaceAsk,
         sink: EventSink,
     ) -> Sent:
-        lease = await self._take_place(request, ask)
+        lease = await self._seeker.take(request, ask)
         outcome, first_event = PlaceOutcome.ABANDONED, 0.0
         try:
             upstream = self._leased(request, lease)
@@ -146,50 +128,6 @@
                 return upstream
         raise no_upstream(request.service)
 
-    async def _take_place(
-        self,
-        request: InboundRequest,
-        ask: PlaceAsk,
-    ) -> PlaceLease:
-        began = clock.now()
-        while True:
-            ask.target = request.until_late()
-            ask.remaining = request.remaining()
-            ask.patience = request.until_first_event()
-            ask.avoided = list(request.tried)
-            lease = await self._ask_owner(request, ask)
-            if lease is not None:
-                return lease
-            if clock.now() > began + _OWNER_PATIENCE_SECONDS:
-                raise _no_owner()
-            await curio.sleep(_OWNER_PAUSE_SECONDS)
-
-    async def _ask_owner(
-        self,
-        request: InboundRequest,
-        ask: PlaceAsk,
-    ) -> PlaceLease | None:
-        owner = self._claims.owner(ask.group)
-        if owner is None:
-            return None
-        try:
-            return await self._places.take(owner, ask)
-        except OwnerSilent as silent:
-            reason = str(silent)
-            await self.silence_listener(owner)
-        except ServingError as refused:
-            if refused.kind is not ErrorKind.NOT_OWNER:
-                raise
-            reason = refused.message
-        note(
-            logger,
-            'no place from the owner',
-            id=request.id,
-            owner=owner,
-            reason=reason,
-        )
-        return None
-
     def _ask_of(
         self,
         request: InboundRequest,
@@ -197,7 +135,6 @@
     ) -> PlaceAsk:
         return PlaceAsk(
             request_id=request.id,
-            group=GroupId(request.service),
             model=completion.model,
             adapter=completion.adapter,
             prompt_tokens=completion.prompt_tokens,
@@ -206,15 +143,3 @@
             priority=request.route.priority,
             domain=self._domain,
         )
-
-
-async def _ignore(_vm: VmId) -> None:
-    """Leave a silent owner to the usual probes."""
-
-
-def _no_owner() -> ServingError:
-    return ServingError(
-        ErrorKind.NOT_OWNER,
-        'no VM gives out places of these engines at the moment; come back',
-        retry_after=_NO_OWNER_RETRY_SECONDS,
-    )
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -22,7 +22,9 @@
 from flamingovalve.gateway.places import PlaceClient, PlaceServer
 from flamingovalve.gateway.relay import UpstreamRelay
 from flamingovalve.gateway.retries import FleetRetryBudget
+from flamingovalve.gateway.seeking import PlaceSeeker
 from flamingovalve.gateway.serving import RequestServer
+from flamingovalve.gateway.shards import Shards
 from flamingovalve.gateway.watchers import Watchers
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
@@ -55,6 +57,8 @@
 _GRACE_MARGIN_SECONDS: Final = 1.0
 _CLOSE_SECONDS: Final = 0.3
 _TICK_SECONDS: Final = 0.1
+# Claims that are repeated in each probe, for VMs that missed them.
+_STANDING_CLAIMS: Final = 2
 
 
 class GatewayDaemon:
@@ -117,14 +121,17 @@
         settings = self.settings
         domain = DomainId(settings.vm.failure_domain)
         self.claims = GroupClaims(self.members, clock.now())
+        self.shards = Shards(self.catalogue)
         self.owned = OwnedGroups(
             settings.gateway,
             self.members,
             self.claims,
             self.catalogue,
+            self.shards,
             lambda upstream: self.frontend.engine(self.pool, upstream),
         )
         self.places = PlaceClient(self.members, self.peers, self.owned.find)
+        self.seeker = PlaceSeeker(self.claims, self.places, self.shards)
         self.directory = AddressDirectory(self.members)
         budget = FleetRetryBudget(
             settings.gateway,
@@ -139,7 +146,7 @@
             self.catalogue,
             relay,
             attempts,
-            self.claims,
+            self.seeker,
             self.places,
         )
         self.server = RequestServer(
@@ -172,7 +179,7 @@
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
         self.gossip.rumour_listener = self._hear
         self.gossip.standing_rumours = self._standing_rumours
-        self.completions.silence_listener = self.gossip.probe_now
+        self.seeker.silence_listener = self.gossip.probe_now
         self.owned.hurry = self.gossip.probe_now
         self.gossip.late_listeners.append(self.owned.note_late_wakeup)
         self.follower.listeners.append(self._published)
@@ -266,7 +273,9 @@
             _at_port(seed, settings.fleet.seed_port)
             for seed in settings.fleet.seeds
         ]
-        self.members.open(own, seeds)
+        self.members.open(
+            own, seeds, settings.vm.cpu_share * settings.vm.cpu_speed
+        )
 
     def _side_addresses(self) -> list[str]:
         platform = self.settings.platform
@@ -300,7 +309,12 @@
         await self.places.tell_new_owner(rumour.group, rumour.vm)
 
     def _standing_rumours(self) -> list[Any]:
-        return [self.follower.own_rumour(), *self.claims.by_group.values()]
+        claims = list(self.claims.by_group.values())
+        count = min(_STANDING_CLAIMS, len(claims))
+        return [
+            self.follower.own_rumour(),
+            *self.chance.sample(claims, count),
+        ]
 
     async def _hear(self, rumour: Any) -> News:
         if isinstance(rumour, messages.CatalogueRumour):
@@ -312,8 +326,9 @@
         return News.NONE
 
     async def _hear_owner(self, rumour: messages.OwnerRumour) -> News:
+        before = self.claims.owner(rumour.group)
         news = self.claims.hear(rumour)
-        if news is not News.NONE:
+        if news is not News.NONE and before != rumour.vm:
             await self.background.spawn(
                 self.places.tell_new_owner,
                 rumour.group,
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -46,6 +46,9 @@
 # the others: an engine that had just come in was given eleven reviews with
 # 0.9 to 3.4 s of four, and none of their callers saw an event.
 _USEFUL_SHARE: Final = 0.55
+# Measured first events scatter about their expectation by a fifth, and an ask
+# of another group takes its share.
+_GOOD_SHARE: Final = 0.6
 # Weighs a model that no engine holds before any that one does.
 _NO_HOLDER: Final = 0.01
 _LARGEST_EXPONENT: Final = 30.0
@@ -149,6 +152,16 @@
     return max(backlog, loading) + engine.reading_seconds(ask)
 
 
+def is_good(ask: PlaceAsk, choice: Choice) -> bool:
+    """Tell whether a choice should be in time, with some to spare.
+
+    Answers adapters that are asked for more often than one group of engines
+    can serve: whoever would be late here is better off in another group,
+    also at the price of one more load.
+    """
+    return choice.wait <= ask.target * _GOOD_SHARE
+
+
 def soonest(ask: PlaceAsk, engines: Iterable[EngineLedger]) -> float:
     """Give the wait for a first event where it is shortest, places aside."""
     waits = [
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -81,6 +81,7 @@
 
     asked: int = 0
     granted: int = 0
+    declined: int = 0
     refused: int = 0
     loads: int = 0
     unloads: int = 0
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -10,7 +10,6 @@
 from flamingovalve.gateway.engine import OwnerCounts
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.ownership import fence_of
-from flamingovalve.generated.ids import GroupId, VmId
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -18,8 +17,14 @@
 
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.engine import EngineLink
-    from flamingovalve.gateway.model import Upstream, UpstreamService
+    from flamingovalve.gateway.model import (
+        EngineTraits,
+        Upstream,
+        UpstreamService,
+    )
     from flamingovalve.gateway.ownership import GroupClaims
+    from flamingovalve.gateway.shards import Shards
+    from flamingovalve.generated.ids import GroupId, ServiceId, VmId
     from flamingovalve.generated.messages import OwnerRumour
     from flamingovalve.generated.settings import GatewaySettings
     from flamingovalve.membership.members import MemberTable
@@ -38,6 +43,7 @@
         members: MemberTable,
         claims: GroupClaims,
         catalogue: Catalogue,
+        shards: Shards,
         link_to: Callable[[Upstream], EngineLink],
     ) -> None:
         """Own nothing yet."""
@@ -45,6 +51,8 @@
         self._members = members
         self._claims = claims
         self._catalogue = catalogue
+        self._shards = shards
+        self._count_by_service: dict[ServiceId, int] = {}
         self._link_to = link_to
         self._owners: dict[GroupId, GroupOwner] = {}
         self._given_up = OwnerCounts()
@@ -69,10 +77,34 @@
     async def tend(self, tell: Tell) -> None:
         """Claim, take up and give up groups as claims and services say."""
         async with self._tending:
+            wanted: set[GroupId] = set()
             services = self._catalogue.configuration.services_by_name
             for service in services.values():
                 if service.engine is not None:
-                    await self._tend_group(service, tell)
+                    wanted.update(self._shards.groups(service.name))
+                    await self._tend_service(service, service.engine, tell)
+            for group in set(self._owners) - wanted:
+                await self._give_up(group)
+
+    async def _tend_service(
+        self,
+        service: UpstreamService,
+        traits: EngineTraits,
+        tell: Tell,
+    ) -> None:
+        by_group = self._shards.engines(service.name)
+        known = self._count_by_service.get(service.name)
+        divides_anew = known not in {None, len(by_group)}
+        self._count_by_service[service.name] = len(by_group)
+        for group, upstreams in by_group.items():
+            if divides_anew and group in self._owners:
+                # Engines come from groups whose claims may be newer, and
+                # refuse or report an order whose fencing number is lower.
+                await tell(self._claim(group))
+                self._owners[group].fence = self._fence(group)
+            owner = await self._tend_group(group, tell)
+            if owner is not None:
+                await owner.replace_engines(upstreams, traits)
 
     async def close(self) -> None:
         """Give up every group."""
@@ -130,12 +162,16 @@
             for group, owner in self._owners.items()
         }
 
-    async def _tend_group(self, service: UpstreamService, tell: Tell) -> None:
-        group = GroupId(service.name)
+    async def _tend_group(
+        self,
+        group: GroupId,
+        tell: Tell,
+    ) -> GroupOwner | None:
+        """Claim, take up or give up one group; give its owner if we are it."""
         ended = self._claims.predecessor_ended(group)
         claim: OwnerRumour | None = None
         if self._claims.should_claim(group):
-            claim = self._claims.claim(group, self._catalogue.revision)
+            claim = self._claim(group)
         owner_vm = self._claims.owner(group)
         if owner_vm is None:
             # Many VMs may have ended together; the next in turn is looked at
@@ -147,13 +183,18 @@
             owner = await self._take_up(group, predecessor_ended=ended)
         elif owner is not None and not is_ours:
             await self._give_up(group)
-            return
-        if owner is not None and service.engine is not None:
-            upstreams = self._catalogue.upstreams(service.name)
-            await owner.replace_engines(upstreams, service.engine)
+            owner = None
         if claim is not None:
             # Told only now, so that places can be held here at once.
             await tell(claim)
+        return owner
+
+    def _claim(self, group: GroupId) -> OwnerRumour:
+        return self._claims.claim(group, self._catalogue.revision)
+
+    def _fence(self, group: GroupId) -> int:
+        epoch = self._claims.by_group[group].epoch
+        return fence_of(self._members.own_id, epoch)
 
     async def _take_up(
         self,
@@ -161,12 +202,11 @@
         *,
         predecessor_ended: bool,
     ) -> GroupOwner:
-        epoch = self._claims.by_group[group].epoch
         owner = GroupOwner(
             self._settings,
             group,
             self._members.own_id,
-            fence_of(self._members.own_id, epoch),
+            self._fence(group),
             self._catalogue,
             self._link_to,
         )
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -104,6 +104,9 @@
             else:
                 known.ledger.upstream = upstream
                 known.ledger.traits = traits
+        # Said of whoever owned the group before us; an engine that comes
+        # later may come from a group whose owner lives.
+        self.predecessor_ended = False
 
     async def _adopt(self, upstream: Upstream, traits: EngineTraits) -> None:
         settings = self._settings
@@ -131,9 +134,12 @@
     async def place(self, ask: PlaceAsk) -> Place:
         """Wait for a place for ``ask``.
 
-        :raises ServingError: when there will be none in time
+        :raises ServingError: when there will be none in time, or none that
+            is good where another group can be asked
         """
         self.counts.asked += 1
+        if ask.may_decline:
+            self._decline_unless_good(ask)
         if ask.model in self._models():
             asked = self._asked_by_model.get(ask.model, 0)
             self._asked_by_model[ask.model] = asked + 1
@@ -153,6 +159,31 @@
         self.counts.granted += 1
         return waiter.place
 
+    def _decline_unless_good(self, ask: PlaceAsk) -> None:
+        """Send a request to another group that would be late in this one."""
+        engines = self._candidates(ask)
+        choice = self._choose(ask)
+        if choice is not None and dispatch.is_good(ask, choice):
+            return
+        self.counts.declined += 1
+        wait = self._admission.expected_wait(ask, len(self._waiting), engines)
+        if choice is not None:
+            wait = choice.wait
+        note(
+            logger,
+            'declined',
+            id=ask.request_id,
+            group=self.group,
+            adapter=ask.adapter,
+            expected=round(wait, 3),
+            waiting=len(self._waiting),
+        )
+        raise ServingError(
+            ErrorKind.NO_GOOD_PLACE,
+            f'group {self.group} has no good place; ask another group',
+            retry_after=wait,
+        )
+
     def adopt_place(self, hold: PlaceHold) -> Place | None:
         """Count a place that a former owner gave."""
         engine = self.engines_by_id.get(hold.upstream)
@@ -235,16 +266,19 @@
         """Give places to those who wait, the most urgent first."""
         for waiter in sorted(self._waiting, key=_turn):
             waiter.age()
-            choice = dispatch.choose(
-                waiter.ask,
-                self._candidates(waiter.ask),
-                self.popularity,
-                self._version(waiter.ask),
-            )
+            choice = self._choose(waiter.ask)
             if choice is not None:
                 await self._grant(waiter, choice)
         await self._refuse_hopeless()
 
+    def _choose(self, ask: PlaceAsk) -> dispatch.Choice | None:
+        return dispatch.choose(
+            ask,
+            self._candidates(ask),
+            self.popularity,
+            self._version(ask),
+        )
+
     async def _pump_forever(self) -> None:
         while True:
             await curio.sleep(_PUMP_SECONDS)
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from flamingovalve.generated.ids import GroupId
-    from flamingovalve.membership.members import MemberTable
+    from flamingovalve.membership.members import Member, MemberTable
 
 logger = get_logger(__name__)
 
@@ -26,6 +26,8 @@
 # its process has provably ended, so two VMs that each miss the other cannot
 # take an engine from each other within a lease of three seconds.
 _HELD_SECONDS: Final = 4.0
+# VMs of one size are never told apart by what their settings round.
+_LARGE_SHARE: Final = 0.5
 # A lease, and what news of a start takes to spread.
 _SEASONED_SECONDS: Final = 4.0
 
@@ -77,26 +79,30 @@
         A process that has just started orders nothing for a lease, since the
         one before it may have ordered a moment ago. One that has run for
         longer can go on at once, so it goes first: after a kill of 12 VMs of
-        20, a fresh owner cost its group 3 s without loads.
+        20, a fresh owner cost its group 3 s without loads. Of those the
+        large ones go first, as owning takes processor time.
         """
         oldest = clock.now() - _SEASONED_SECONDS
         present = self.members.present()
         seasoned = [
-            member.vm.id for member in present if member.process_since <= oldest
+            member for member in present if member.process_since <= oldest
         ]
-        names = seasoned or [member.vm.id for member in present]
+        names = _large(seasoned or present)
         return VmId(hashing.heaviest(group, names) or '') or None
 
     def claim(self, group: GroupId, revision: int) -> OwnerRumour:
         """Claim ``group``.
 
-        The epoch exceeds every one that was heard of. The store's revision
-        only grows, so it also exceeds those that all VMs have forgotten
-        after they ended together.
+        The epoch exceeds every one that was heard of, also of other groups:
+        an engine that came from one of them must not see a lower fencing
+        number after a higher one. The store's revision only grows, so it
+        also exceeds those that all VMs have forgotten after they ended
+        together.
         """
         known = self.by_group.get(group)
         provisional = not self.members.has_quorum()
-        epoch = max(revision, known.epoch + 1 if known else 1)
+        highest = max((one.epoch for one in self.by_group.values()), default=0)
+        epoch = max(revision, highest + 1)
         if provisional and known is not None:
             # Cut off from most VMs, this one cannot know that they have no
             # owner. If it outbid theirs, ownership would change hands when
@@ -168,6 +174,13 @@
         return replaced or claim.incarnation in member.ended
 
 
+def _large(members: list[Member]) -> list[str]:
+    """Give the VMs with at least half the processor time of the largest."""
+    most = max((member.cores for member in members), default=0)
+    least = most * _LARGE_SHARE
+    return [member.vm.id for member in members if member.cores >= least]
+
+
 def fence_of(vm: VmId, epoch: int) -> int:
     """Give the fencing number of a claim.
 
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -44,6 +44,7 @@
     :ivar held_until: when it counts as present again after it flapped
     :ivar process_since: when its present process was first heard of
     :ivar ended: processes of it that are provably gone, the latest last
+    :ivar cores: processor time that it may use; 0 where it is not known
     """
 
     vm: PublishedVm
@@ -57,6 +58,7 @@
     held_until: float = 0
     process_since: float = float('-inf')
     ended: list[Incarnation] = field(default_factory=list)
+    cores: float = 0
 
     def note_end(self, incarnation: Incarnation) -> None:
         """Remember that a process is provably gone."""
@@ -91,6 +93,7 @@
         self.by_id: dict[VmId, Member] = {}
         self.epoch = 0
         self.own_vm: PublishedVm | None = None
+        self.own_cores = 0.0
         self._rumours_by_id: dict[VmId, MemberRumour] = {}
         self._present: list[Member] | None = None
         self._present_until = 0.0
@@ -110,14 +113,22 @@
                 del self._rumours_by_id[vm_id]
                 self.apply(rumour)
 
-    def open(self, own: PublishedVm, seeds: list[str]) -> None:
+    def open(
+        self,
+        own: PublishedVm,
+        seeds: list[str],
+        cores: float = 0,
+    ) -> None:
         """Let VMs join by rumours, where nobody publishes a list of them.
 
         In such a fleet the id of a VM is its peer address, so a seed can be
         asked before anything else is known of it.
+
+        :param cores: processor time that this VM may use
         """
         self.own_vm = own
-        member = Member(own, self.own_incarnation)
+        self.own_cores = cores
+        member = Member(own, self.own_incarnation, cores=cores)
         member.process_since = clock.now()
         self.by_id[self.own_id] = member
         for seed in seeds:
@@ -185,6 +196,7 @@
         if rumour.domain and not member.vm.failure_domain:
             member.vm.failure_domain = rumour.domain
             member.vm.http_address = rumour.http_address
+        member.cores = rumour.cores or member.cores
         if rumour.incarnation != member.incarnation:
             self._replaced(member)
             member.process_since = clock.now()
@@ -225,6 +237,7 @@
             member.counter,
             member.state,
             *self._contact(member.vm),
+            member.cores,
         )
 
     def own_rumour(self) -> MemberRumour:
@@ -235,6 +248,7 @@
             self.own_counter,
             self.own_state,
             *self._contact(self.own_vm),
+            self.own_cores,
         )
 
     def leave(self) -> None:
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -36,6 +36,7 @@
   state @3 :MemberState;
   domain @4 :Text $ident("DomainId") $doc("Its failure domain; empty where a published list says so.");
   httpAddress @5 :Text $doc("Where callers connect to it; empty where a published list says so.");
+  cores @6 :Float64 $unit("cores") $doc("Processor time that it may use; 0 where it is not known.");
 }
 
 struct CatalogueRumour $doc("How new the published documents are that a VM holds.") {
@@ -278,6 +279,7 @@
   avoided @10 :List(Text) $doc("Engines that have failed this request.");
   domain @11 :Text $ident("DomainId") $doc("Failure domain of the asking VM.");
   patience @12 :Float64 $unit("seconds") $doc("Time left until the caller leaves if it sees no event.");
+  mayDecline @13 :Bool $doc("Whether another group can be asked instead.");
 }
 
 struct PlaceGrant $doc("The engine that holds a place, with the adapter loaded.") {
--- a/flamingovalve/schema/settings.capnp
+++ b/flamingovalve/schema/settings.capnp
@@ -26,6 +26,8 @@
   failureDomain @1 :Text $ident("DomainId") $doc("Failure domain this VM stands in.");
   httpAddress @2 :Text = "127.0.0.1:8080" $doc("Where callers and operators connect (IP:port).");
   peerAddress @3 :Text = "127.0.0.1:7946" $doc("Where other VMs connect: TCP and UDP (IP:port).");
+  cpuShare @4 :Float64 = 1 $unit("share") $low(0.01) $high(1024) $doc("Share of a processor core that this VM may use.");
+  cpuSpeed @5 :Float64 = 1 $unit("times") $low(0.01) $high(1024) $doc("How many times as fast as a usual core that one is.");
 }
 
 struct PlatformSettings $section("platform") $doc("The users' platform; without it the daemon serves its own interface only.") {
--- a/tests/test_group_claims.py
+++ b/tests/test_group_claims.py
@@ -82,6 +82,36 @@
         self.assertEqual(other.claim(GROUP, 3).epoch, 8)
         self.assertEqual(other.claim(GROUP, 90).epoch, 90)
 
+    def test_next_claim_exceeds_the_epochs_of_other_groups(self):
+        """An engine moves to a group whose claim is older than its last one.
+
+        With the fencing number of that claim its orders would follow higher
+        ones, and an engine that checks them would refuse them all.
+        """
+        other = self.others[0]
+        other.hear(self.claimer.claim(GroupId('engines/1'), 90))
+        self.assertGreater(other.claim(GROUP, 7).epoch, 90)
+
+    def test_large_vms_own(self):
+        """Most VMs are small and a few are six times as large.
+
+        An owner on a small one has no time left for its own callers.
+        """
+        large = self.others[0].members.own_id
+        for one in self.others:
+            for vm in VMS:
+                again = rumour_of(vm, MemberState.ALIVE)
+                again.incarnation = Incarnation(2)
+                again.cores = 2.15 if vm == large else 0.36
+                one.members.apply(again)
+            one.members.by_id[one.members.own_id].cores = 0.36
+        chosen = {
+            one.candidate(GROUP)
+            for one in self.others
+            if one.members.own_id != large
+        }
+        self.assertEqual(chosen, {large})
+
     def test_owner_that_came_back_owns_nothing(self):
         claim = self.claimer.claim(GROUP, 7)
         other = self.others[0]
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -8,6 +8,7 @@
 from flamingovalve.gateway.model import Configuration, UpstreamService
 from flamingovalve.gateway.owned import OwnedGroups
 from flamingovalve.gateway.ownership import GroupClaims
+from flamingovalve.gateway.shards import Shards
 from flamingovalve.generated.ids import GroupId, ServiceId
 from flamingovalve.generated.messages import OwnerRumour
 from flamingovalve.generated.settings import GatewaySettings
@@ -45,6 +46,7 @@
             self.claims.members,
             self.claims,
             self.catalogue,
+            Shards(self.catalogue),
             lambda _upstream: StillEngine(),
         )
 
@@ -87,3 +89,38 @@
             await self.owned.close()
 
         curio.run(scenario)
+
+    def test_new_division_raises_every_fence(self):
+        """Engines are added, and the service is divided among more owners.
+
+        An engine that moves back later would see a lower fencing number
+        after a higher one.
+        """
+
+        async def scenario():
+            self.advance(10)
+            await self.tend()
+            before = self.owned.find(GROUP).fence
+            for number in range(1, 40):
+                self.catalogue._take_upstream(upstream(f'engine-{number}'))
+            await self.tend()
+            self.advance(4)
+            await self.tend()
+            owner = self.owned.find(GROUP)
+            self.assertLess(len(owner.engines_by_id), 40)
+            self.assertGreater(owner.fence, before)
+            await self.owned.close()
+
+        curio.run(scenario)
+
+    def test_groups_of_an_older_division_are_given_up(self):
+        async def scenario():
+            self.advance(10)
+            await self.tend()
+            self.owned._owners[GroupId('engines/7')] = self.owned.find(GROUP)
+            del self.owned._owners[GROUP]
+            await self.tend()
+            self.assertIsNone(self.owned.find(GroupId('engines/7')))
+            await self.owned.close()
+
+        curio.run(scenario)
