Writes to a caller that reads nothing end

Cause: a write to a caller had no limit, so one whose program hangs in the middle of its answer held its engine's place until its connection ended.

Change: a write that a caller does not take within limits.idle_seconds breaks the connection and is counted.

--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -50,6 +50,7 @@
     refused_connections: int = 0
     malformed: int = 0
     slow_callers: int = 0
+    stalled_callers: int = 0
     callers_gone: int = 0
 
 
@@ -115,7 +116,24 @@
         parts = [self._protocol.send(event) for event in events]
         encoded = b''.join(part for part in parts if part)
         if encoded:
-            await self._socket.sendall(encoded)
+            await self._send_all(encoded)
+
+    async def _send_all(self, encoded: bytes) -> None:
+        """Write to a caller that reads.
+
+        One that reads nothing keeps its connection open and its buffers
+        full. Without a limit its request held its place on an engine, and
+        the adapter there, until the caller's process ended.
+        """
+        longest = self._server.limits.idle_seconds
+        try:
+            async with curio.timeout_after(longest):
+                await self._socket.sendall(encoded)
+        except curio.TaskTimeout as late:
+            self._server.counts.stalled_callers += 1
+            raise ConnectionLost(
+                f'the caller read nothing for {longest:g} s',
+            ) from late
 
 
 class CallerWatch:
--- a/flamingovalve/metrics.py
+++ b/flamingovalve/metrics.py
@@ -27,6 +27,7 @@
     'http_refused_connections': 'Connections refused over the limit.',
     'http_malformed': 'Requests refused before they were understood.',
     'http_slow_callers': 'Callers that fell silent within a request.',
+    'http_stalled_callers': 'Callers that stopped reading their answer.',
     'http_callers_gone': 'Connections that callers ended early.',
     'gossip_sent': 'Membership datagrams sent.',
     'gossip_sent_bytes': 'Bytes of membership datagrams sent.',
