A request that crashes upstreams is refused after the third

Cause: on the platform's path nothing kept a request that crashes whatever runs it from crashing the next; the product's own quarantine needs to see all that an engine runs, which no VM does here.

Ruled out: blaming a request that was alone (a VM sees a part of an engine's batch); requests without a body, whose paths many callers share.

Change: gateway/quarantine counts crashes of a path and body until an answer clears it, tells the other VMs, and refuses after three. A crash is a lost connection whose upstream then refuses another.

--- a/flamingovalve/errors.py
+++ b/flamingovalve/errors.py
@@ -46,6 +46,7 @@
     FRAGMENT = ('fragment', 502)
     LOAD_FAILED = ('load_failed', 503)
     POISON_REQUEST = ('poison_request', 422)
+    QUARANTINED = ('quarantined', 503)
     CLAIM_NEEDED = ('claim_needed', 428)
     CLAIM_REUSED = ('claim_reused', 422)
     CLAIM_EXPIRED = ('claim_expired', 410)
--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
+import curio
+
 from flamingovalve.errors import ErrorKind, Ran, ServingError
 from flamingovalve.gateway.relay import Outcome, failure, may_send_again
 from flamingovalve.util.logs import get_logger, note
@@ -11,6 +13,7 @@
 if TYPE_CHECKING:
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
+    from flamingovalve.gateway.quarantine import CrashQuarantine
     from flamingovalve.gateway.relay import Sent
     from flamingovalve.gateway.retries import FleetRetryBudget
     from flamingovalve.generated.ids import ServiceId
@@ -27,9 +30,14 @@
 class Attempts:
     """Notes each send of a request and judges whether one more is due."""
 
-    def __init__(self, budget: FleetRetryBudget) -> None:
-        """Take repeats from ``budget``."""
+    def __init__(
+        self,
+        budget: FleetRetryBudget,
+        quarantine: CrashQuarantine,
+    ) -> None:
+        """Take repeats from ``budget``; report each send to ``quarantine``."""
         self._budget = budget
+        self._quarantine = quarantine
 
     def may_repeat(self, request: InboundRequest, last: Sent) -> bool:
         """Tell whether a request may be sent once more after ``last``."""
@@ -43,7 +51,7 @@
             return True
         return self._budget.take(request.service)
 
-    def note(
+    async def note(
         self,
         request: InboundRequest,
         upstream: Upstream,
@@ -65,6 +73,14 @@
             first_event=round(sent.first_event, 3),
             left=round(request.remaining(), 3),
         )
+        # Apart, as whether an upstream crashed may take a while to find out.
+        await curio.spawn(
+            self._quarantine.note,
+            request,
+            upstream,
+            sent.outcome,
+            daemon=True,
+        )
 
 
 def settle(request: InboundRequest, outcome: Outcome) -> ServingError:
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -102,7 +102,7 @@
             first_event = sent.first_event
         finally:
             await self._places.end(lease, outcome, first_event)
-        self._attempts.note(request, upstream, sent)
+        await self._attempts.note(request, upstream, sent)
         return sent
 
     def _sending(
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -20,6 +20,7 @@
 from flamingovalve.gateway.owned import OwnedGroups
 from flamingovalve.gateway.ownership import GroupClaims
 from flamingovalve.gateway.places import PlaceClient, PlaceServer
+from flamingovalve.gateway.quarantine import CrashQuarantine
 from flamingovalve.gateway.relay import UpstreamRelay
 from flamingovalve.gateway.retries import FleetRetryBudget
 from flamingovalve.gateway.seeking import PlaceSeeker
@@ -137,7 +138,11 @@
             settings.gateway,
             lambda: len(self.members.present()),
         )
-        attempts = Attempts(budget)
+        self.quarantine = CrashQuarantine(
+            settings.relay.quarantine_seconds,
+            self._refuses,
+        )
+        attempts = Attempts(budget, self.quarantine)
         relay = UpstreamRelay(self.pool, self.frontend.wire)
         balancer = Balancer(domain, self.chance)
         calls = CallServer(self.catalogue, balancer, relay, attempts)
@@ -154,6 +159,7 @@
             budget,
             calls,
             self.completions,
+            self.quarantine,
             self.chance,
         )
 
@@ -184,6 +190,7 @@
         self.gossip.late_listeners.append(self.owned.note_late_wakeup)
         self.follower.listeners.append(self._published)
         self.follower.tell = self.gossip.push
+        self.quarantine.tell = self.gossip.push
 
     # -- Life
 
@@ -304,6 +311,10 @@
         await self.owned.tend(self._tell_claim)
         await self.gossip.push(self.follower.own_rumour())
 
+    async def _refuses(self, address: str) -> bool:
+        seconds = self.settings.relay.connect_seconds
+        return await self.network.refuses(address, seconds)
+
     async def _tell_claim(self, rumour: messages.OwnerRumour) -> None:
         await self.gossip.push(rumour)
         await self.places.tell_new_owner(rumour.group, rumour.vm)
@@ -321,6 +332,8 @@
             return await self.follower.hear(rumour)
         if isinstance(rumour, messages.WatchRumour):
             return await self.follower.hear_watch(rumour)
+        if isinstance(rumour, messages.PoisonRumour):
+            return self.quarantine.hear(rumour)
         if isinstance(rumour, messages.OwnerRumour):
             return await self._hear_owner(rumour)
         return News.NONE
@@ -347,6 +360,7 @@
             'peer_server': self.peer_server.counts,
             'catalogue': self.catalogue.counts,
             'owner': self.owned.total_counts(),
+            'quarantine': self.quarantine.counts,
         }
 
     def gauges(self) -> dict[str, float]:
--- a/flamingovalve/gateway/serving.py
+++ b/flamingovalve/gateway/serving.py
@@ -14,6 +14,7 @@
     from flamingovalve.gateway.completions import CompletionServer
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import UpstreamService
+    from flamingovalve.gateway.quarantine import CrashQuarantine
     from flamingovalve.gateway.retries import FleetRetryBudget
     from flamingovalve.http.server import Responder
 
@@ -27,6 +28,7 @@
         budget: FleetRetryBudget,
         calls: CallServer,
         completions: CompletionServer,
+        quarantine: CrashQuarantine,
         chance: random.Random,
     ) -> None:
         """Serve by ``calls`` and ``completions``."""
@@ -34,6 +36,7 @@
         self._budget = budget
         self._calls = calls
         self._completions = completions
+        self._quarantine = quarantine
         self._chance = chance
 
     async def serve(
@@ -45,6 +48,7 @@
 
         :raises ServingError: when it cannot be served
         """
+        self._quarantine.check(request)
         service = self._service_of(request)
         request.service = service.name
         self._budget.note_request(service.name)
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -159,7 +159,7 @@
     async def _probe_hurried(self, member: Member) -> None:
         self._hurried.add(member.vm.id)
         try:
-            if await self._refuses_connections(member):
+            if await self._has_ended(member):
                 await self._declare_ended(member)
             else:
                 await self._probe_one(member)
@@ -231,7 +231,7 @@
             return
         for helper in self._helpers(target):
             await self._send(helper, PingRequest(target.vm.id, number))
-        if await self._refuses_connections(target):
+        if await self._has_ended(target):
             await self._declare_ended(target)
             return
         rest = settings.probe_seconds - settings.ack_seconds
@@ -241,23 +241,9 @@
             return
         await self._suspect(target)
 
-    async def _refuses_connections(self, target: Member) -> bool:
-        """Tell whether the process at the target's address is gone.
-
-        Silence may be the network's. A refused connection is an answer of
-        the machine itself: nothing listens there any more.
-        """
-        try:
-            opened = await self._network.connect(
-                target.vm.peer_address,
-                self._settings.ack_seconds,
-            )
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
-        await self._network.discard(opened)
-        return False
+    async def _has_ended(self, target: Member) -> bool:
+        address = target.vm.peer_address
+        return await self._network.refuses(address, self._settings.ack_seconds)
 
     async def _verify_end(self, vm: VmId) -> None:
         """See for ourselves whether a VM said to be dead has ended.
@@ -269,7 +255,7 @@
         if member is None:
             return
         incarnation = member.incarnation
-        if await self._refuses_connections(member):
+        if await self._has_ended(member):
             member.note_end(incarnation)
 
     async def _declare_ended(self, target: Member) -> None:
--- a/flamingovalve/util/network.py
+++ b/flamingovalve/util/network.py
@@ -48,6 +48,21 @@
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return opened
 
+    async def refuses(self, address: str, seconds: float) -> bool:
+        """Tell whether nothing listens at ``address`` any more.
+
+        Silence may be the network's. A refused connection is an answer of
+        the machine itself.
+        """
+        try:
+            opened = await self.connect(address, seconds)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        await self.discard(opened)
+        return False
+
     def listen(self, address: str) -> Socket:
         """Accept connections at ``address``."""
         opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
