Fencing numbers come from the store; restarted VMs hear of each other

Ruled out: the count of orders alone (it keeps turns apart, not fences).

Change: gateway/fencing takes an engine's number from the store's revision after the engine was last seen to obey somebody else, so it exceeds theirs; without the store a full claim's number serves while nobody else was seen, and a provisional claim orders nothing. A process heard for the first time is told of and welcomed, and probes name two members by chance.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -129,6 +129,7 @@
             self.claims,
             self.catalogue,
             self.shards,
+            self.follower.fresh_revision,
             lambda upstream: self.frontend.engine(self.pool, upstream),
         )
         self.places = PlaceClient(self.members, self.peers, self.owned.find)
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -27,8 +27,6 @@
 _RECENT_SHARE: Final = 0.1
 # Loads from the weight store that run at full speed over all engines.
 FULL_SPEED_LOADS: Final = 8
-# Low bits of a fencing number that name its VM.
-FENCE_BITS: Final = 24
 # Shares of a request's worth. A late answer is worth half of one in time or
 # less on the users' sheets.
 _LATE_SHARE: Final = 0.6
@@ -257,7 +255,7 @@
 
 
 def _may_load(engine: EngineLedger) -> bool:
-    return engine.chain.may_order() and engine.coming() < MOST_COMING
+    return engine.may_order() and engine.coming() < MOST_COMING
 
 
 def expected_loss(
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -8,6 +8,7 @@
 import curio
 
 from flamingovalve.gateway import dispatch
+from flamingovalve.gateway.fencing import NO_FENCE
 from flamingovalve.gateway.ledger import HeldAdapter, Holding
 from flamingovalve.gateway.orders import Action, Order, OrderOutcome
 from flamingovalve.generated.ids import AdapterId, ModelId
@@ -121,6 +122,7 @@
             chain = self.ledger.chain
             unsure = chain.sequence is None or chain.unanswered
             unsure = unsure or self.ledger.silent or not self.ledger.models
+            unsure = unsure or self.ledger.fence == NO_FENCE
             waits = _EAGER_REPORT_SECONDS if unsure else _REPORT_SECONDS
             paused = chain.stands_down_until - clock.now()
             if 0 < paused < waits:
@@ -202,7 +204,7 @@
         version: int,
     ) -> OrderOutcome:
         chain = self.ledger.chain
-        if not chain.may_order():
+        if not self.ledger.may_order():
             return OrderOutcome.HELD_BACK
         order = Order(
             action,
@@ -210,7 +212,7 @@
             adapter,
             chain.sequence or 0,
             self._owner.vm,
-            self._owner.fence,
+            self.ledger.fence,
             version,
         )
         outcome = await self._link.order(order)
@@ -236,7 +238,8 @@
             chain.note_conflict()
         elif outcome is OrderOutcome.OUTBID:
             chain.note_conflict()
-            self._owner.raise_fence()
+            self._owner.fences.outbid()
+            self.ledger.fence = self._owner.fences.claimed
         elif outcome is OrderOutcome.GONE:
             self.ledger.note_failure()
 
@@ -263,6 +266,8 @@
             logger.warning('upstream {} restarted', ledger.upstream.id)
             ledger.restart(report.born)
         ledger.born = report.born
+        is_first = ledger.chain.sequence is None
+        foreign = ledger.chain.foreign
         if ledger.chain.note_report(report):
             self._owner.counts.foreign += 1
             logger.warning(
@@ -270,11 +275,26 @@
                 ledger.upstream.id,
                 report.sequence,
             )
+        if is_first or ledger.chain.foreign != foreign:
+            ledger.fence = NO_FENCE
+        await self._find_fence()
         ledger.adopt(report)
         if not ledger.models and not ledger.is_loading_model():
             await self.load_model()
         await self._owner.pump()
 
+    async def _find_fence(self) -> None:
+        """Find a fencing number that exceeds those of all earlier orders."""
+        ledger = self.ledger
+        if ledger.fence != NO_FENCE:
+            return
+        fences = self._owner.fences
+        ledger.fence = await fences.found_after(ledger.chain.quiet_since)
+        if ledger.fence == NO_FENCE and not ledger.chain.foreign:
+            # The store is away. Nobody else was seen to order, and our claim
+            # exceeds all that were heard of while it was made.
+            ledger.fence = fences.claimed
+
     async def load_model(self) -> None:
         """Load a base model into an engine that began without one.
 
@@ -283,7 +303,7 @@
         of them was replaced.
         """
         model = self._owner.missing_model(self.ledger)
-        if not model or not self.ledger.chain.may_order():
+        if not model or not self.ledger.may_order():
             return
         self.ledger.fetches_model = model not in self.ledger.at_hand
         self.ledger.model_ready_at = clock.now() + _MODEL_LOAD_SECONDS
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -60,6 +60,9 @@
     async def read_all(self, prefix: str) -> Reading:
         """Read every document whose key begins with ``prefix``."""
 
+    async def revision(self) -> int:
+        """Give the revision of this moment."""
+
     async def watch(self, prefix: str, after: int, seconds: float) -> Reading:
         """Wait for changes behind a revision."""
 
@@ -147,6 +150,14 @@
             self._catalogue.note_store_away()
         return news
 
+    async def fresh_revision(self) -> int | None:
+        """Give the store's revision of this moment, if it answers."""
+        try:
+            return await self._store.revision()
+        except StoreUnavailable as failed:
+            logger.info('no revision of the store: {}', failed)
+            return None
+
     def own_rumour(self) -> CatalogueRumour:
         """Say how new the documents are that this VM holds."""
         return CatalogueRumour(
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
+from flamingovalve.gateway.fencing import NO_FENCE
 from flamingovalve.gateway.reading import ReadingQueue
 from flamingovalve.util import clock
 from flamingovalve.util.rates import DecayingRate
@@ -97,6 +98,7 @@
     :ivar silent: whether it did not answer when it was last asked
     :ivar model_ready_at: when a base model on its way should be there
     :ivar at_hand: models that it can load without the weight store
+    :ivar fence: fencing number of our next order; none until it was found
     :ivar fetches_model: whether the model on its way comes from that store
     """
 
@@ -117,10 +119,15 @@
     silent: bool = False
     model_ready_at: float = 0
     at_hand: frozenset[ModelId] = frozenset()
+    fence: int = NO_FENCE
     fetches_model: bool = False
     reported_at: float = float('-inf')
     recent: dict[AdapterId, None] = field(default_factory=dict)
 
+    def may_order(self) -> bool:
+        """Tell whether this engine may be given an order now."""
+        return self.fence != NO_FENCE and self.chain.may_order()
+
     def slots(self) -> int:
         """Give the number of adapters that fit beside the models."""
         traits = self.traits
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -91,6 +91,7 @@
     :ivar predecessor_ended: whether whoever owned the engine before us has
         provably stopped ordering
     :ivar quiet_since: since when the count has not changed by others
+    :ivar foreign: how often the count had changed by others
     :ivar stands_down_until: no order before this moment, on our clock
     """
 
@@ -102,6 +103,7 @@
     unanswered: bool = False
     predecessor_ended: bool = False
     quiet_since: float = 0
+    foreign: int = 0
 
     def may_order(self) -> bool:
         """Tell whether an order could not make two VMs take turns.
@@ -167,6 +169,7 @@
         each would undo the other's loads.
         """
         self.quiet_since = clock.now()
+        self.foreign += 1
         self.predecessor_ended = False
         if not self.ordered:
             return False
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -8,8 +8,8 @@
 import curio
 
 from flamingovalve.gateway.engine import OwnerCounts
+from flamingovalve.gateway.fencing import Fences
 from flamingovalve.gateway.owner import GroupOwner
-from flamingovalve.gateway.ownership import fence_of
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -17,6 +17,7 @@
 
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.engine import EngineLink
+    from flamingovalve.gateway.fencing import FreshRevision
     from flamingovalve.gateway.model import (
         EngineTraits,
         Upstream,
@@ -24,7 +25,7 @@
     )
     from flamingovalve.gateway.ownership import GroupClaims
     from flamingovalve.gateway.shards import Shards
-    from flamingovalve.generated.ids import GroupId, ServiceId, VmId
+    from flamingovalve.generated.ids import GroupId, VmId
     from flamingovalve.generated.messages import OwnerRumour
     from flamingovalve.generated.settings import GatewaySettings
     from flamingovalve.membership.members import MemberTable
@@ -44,15 +45,20 @@
         claims: GroupClaims,
         catalogue: Catalogue,
         shards: Shards,
+        fresh_revision: FreshRevision,
         link_to: Callable[[Upstream], EngineLink],
     ) -> None:
-        """Own nothing yet."""
+        """Own nothing yet.
+
+        :param fresh_revision: asks the store for its revision
+        :param link_to: opens the way to an engine
+        """
         self._settings = settings
         self._members = members
         self._claims = claims
         self._catalogue = catalogue
         self._shards = shards
-        self._count_by_service: dict[ServiceId, int] = {}
+        self._fresh_revision = fresh_revision
         self._link_to = link_to
         self._owners: dict[GroupId, GroupOwner] = {}
         self._given_up = OwnerCounts()
@@ -93,15 +99,7 @@
         tell: Tell,
     ) -> None:
         by_group = self._shards.engines(service.name)
-        known = self._count_by_service.get(service.name)
-        divides_anew = known not in {None, len(by_group)}
-        self._count_by_service[service.name] = len(by_group)
         for group, upstreams in by_group.items():
-            if divides_anew and group in self._owners:
-                # Engines come from groups whose claims may be newer, and
-                # refuse or report an order whose fencing number is lower.
-                await tell(self._claim(group))
-                self._owners[group].fence = self._fence(group)
             owner = await self._tend_group(group, tell)
             if owner is not None:
                 await owner.replace_engines(upstreams, traits)
@@ -129,9 +127,7 @@
         quiet = self._settings.lease_seconds
         quiet += 2 * self._settings.report_lag_seconds
         for owner in self._owners.values():
-            for engine in owner.engines_by_id.values():
-                chain = engine.ledger.chain
-                chain.stands_down_until = clock.now() + quiet
+            owner.hold_orders(quiet)
 
     def engine_count(self) -> int:
         """Count the engines that this VM owns."""
@@ -149,7 +145,7 @@
         return {
             group: {
                 'counts': dataclasses.asdict(owner.counts),
-                'fence': owner.fence,
+                'fence': owner.fences.claimed,
                 'engines': {
                     name: {
                         'held': list(engine.ledger.held),
@@ -171,7 +167,7 @@
         ended = self._claims.predecessor_ended(group)
         claim: OwnerRumour | None = None
         if self._claims.should_claim(group):
-            claim = self._claim(group)
+            claim = await self._claim(group)
         owner_vm = self._claims.owner(group)
         if owner_vm is None:
             # Many VMs may have ended together; the next in turn is looked at
@@ -189,12 +185,14 @@
             await tell(claim)
         return owner
 
-    def _claim(self, group: GroupId) -> OwnerRumour:
-        return self._claims.claim(group, self._catalogue.revision)
-
-    def _fence(self, group: GroupId) -> int:
-        epoch = self._claims.by_group[group].epoch
-        return fence_of(self._members.own_id, epoch)
+    async def _claim(self, group: GroupId) -> OwnerRumour:
+        revision = await self._fresh_revision()
+        known = self._catalogue.revision
+        claim = self._claims.claim(group, max(revision or 0, known))
+        owner = self._owners.get(group)
+        if owner is not None and not claim.provisional:
+            owner.fences.renew(claim.epoch)
+        return claim
 
     async def _take_up(
         self,
@@ -202,11 +200,14 @@
         *,
         predecessor_ended: bool,
     ) -> GroupOwner:
+        claim = self._claims.by_group[group]
+        epoch = 0 if claim.provisional else claim.epoch
+        vm = self._members.own_id
         owner = GroupOwner(
             self._settings,
             group,
-            self._members.own_id,
-            self._fence(group),
+            vm,
+            Fences(vm, self._fresh_revision, epoch),
             self._catalogue,
             self._link_to,
         )
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -29,6 +29,7 @@
 
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.engine import EngineLink
+    from flamingovalve.gateway.fencing import Fences
     from flamingovalve.gateway.model import EngineTraits, Upstream
     from flamingovalve.generated.ids import GroupId, UpstreamId, VmId
     from flamingovalve.generated.messages import PlaceAsk, PlaceHold
@@ -51,18 +52,18 @@
         settings: GatewaySettings,
         group: GroupId,
         vm: VmId,
-        fence: int,
+        fences: Fences,
         catalogue: Catalogue,
         link_to: Callable[[Upstream], EngineLink],
     ) -> None:
         """Own nothing yet.
 
-        :param fence: fencing number that every order carries
+        :param fences: finds the fencing numbers of orders
         :param link_to: opens the way to an engine
         """
         self.group = group
         self.vm = vm
-        self.fence = fence
+        self.fences = fences
         self.counts = OwnerCounts()
         self.predecessor_ended = False
         self.orders_after = 0.0
@@ -87,6 +88,14 @@
             await self._refuse(waiter, _not_owner())
         await self._tasks.cancel()
 
+    def hold_orders(self, seconds: float) -> None:
+        """Order nothing for a while, nor let new engines be ordered."""
+        until = clock.now() + seconds
+        self.orders_after = max(self.orders_after, until)
+        for engine in self.engines_by_id.values():
+            chain = engine.ledger.chain
+            chain.stands_down_until = max(chain.stands_down_until, until)
+
     async def replace_engines(
         self,
         upstreams: Iterable[Upstream],
@@ -374,10 +383,6 @@
             return model
         return ModelId('')
 
-    def raise_fence(self) -> None:
-        """Order with a higher number: the engine has seen one."""
-        self.fence += 1 << dispatch.FENCE_BITS
-
     def _models(self) -> set[ModelId]:
         ledgers = self._ledgers()
         return {name for ledger in ledgers for name in ledger.traits.models}
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -4,13 +4,11 @@
 
 from typing import TYPE_CHECKING, Final
 
-from flamingovalve.gateway.dispatch import FENCE_BITS
 from flamingovalve.generated.ids import VmId
 from flamingovalve.generated.messages import MemberState, OwnerRumour
 from flamingovalve.membership.gossip import News
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger, note
-from flamingovalve.util.network import split_address
 
 if TYPE_CHECKING:
     from flamingovalve.generated.ids import GroupId
@@ -181,19 +179,6 @@
     return [member.vm.id for member in members if member.cores >= least]
 
 
-def fence_of(vm: VmId, epoch: int) -> int:
-    """Give the fencing number of a claim.
-
-    Two VMs that claim in the same epoch must not share a number, so its low
-    bits are the VM's address, of which the last three parts are its own.
-    """
-    host, _port = split_address(vm)
-    number = 0
-    for part in host.split('.')[1:]:
-        number = number << 8 | int(part)
-    return epoch << FENCE_BITS | number
-
-
 def _rank(claim: OwnerRumour) -> tuple[int, bool, str, int]:
     return (
         claim.epoch,
--- a/flamingovalve/gateway/places.py
+++ b/flamingovalve/gateway/places.py
@@ -192,12 +192,7 @@
         return lease
 
     async def _ask(self, vm: VmId, ask: PlaceAsk) -> PlaceLease:
-        member = self._members.by_id[vm]
-        address = member.vm.peer_address
-        try:
-            connection = await self._peers.fresh_enough(address, vm)
-        except PeerUnreachable as failed:
-            raise OwnerSilent(str(failed)) from failed
+        address, connection = await self._connect(vm)
         try:
             await connection.send(ask)
             reply = await connection.receive(_SILENCE_SECONDS)
@@ -214,6 +209,18 @@
         lease.holder = RemoteHolder(self._peers, connection, address)
         return lease
 
+    async def _connect(self, vm: VmId) -> tuple[str, PeerConnection]:
+        member = self._members.by_id.get(vm)
+        if member is None:
+            # A claim can be heard before its VM is: a process that has just
+            # started knows few others.
+            raise OwnerSilent(f'VM {vm} is not known here yet')
+        address = member.vm.peer_address
+        try:
+            return address, await self._peers.fresh_enough(address, vm)
+        except PeerUnreachable as failed:
+            raise OwnerSilent(str(failed)) from failed
+
 
 class PlaceServer:
     """Gives places to the VMs that ask for them."""
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -49,6 +49,9 @@
 _RUMOURS_PER_DATAGRAM = 8
 _RUMOURS_PER_WELCOME = 24
 _DATAGRAM_BYTES = 65536
+# Members that each probe names. Two make 140 known to each other again
+# within about 40 s at two probes a second, by arithmetic.
+_STANDING_MEMBERS = 2
 # VMs that tell a newcomer who else there is; one may be gone and one slow.
 _WELCOMING_VMS = 3
 _REVIVAL_SHARE = 0.1
@@ -307,7 +310,7 @@
         if not self._is_fresh(datagram):
             self.counts.replayed += 1
             return
-        self._heard(datagram)
+        await self._heard(datagram)
         for rumour in datagram.rumours:
             await self._take(rumour)
         await self._answer(datagram.content, datagram.sender)
@@ -321,20 +324,19 @@
             return False
         return known[1].accept(datagram.sequence)
 
-    def _heard(self, datagram: Datagram) -> None:
+    async def _heard(self, datagram: Datagram) -> None:
         member = self.members.by_id.get(datagram.sender)
         if member is None:
             return
         member.heard_at = clock.now()
         if datagram.incarnation > member.incarnation:
-            self.members.apply(
-                MemberRumour(
-                    datagram.sender,
-                    datagram.incarnation,
-                    0,
-                    MemberState.ALIVE,
-                ),
-            )
+            # A process that was restarted speaks for the first time. Whoever
+            # hears it first tells the others, and tells it who they are.
+            rumour = self.members.rumour_of(member)
+            rumour.incarnation = datagram.incarnation
+            rumour.counter = 0
+            rumour.state = MemberState.ALIVE
+            await self._take_member(rumour)
         if member.state is MemberState.DEAD:
             # It speaks but does not know that it was declared dead: tell
             # it, so that it can refute with a higher counter.
@@ -446,6 +448,9 @@
             if self.members.own_vm is not None:
                 # Whoever does not know us yet can only answer after this.
                 rumours.append(self.members.own_rumour())
+                rumours.extend(
+                    self.members.some_rumours(self._chance, _STANDING_MEMBERS),
+                )
         if target.state is not MemberState.ALIVE:
             # It must hear what is said of it, or it cannot refute it.
             rumours.append(self.members.rumour_of(target))
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -13,6 +13,8 @@
 from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
+    import random
+
     from flamingovalve.generated.settings import VmList
 
 logger = get_logger(__name__)
@@ -240,6 +242,22 @@
             member.cores,
         )
 
+    def some_rumours(
+        self,
+        chance: random.Random,
+        count: int,
+    ) -> list[MemberRumour]:
+        """Give rumours of a few members, for VMs that missed their joining.
+
+        After three of four VMs were restarted together, each of the three
+        knew only the fourth until one of the others changed its state.
+        """
+        alive = [
+            member for member in self.others() if member.state is State.ALIVE
+        ]
+        chosen = chance.sample(alive, min(count, len(alive)))
+        return [self.rumour_of(member) for member in chosen]
+
     def own_rumour(self) -> MemberRumour:
         """Give the rumour that states how we are."""
         return MemberRumour(
--- a/flamingovalve/platform/store.py
+++ b/flamingovalve/platform/store.py
@@ -26,6 +26,10 @@
 
 # One read takes 4 ms as published and up to 60 times that when slow.
 _READ_SECONDS: Final = 0.8
+# A claim waits for this; slow, the store takes 0.24 s.
+_REVISION_SECONDS: Final = 0.4
+# Names no item, so that the answer holds the revision and nothing else.
+_NO_ITEMS: Final = '!'
 # The published bound of one page.
 _MOST_PAGES: Final = 200
 
@@ -68,6 +72,16 @@
             after = documents[-1].key
         return Reading(documents, first)
 
+    async def revision(self) -> int:
+        """Give the revision of this moment.
+
+        :raises StoreUnavailable: when the store does not answer as it should
+        """
+        query = {'PathPrefix': _NO_ITEMS}
+        return _revision(
+            await self._get('/kv-range', query, _REVISION_SECONDS),
+        )
+
     async def watch(self, prefix: str, after: int, seconds: float) -> Reading:
         """Wait for changes behind the revision ``after``.
 
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import curio
 
 from flamingovalve.errors import ConnectionLost
 from flamingovalve.http.messages import Request, Response
+from flamingovalve.util import clock
 from standins.base import StandIn
 
 if TYPE_CHECKING:
@@ -19,6 +21,18 @@
 _EVENTS = 4
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptedOrder:
+    """An order that an engine did not refuse.
+
+    :ivar at: when it came, on the world's clock
+    """
+
+    at: float
+    holder: str
+    fence: int
+
+
 class PlatformRunnerStandIn(StandIn):
     """A plain upstream that counts how often each request ran.
 
@@ -84,7 +98,9 @@
 class PlatformEngineStandIn(PlatformRunnerStandIn):
     """An engine that obeys orders and streams events.
 
-    :ivar orders: every order that was accepted: holder, fence, what
+    :ivar orders: every order that was carried out: holder, fence, what
+    :ivar accepted: every order that was not refused, also one for an
+        adapter that was on its way already
     :ivar refused_orders: orders for adapters that the model does not have
     :ivar refuses_versions: refuse orders that name a version
     :ivar order_seconds: what an order takes to be answered
@@ -109,6 +125,7 @@
         self.newest = 1
         self.sequence = 0
         self.orders: list[tuple[str, int, str]] = []
+        self.accepted: list[AcceptedOrder] = []
         self.crashes = 0
         self.refused_orders = 0
         self.refuses_versions = False
@@ -148,6 +165,7 @@
         """Carry out an order; give the status that answers it."""
         name = order.get('Adapter', '')
         if name in self.coming:
+            self._note_accepted(order)
             return 202
         if order.get('Precondition') != self.sequence:
             return 409
@@ -156,6 +174,7 @@
             self.refused_orders += 1
             return 400
         self.sequence += 1
+        self._note_accepted(order)
         what = f'{order["Op"]} {name or order["Model"]}'
         self.orders.append((order['Holder'], order['FencingToken'], what))
         if order['Op'] == 'unload':
@@ -170,6 +189,10 @@
         await curio.spawn(self._load, name, daemon=True)
         return 202
 
+    def _note_accepted(self, order: dict[str, Any]) -> None:
+        holder, fence = order['Holder'], order['FencingToken']
+        self.accepted.append(AcceptedOrder(clock.now(), holder, fence))
+
     async def _load(self, name: str) -> None:
         await curio.sleep(self.load_seconds)
         self.resident[name] = self.coming.pop(name)
--- a/tests/test_group_claims.py
+++ b/tests/test_group_claims.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from flamingovalve.gateway.ownership import GroupClaims, fence_of
+from flamingovalve.gateway.fencing import fence_of
+from flamingovalve.gateway.ownership import GroupClaims
 from flamingovalve.generated.ids import (
     DomainId,
     GroupId,
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -7,7 +7,12 @@
 import curio
 
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
-from flamingovalve.generated.messages import MemberRumour, MemberState
+from flamingovalve.generated.messages import (
+    Datagram,
+    MemberRumour,
+    MemberState,
+    Ping,
+)
 from flamingovalve.generated.settings import FleetSettings, PublishedVm
 from flamingovalve.membership.gossip import Gossip
 from flamingovalve.membership.members import MemberTable
@@ -85,6 +90,25 @@
         self.hear(rumour(THIRD, 2))
         self.assertIn((THIRD, OTHER), self.told)
 
+    def test_restarted_vm_that_speaks_itself_is_told_of_the_others(self):
+        """Three of four VMs are restarted together and speak to the fourth.
+
+        It noted that they run anew and told nobody, so they never heard of
+        each other, and each could own what another one owned.
+        """
+        self.hear(rumour(OTHER, 1), rumour(THIRD, 1))
+        self.told.clear()
+        ping = Ping(OWN, THIRD, 0)
+        datagram = Datagram(THIRD, Incarnation(2), 1, [], ping)
+        curio.run(self.gossip._heard, datagram)
+        self.assertIn((THIRD, OTHER), self.told)
+        self.assertTrue(
+            any(
+                entry.vm == THIRD and entry.incarnation == 2
+                for entry in self.gossip.rumours.take(8, 3)
+            ),
+        )
+
     def test_process_whose_clock_was_set_back_is_heard_again(self):
         """The clock was set back before this process started.
 
