The list of a service's upstreams is kept until it changes

Cause: profiles of VMs of the grown site show it made anew several times a request and four times a second: 5 % of the processor time of a VM that serves.

Change: the list is kept until an entry changes or lapses.

--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -99,6 +99,8 @@
         self._known_by_key: dict[str, _KnownDocument] = {}
         self._upstreams_by_id: dict[UpstreamId, _KnownUpstream] = {}
         self._versions: dict[tuple[str, str], int] = {}
+        self._listed_by_service: dict[ServiceId, list[Upstream]] = {}
+        self._listed_until = float('-inf')
 
     @property
     def is_ready(self) -> bool:
@@ -161,12 +163,28 @@
         return sorted(newer, key=lambda document: document.revision)
 
     def upstreams(self, service: ServiceId) -> list[Upstream]:
-        """Give the upstreams of a service that take new requests."""
-        return [
-            known.upstream
-            for known in self._upstreams_by_id.values()
-            if known.upstream.service == service and self._takes_requests(known)
-        ]
+        """Give the upstreams of a service that take new requests.
+
+        Asked for several times a request, and nearly always the same as
+        before: made anew each time, it took a twentieth of the processor
+        time of a VM before 74 upstreams (profile of one that served).
+        """
+        if clock.now() >= self._listed_until:
+            self._list_anew()
+        return self._listed_by_service.get(service, [])
+
+    def _list_anew(self) -> None:
+        self._listed_by_service = {}
+        self._listed_until = float('inf')
+        for known in self._upstreams_by_id.values():
+            if not self._takes_requests(known):
+                continue
+            self._listed_until = min(self._listed_until, known.lapses_at)
+            listed = self._listed_by_service.setdefault(
+                known.upstream.service,
+                [],
+            )
+            listed.append(known.upstream)
 
     def takes_requests(self, upstream: Upstream) -> bool:
         """Tell whether an upstream takes new requests."""
@@ -225,6 +243,7 @@
         )
 
     def _take_upstream(self, upstream: Upstream) -> None:
+        self._listed_until = float('-inf')
         known = self._upstreams_by_id.get(upstream.id)
         self._upstreams_by_id[upstream.id] = _KnownUpstream(upstream)
         if known is None or known.upstream.state is not upstream.state:
@@ -240,6 +259,7 @@
         known = self._upstreams_by_id.get(name)
         if known is None:
             return
+        self._listed_until = float('-inf')
         away = clock.now() - self.store_away_at
         if away > _RECENTLY_AWAY_SECONDS:
             del self._upstreams_by_id[name]
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -12,7 +12,7 @@
 from flamingovalve.gateway.ledger import EngineLedger, Popularity
 from flamingovalve.gateway.places import OwnerSilent
 from flamingovalve.gateway.seeking import PlaceSeeker
-from flamingovalve.generated.ids import GroupId, ServiceId, UpstreamId, VmId
+from flamingovalve.generated.ids import GroupId, ServiceId, VmId
 from tests.rig.engines import ask, hold, ledger, upstream
 from tests.rig.timeline import TimedTestCase
 
@@ -67,13 +67,13 @@
         catalogue = catalogue_of(70)
         divided = shards.Shards(catalogue)
         self.assertEqual(divided.count(SERVICE), 8)
-        kept = dict(catalogue._upstreams_by_id)
         for number in range(30, 70):
-            del catalogue._upstreams_by_id[UpstreamId(f'engine-{number}')]
+            catalogue._delete(f'servers/engine-{number}')
         self.assertEqual(divided.count(SERVICE), 8)
         self.advance(1)
         self.assertEqual(divided.count(SERVICE), 8)
-        catalogue._upstreams_by_id.update(kept)
+        for number in range(30, 70):
+            catalogue._take_upstream(upstream(f'engine-{number}'))
         self.assertEqual(divided.count(SERVICE), 8)
         self.advance(5)
         self.assertEqual(divided.count(SERVICE), 8)
@@ -83,7 +83,7 @@
         divided = shards.Shards(catalogue)
         divided.count(SERVICE)
         for number in range(30, 70):
-            del catalogue._upstreams_by_id[UpstreamId(f'engine-{number}')]
+            catalogue._delete(f'servers/engine-{number}')
         divided.count(SERVICE)
         self.advance(4)
         self.assertEqual(divided.count(SERVICE), 4)
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -263,6 +263,20 @@
         self.assertTrue(self.put(12, b'ready 2', in_sequence=False))
         self.assertEqual(len(self.catalogue.after(10)), 1)
 
+    def test_entry_that_lapsed_beside_an_outage_is_gone_in_time(self):
+        """An entry lapses while the store is away, and its upstream is gone.
+
+        The list of upstreams is kept between requests; it must not keep one
+        that has lapsed meanwhile.
+        """
+        self.assertEqual(len(self.catalogue.upstreams(ServiceId('engines'))), 1)
+        self.catalogue.note_store_away()
+        gone = Document('servers/a', 11, b'', deleted=True)
+        self.catalogue.apply(gone, in_sequence=True)
+        self.assertEqual(len(self.catalogue.upstreams(ServiceId('engines'))), 1)
+        self.advance(1.6)
+        self.assertEqual(self.catalogue.upstreams(ServiceId('engines')), [])
+
     def test_change_is_news(self):
         self.assertTrue(self.put(11, b'draining'))
         self.assertEqual(self.catalogue.news_revision, 11)
