--- a/flamingovalve/cmd/service.py
+++ b/flamingovalve/cmd/service.py
@@ -46,10 +46,10 @@
     """Build the daemon that ``settings`` describe."""
     if settings.platform.store:
         from flamingovalve.gateway.daemon import GatewayDaemon
-        from flamingovalve.platform.frontend import PlatformFrontend
+        from flamingovalve.platform.adapter import UsersPlatform
 
-        frontend = PlatformFrontend(settings.platform.store)
-        return GatewayDaemon.from_config(settings, Network(), frontend)
+        platform = UsersPlatform(settings.platform.store)
+        return GatewayDaemon.from_config(settings, Network(), platform)
     from flamingovalve.daemon import Daemon
 
     return Daemon.from_config(settings, Network())
--- a/flamingovalve/gateway/frontend.py
+++ b/flamingovalve/gateway/adapter.py
@@ -17,7 +17,7 @@
     from flamingovalve.http.messages import Request, Response
 
 
-class Frontend(Protocol):
+class PlatformAdapter(Protocol):
     """Names, formats and calls of a platform; it decides nothing."""
 
     wire: Wire
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -42,7 +42,7 @@
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
-    from flamingovalve.gateway.frontend import Frontend
+    from flamingovalve.gateway.adapter import PlatformAdapter
     from flamingovalve.generated.settings import Settings
     from flamingovalve.util.network import Network
 
@@ -69,17 +69,17 @@
         self,
         settings: Settings,
         network: Network,
-        frontend: Frontend,
+        platform: PlatformAdapter,
         chance: random.Random,
         incarnation: Incarnation,
     ) -> None:
         """Put the parts together; nothing runs yet.
 
-        :param frontend: speaks as the platform's callers do
+        :param platform: speaks as the platform's callers do
         """
         self.settings = settings
         self.network = network
-        self.frontend = frontend
+        self.platform = platform
         self.chance = chance
         self.incarnation = incarnation
         self.is_leaving = False
@@ -89,10 +89,10 @@
         self.pool = ConnectionPool(network, settings.relay)
         self.peers = PeerPool(network, settings, incarnation)
         self.gossip = Gossip(network, self.members, settings.fleet, chance)
-        self.catalogue = Catalogue(frontend.decode)
+        self.catalogue = Catalogue(platform.decode)
         self.follower = CatalogueFollower(
             self.catalogue,
-            frontend.store(self.pool),
+            platform.store(self.pool),
             self.members,
             self.peers,
             Watchers(self.members, settings.platform.watchers_per_domain),
@@ -106,7 +106,7 @@
         cls,
         settings: Settings,
         network: Network,
-        frontend: Frontend,
+        platform: PlatformAdapter,
         seed: int | None = None,
     ) -> Self:
         """Build the daemon of ``settings``.
@@ -116,7 +116,7 @@
         settings.vm.id = VmId(settings.vm.peer_address)
         incarnation = Incarnation(int(clock.wall() * _MICROSECONDS))
         chance = random.Random(seed)
-        return cls(settings, network, frontend, chance, incarnation)
+        return cls(settings, network, platform, chance, incarnation)
 
     def _build_serving(self) -> None:
         settings = self.settings
@@ -130,10 +130,16 @@
             self.catalogue,
             self.shards,
             self.follower.fresh_revision,
-            lambda upstream: self.frontend.engine(self.pool, upstream),
+            self.gossip.probe_now,
+            lambda upstream: self.platform.engine(self.pool, upstream),
         )
         self.places = PlaceClient(self.members, self.peers, self.owned.find)
-        self.seeker = PlaceSeeker(self.claims, self.places, self.shards)
+        self.seeker = PlaceSeeker(
+            self.claims,
+            self.places,
+            self.shards,
+            self.gossip.probe_now,
+        )
         self.directory = AddressDirectory(
             self.members,
             settings.gateway.addresses_per_domain,
@@ -147,7 +153,7 @@
             self._refuses,
         )
         attempts = Attempts(budget, self.quarantine)
-        relay = UpstreamRelay(self.pool, self.frontend.wire)
+        relay = UpstreamRelay(self.pool, self.platform.wire)
         balancer = Balancer(domain, self.chance)
         calls = CallServer(self.catalogue, balancer, relay, attempts)
         self.completions = CompletionServer(
@@ -172,13 +178,13 @@
         limits = settings.limits
         self.metrics = GatewayMetrics(self)
         self.front = Front(
-            self.frontend,
+            self.platform,
             self.catalogue,
             self.server,
             self.metrics,
         )
         self.http = HttpServer(self.network, self.front.answer, limits)
-        self.http.error_response = self.frontend.error_response
+        self.http.error_response = self.platform.error_response
         side = SideAnswers(self)
         self.side = HttpServer(self.network, side.answer, LimitSettings())
         self.peer_server = PeerServer(self.network, settings, self.incarnation)
@@ -189,8 +195,6 @@
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
         self.gossip.rumour_listener = self._hear
         self.gossip.standing_rumours = self._standing_rumours
-        self.seeker.silence_listener = self.gossip.probe_now
-        self.owned.hurry = self.gossip.probe_now
         self.gossip.late_listeners.append(self.owned.note_late_wakeup)
         self.follower.listeners.append(self._published)
         self.follower.tell = self.gossip.push
--- a/flamingovalve/gateway/front.py
+++ b/flamingovalve/gateway/front.py
@@ -13,9 +13,9 @@
 from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
+    from flamingovalve.gateway.adapter import PlatformAdapter
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.daemon import GatewayDaemon
-    from flamingovalve.gateway.frontend import Frontend
     from flamingovalve.gateway.metrics import GatewayMetrics
     from flamingovalve.gateway.serving import RequestServer
     from flamingovalve.generated.ids import DomainId
@@ -34,14 +34,14 @@
 
     def __init__(
         self,
-        frontend: Frontend,
+        platform: PlatformAdapter,
         catalogue: Catalogue,
         server: RequestServer,
         metrics: GatewayMetrics,
     ) -> None:
-        """Serve by ``server`` what ``frontend`` decodes."""
+        """Serve by ``server`` what ``platform`` decodes."""
         self.in_progress = 0
-        self._frontend = frontend
+        self._platform = platform
         self._catalogue = catalogue
         self._server = server
         self._metrics = metrics
@@ -71,7 +71,7 @@
         note(
             logger,
             'request',
-            id=self._frontend.request_id(request),
+            id=self._platform.request_id(request),
             path=request.path,
             outcome=outcome,
             seconds=round(clock.now() - began, 3),
@@ -85,14 +85,14 @@
                 'this VM has no configuration yet; try another one',
                 retry_after=_NO_CONFIGURATION_SECONDS,
             )
-        host = self._frontend.host_of(request)
+        host = self._platform.host_of(request)
         route = self._catalogue.configuration.find(host, request.path)
         if route is None:
             raise ServingError(
                 ErrorKind.UNKNOWN_PATH,
                 f'no route of host {host!r} begins {request.path!r}',
             )
-        inbound = self._frontend.inbound(request, route)
+        inbound = self._platform.inbound(request, route)
         async with responder.watch_caller():
             await self._server.serve(inbound, responder)
 
@@ -106,7 +106,7 @@
 
     async def answer(self, request: Request, responder: Responder) -> None:
         """Answer one question."""
-        domain = self._daemon.frontend.asked_domain(request)
+        domain = self._daemon.platform.asked_domain(request)
         if domain is not None:
             response = self._addresses(domain)
         elif request.path == '/metrics':
@@ -125,7 +125,7 @@
 
     def _addresses(self, domain: DomainId) -> Response:
         daemon = self._daemon
-        return daemon.frontend.addresses_response(
+        return daemon.platform.addresses_response(
             daemon.directory.addresses(domain),
             daemon.settings.gateway.address_seconds,
         )
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -339,7 +339,7 @@
     part only behind the same ones and for the same weights.
     """
     keys = []
-    path = ask.adapter
+    path: str = ask.adapter
     for part in ask.parts[:-1]:
         path = f'{path}/{part.id}'
         keys.append((path, part.tokens))
--- a/flamingovalve/gateway/model.py
+++ b/flamingovalve/gateway/model.py
@@ -110,7 +110,6 @@
 
     header_bytes: int = 16384
     body_bytes: int = 4194304
-    header_seconds: float = 3.0
     idle_seconds: float = 15.0
 
 
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -46,11 +46,13 @@
         catalogue: Catalogue,
         shards: Shards,
         fresh_revision: FreshRevision,
+        probe: Callable[[VmId | None], Awaitable[None]],
         link_to: Callable[[Upstream], EngineLink],
     ) -> None:
         """Own nothing yet.
 
         :param fresh_revision: asks the store for its revision
+        :param probe: looks at once whether a VM still answers
         :param link_to: opens the way to an engine
         """
         self._settings = settings
@@ -63,7 +65,7 @@
         self._owners: dict[GroupId, GroupOwner] = {}
         self._given_up = OwnerCounts()
         self._tending = curio.Lock()
-        self.hurry: Callable[[VmId | None], Awaitable[None]] = _leave
+        self._probe = probe
         # A process that has just started does not know whether the one
         # before it on this VM ordered a moment ago: taking turns with
         # whoever followed that one would be seen as two holders. That one
@@ -172,7 +174,7 @@
         if owner_vm is None:
             # Many VMs may have ended together; the next in turn is looked at
             # now and not when its turn for a probe comes.
-            await self.hurry(self._claims.candidate(group))
+            await self._probe(self._claims.candidate(group))
         is_ours = owner_vm == self._members.own_id
         owner = self._owners.get(group)
         if owner is None and is_ours:
@@ -216,7 +218,3 @@
         self._owners[group] = owner
         await owner.start()
         return owner
-
-
-async def _leave(_vm: VmId | None) -> None:
-    """Leave a candidate to the usual probes."""
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -8,7 +8,7 @@
 
 from flamingovalve.errors import ConnectionLost, ErrorKind, Ran, ServingError
 from flamingovalve.gateway.model import Repeat
-from flamingovalve.http.messages import Response
+from flamingovalve.http.messages import Response, end_to_end
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -23,16 +23,6 @@
     from flamingovalve.http.messages import HeaderList
     from flamingovalve.http.server import Responder
 
-_CONNECTION_HEADERS: Final = frozenset(
-    (
-        'connection',
-        'content-length',
-        'keep-alive',
-        'transfer-encoding',
-        'trailer',
-        'upgrade',
-    ),
-)
 _EVENT_END: Final = b'\n\n'
 
 
@@ -219,7 +209,7 @@
         request: InboundRequest,
     ) -> Sent:
         verdict = self._wire.verdict(head, request)
-        response = Response(head.status, passed_back(head.lines), body)
+        response = Response(head.status, end_to_end(head.lines), body)
         if verdict is Verdict.SUCCESS:
             return Sent(Outcome.DONE, response)
         if verdict is Verdict.NOT_RUN:
@@ -243,7 +233,7 @@
             if self._wire.verdict(head, request) is not Verdict.SUCCESS:
                 body = await connection.body(request.time_left())
                 return self._judge(head, body, request)
-            await sink.begin(head.status, passed_back(head.lines))
+            await sink.begin(head.status, end_to_end(head.lines))
             await self._pass_on(connection, request, sink)
         except TimeoutError:
             outcome = Outcome.TIMED_OUT
@@ -329,15 +319,6 @@
     return request.route.repeat is not Repeat.ONCE
 
 
-def passed_back(lines: HeaderList) -> HeaderList:
-    """Give the headers of an answer that concern its caller."""
-    return [
-        (name, text)
-        for name, text in lines
-        if name.lower() not in _CONNECTION_HEADERS
-    ]
-
-
 def failure(outcome: Outcome) -> ServingError:
     """Give the error for a request that nobody will answer."""
     if outcome is Outcome.TIMED_OUT:
--- a/flamingovalve/gateway/seeking.py
+++ b/flamingovalve/gateway/seeking.py
@@ -51,9 +51,13 @@
         claims: GroupClaims,
         places: PlaceClient,
         shards: Shards,
+        probe: Callable[[VmId], Awaitable[None]],
     ) -> None:
-        """Ask the owners that ``claims`` name."""
-        self.silence_listener: Callable[[VmId], Awaitable[None]] = _ignore
+        """Ask the owners that ``claims`` name.
+
+        :param probe: looks at once whether a VM still answers
+        """
+        self._probe = probe
         self._claims = claims
         self._places = places
         self._shards = shards
@@ -141,7 +145,7 @@
         except OwnerSilent as silent:
             reason = str(silent)
             self._silent_until[owner] = clock.now() + _SILENT_SECONDS
-            await self.silence_listener(owner)
+            await self._probe(owner)
         except ServingError as refused:
             if refused.kind is not ErrorKind.NOT_OWNER:
                 raise
@@ -157,10 +161,6 @@
         return None
 
 
-async def _ignore(_vm: VmId) -> None:
-    """Leave a silent owner to the usual probes."""
-
-
 def _no_owner() -> ServingError:
     return ServingError(
         ErrorKind.NOT_OWNER,
--- a/flamingovalve/http/messages.py
+++ b/flamingovalve/http/messages.py
@@ -19,6 +19,30 @@
 
 HeaderList = list[tuple[str, str]]
 
+# Headers that concern one connection only, the body's framing included.
+_CONNECTION_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+
+
+def end_to_end(lines: HeaderList) -> HeaderList:
+    """Give the headers that are passed on from one connection to another."""
+    return [
+        (name, text)
+        for name, text in lines
+        if name.lower() not in _CONNECTION_HEADERS
+    ]
+
 
 def header_list(raw: Iterable[tuple[bytes, bytes]]) -> HeaderList:
     """Give headers in their order and spelling."""
--- a/flamingovalve/platform/frontend.py
+++ b/flamingovalve/platform/adapter.py
@@ -23,7 +23,7 @@
 _RESOLVE_PATH: Final = '/resolve'
 
 
-class PlatformFrontend:
+class UsersPlatform:
     """Names, formats and calls of the users' platform."""
 
     def __init__(self, store_address: str) -> None:
--- a/flamingovalve/platform/decode.py
+++ b/flamingovalve/platform/decode.py
@@ -166,7 +166,6 @@
     return model.CallerLimits(
         _whole(raw.get('MaxHeaderBytes', usual.header_bytes)),
         _whole(raw.get('MaxBodyBytes', usual.body_bytes)),
-        _seconds(raw.get('HeaderTimeoutMs', usual.header_seconds * 1000)),
         _seconds(raw.get('IdleTimeoutMs', usual.idle_seconds * 1000)),
     )
 
--- a/flamingovalve/platform/ingress.py
+++ b/flamingovalve/platform/ingress.py
@@ -9,7 +9,7 @@
 from flamingovalve.gateway.inbound import Completion, InboundRequest
 from flamingovalve.generated.ids import AdapterId, ModelId, RequestId
 from flamingovalve.generated.messages import PromptPart
-from flamingovalve.http.messages import JSON_TYPE, Response
+from flamingovalve.http.messages import JSON_TYPE, Response, end_to_end
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -23,21 +23,6 @@
 _PREFIX: Final = 'prompt-prefix'
 _MS_PER_SECOND: Final = 1000.0
 
-# Headers that concern one connection only, the body's framing included.
-_CONNECTION_HEADERS: Final = frozenset(
-    (
-        'connection',
-        'content-length',
-        'expect',
-        'keep-alive',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    ),
-)
-
 # A caller could reserve memory, jump the queue or reach another request's
 # memory by these; they are set by this system only.
 _OWN_HEADERS: Final = frozenset(
@@ -121,9 +106,8 @@
 def _passed_on(lines: HeaderList) -> HeaderList:
     return [
         (name, text)
-        for name, text in lines
-        if name.lower() not in _CONNECTION_HEADERS
-        and name.lower() not in _OWN_HEADERS
+        for name, text in end_to_end(lines)
+        if name.lower() not in _OWN_HEADERS
     ]
 
 
--- a/tests/rig/site.py
+++ b/tests/rig/site.py
@@ -10,7 +10,7 @@
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
 from flamingovalve.generated.settings import Settings
 from flamingovalve.http.client import UpstreamCall
-from flamingovalve.platform.frontend import PlatformFrontend
+from flamingovalve.platform.adapter import UsersPlatform
 from standins.platform_runner import (
     PlatformEngineStandIn,
     PlatformRunnerStandIn,
@@ -175,7 +175,7 @@
         vm.daemon = GatewayDaemon(
             self._settings(vm),
             network,
-            PlatformFrontend(self.store.address),
+            UsersPlatform(self.store.address),
             random.Random(f'{vm_id} {vm.starts}'),
             incarnation,
         )
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -49,6 +49,7 @@
             self.catalogue,
             Shards(self.catalogue),
             self._revision,
+            self._probe,
             lambda _upstream: StillEngine(),
         )
 
@@ -56,6 +57,9 @@
         """Give the revision that the store has now, if it answers."""
         return self.revision
 
+    async def _probe(self, _vm):
+        """Learn nothing new of a VM."""
+
     def _claims_of_claimer(self):
         tables = [table_of(vm) for vm in VMS]
         every = [GroupClaims(members, self.moment) for members in tables]
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -167,12 +167,21 @@
         self.shards = shards.Shards(catalogue_of(70))
         self.order = self.shards.preference(SERVICE, ask('a'))
         self.places = FakePlaces()
+        self.probed: list[VmId] = []
 
     def seek(self, claims=None):
         """Give the group where the request got its place."""
-        seeker = PlaceSeeker(claims or FakeClaims(), self.places, self.shards)
+        seeker = self.seeker(claims or FakeClaims())
         return curio.run(seeker.take, FakeRequest(), ask('a'))
 
+    def seeker(self, claims):
+        """Give a VM's way to its places; silent owners are noted."""
+        return PlaceSeeker(claims, self.places, self.shards, self._probe)
+
+    async def _probe(self, vm):
+        """Note which VM is to be probed."""
+        self.probed.append(vm)
+
     def test_first_group_is_asked_first(self):
         self.assertEqual(self.seek(), self.order[0])
         self.assertEqual(self.places.asked, [(self.order[0], True)])
@@ -202,11 +211,12 @@
         membership had found out.
         """
         self.places.silent = {VmId(f'owner of {self.order[0]}')}
-        seeker = PlaceSeeker(FakeClaims(), self.places, self.shards)
+        seeker = self.seeker(FakeClaims())
         curio.run(seeker.take, FakeRequest(), ask('a'))
         self.places.asked.clear()
         curio.run(seeker.take, FakeRequest(), ask('a'))
         self.assertEqual(self.places.asked, [(self.order[1], True)])
+        self.assertEqual(self.probed, [f'owner of {self.order[0]}'])
 
     def test_refusal_of_the_last_one_asked_is_final(self):
         self.places.take = self._refuse
