A load that waits for its turn keeps its adapter slot

By reading: a load that waits behind other orders is in no report yet; if it waited for longer than 0.6 s, the next report of the same count of orders made the owner forget it and give its slot away, while the load was still sent. One overloaded owner before 70 engines is where orders wait so long.

Change: an adapter whose load has no answer yet is not forgotten.

Measured: tests/test_dispatch fails without it.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -138,6 +138,7 @@
             async with self._ordering:
                 outcome = await self._load(held, victim)
         finally:
+            held.is_ordered = True
             if outcome not in _LOADING:
                 self._drop(held)
         if outcome not in _LOADING:
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -18,7 +18,7 @@
 from flamingovalve.membership.gossip import News
 from flamingovalve.peer.client import PeerUnreachable
 from flamingovalve.util import clock
-from flamingovalve.util.logs import get_logger
+from flamingovalve.util.logs import get_logger, note
 from flamingovalve.util.rates import jittered
 
 if TYPE_CHECKING:
@@ -113,13 +113,14 @@
         self._chance = chance
         self._asking: dict[VmId, _Asking] = {}
         self._must_read = True
+        self._watches = False
         self._lost_told_at = float('-inf')
 
     async def follow_forever(self) -> None:
         """Read and watch the store whenever it is this VM's turn."""
         pause = _FIRST_PAUSE_SECONDS
         while True:
-            if self._catalogue.is_ready and not self._watchers.should_watch():
+            if not self._is_our_turn():
                 await curio.sleep(jittered(self._chance, _TURN_SECONDS))
                 continue
             try:
@@ -131,6 +132,20 @@
             else:
                 pause = _FIRST_PAUSE_SECONDS
 
+    def _is_our_turn(self) -> bool:
+        """Tell whether to call the store; until all is read it always is."""
+        if not self._catalogue.is_ready:
+            return True
+        watches = self._watchers.should_watch()
+        if watches is not self._watches:
+            self._watches = watches
+            note(
+                logger,
+                'this VM watches the store' if watches else 'others watch',
+                revision=self._catalogue.news_revision,
+            )
+        return watches
+
     async def _follow(self) -> None:
         """Make one call of the store and take what it gives."""
         if self._must_read:
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -63,6 +63,8 @@
     :ivar uses: places in use on it
     :ivar ready_at: when its load should be complete, on our clock
     :ivar replaces: the version that stays if the load does not come about
+    :ivar is_ordered: false while its load still waits for its turn or for an
+        answer; no report can show it before
     """
 
     name: AdapterId
@@ -72,6 +74,7 @@
     ready_at: float = 0
     used_at: float = 0
     replaces: HeldAdapter | None = None
+    is_ordered: bool = True
 
 
 @dataclass(slots=True)
@@ -245,7 +248,9 @@
         missing = [
             held.name
             for held in self.held.values()
-            if held.name not in shown and held.used_at < oldest
+            if held.name not in shown
+            and held.is_ordered
+            and held.used_at < oldest
         ]
         for name in missing:
             self.forget(name)
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -360,6 +360,7 @@
             ready_at=clock.now()
             + dispatch.load_seconds(ask.adapter, owned.ledger),
             replaces=owned.ledger.held.get(ask.adapter),
+            is_ordered=False,
         )
         owned.ledger.held[ask.adapter] = held
         await self._tasks.spawn(owned.load, held, victim)
--- a/flamingovalve/gateway/shards.py
+++ b/flamingovalve/gateway/shards.py
@@ -14,6 +14,7 @@
 
 from flamingovalve.generated.ids import GroupId
 from flamingovalve.util import clock, hashing
+from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.catalogue import Catalogue
@@ -21,6 +22,8 @@
     from flamingovalve.generated.ids import ServiceId
     from flamingovalve.generated.messages import PlaceAsk
 
+logger = get_logger(__name__)
+
 # Small groups pack adapters badly, large ones load their owner. The count is
 # the power of two that comes nearest, so 51 to 101 engines make eight groups
 # and neither a lost failure domain nor a scale-out changes the division.
@@ -88,8 +91,16 @@
         if known.wanted != wanted:
             known.wanted = wanted
             known.since = moment
-        if moment >= known.since + _SETTLED_SECONDS:
+        settled = moment >= known.since + _SETTLED_SECONDS
+        if settled and known.count != wanted:
             known.count = wanted
+            note(
+                logger,
+                'engines are divided anew',
+                service=service,
+                groups=wanted,
+                engines=len(self._catalogue.upstreams(service)),
+            )
         return known.count
 
     def groups(self, service: ServiceId) -> list[GroupId]:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -215,6 +215,22 @@
         self.assertEqual(engine.held[AdapterId('a')].uses, 0)
         self.assertFalse(engine.places)
 
+    def test_load_that_waits_for_its_turn_keeps_its_slot(self):
+        """Orders to an engine take long, and a load waits behind others.
+
+        Reports do not show it yet. Forgotten for that, its slot was given
+        to one more adapter, and the engine crashed when both had come.
+        """
+        engine = ledger('engine-0')
+        waiting = hold(engine, 'a', Holding.COMING)
+        waiting.is_ordered = False
+        self.advance(5)
+        engine.adopt(report(0))
+        self.assertIn(AdapterId('a'), engine.held)
+        waiting.is_ordered = True
+        engine.adopt(report(0))
+        self.assertNotIn(AdapterId('a'), engine.held)
+
     def test_slots_leave_room_for_weights(self):
         engine = ledger('engine-0')
         self.assertEqual(engine.slots(), SLOTS)
