A deletion says whether it came beside an outage; no claim outbids a newer one

Cause, found by reading: once a few VMs watch, every VM took the store for away as soon as one VM had lost it, and kept deleted entries for 1.5 s more. Beside a VM cut off from the store a leaving upstream would get requests until 2 s after it was deleted, which is all that the users allow.

Change: whoever reads a deletion from the store notes with it whether its store was away; others go by that. A claim is made only if it is still due when the store has answered.

--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -107,6 +107,18 @@
         """Tell whether there is a configuration."""
         return self.configuration is not EMPTY
 
+    def read(self, document: Document, *, in_sequence: bool) -> bool:
+        """Take a document from the store itself; tell whether it was news.
+
+        Whoever reads that an entry is gone knows whether its store was away
+        before, and says so with the document. Others must not guess: taken
+        for lapsed because some VM had lost the store, a leaving upstream got
+        requests for 1.5 s longer than it may.
+        """
+        away = clock.now() - self.store_away_at
+        document.lapsed = document.deleted and away <= _RECENTLY_AWAY_SECONDS
+        return self.apply(document, in_sequence=in_sequence)
+
     def apply(self, document: Document, *, in_sequence: bool = False) -> bool:
         """Take a document; tell whether it was news.
 
@@ -132,7 +144,7 @@
         self.news_revision = max(self.news_revision, revision)
         self.counts.applied += 1
         if document.deleted:
-            self._delete(document.key)
+            self._delete(document.key, lapsed=document.lapsed)
         else:
             self._take(decoded)
         return True
@@ -150,7 +162,10 @@
             and not known.document.deleted
             and known.document.revision <= revision
         ]
-        changed = [self.apply(entry) for entry in (*documents, *missing)]
+        changed = [
+            self.read(entry, in_sequence=False)
+            for entry in (*documents, *missing)
+        ]
         return any(changed)
 
     def after(self, revision: int) -> list[Document]:
@@ -254,14 +269,13 @@
                 upstream.state.value,
             )
 
-    def _delete(self, key: str) -> None:
+    def _delete(self, key: str, *, lapsed: bool) -> None:
         name = UpstreamId(key.rpartition('/')[2])
         known = self._upstreams_by_id.get(name)
         if known is None:
             return
         self._listed_until = float('-inf')
-        away = clock.now() - self.store_away_at
-        if away > _RECENTLY_AWAY_SECONDS:
+        if not lapsed:
             del self._upstreams_by_id[name]
             logger.info('upstream {} is gone', name)
             return
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.watchers import Watchers
@@ -184,12 +184,7 @@
 
     async def hear_watch(self, rumour: WatchRumour) -> News:
         """Learn whether another VM reaches the store."""
-        news = self._watchers.hear(rumour)
-        if news is not News.NONE and rumour.lost:
-            # Whoever passes on later that entries are gone may not know
-            # that they lapsed only because their store was away.
-            self._catalogue.note_store_away()
-        return news
+        return self._watchers.hear(rumour)
 
     async def fresh_revision(self) -> int | None:
         """Give the store's revision of this moment, if it answers."""
@@ -230,21 +225,16 @@
         reading = await self._store.watch('', known, seconds)
         await self._regained()
         self.store_revision = max(self.store_revision, reading.revision)
-        await self._apply(reading.documents, in_sequence=True)
+        await self._note_news(
+            self._catalogue.read(document, in_sequence=True)
+            for document in reading.documents
+        )
         if reading.documents:
             await curio.sleep(_GATHER_SECONDS)
 
-    async def _apply(
-        self,
-        documents: list[Document],
-        *,
-        in_sequence: bool = False,
-    ) -> None:
-        news = [
-            self._catalogue.apply(document, in_sequence=in_sequence)
-            for document in documents
-        ]
-        if any(news):
+    async def _note_news(self, news: Iterable[bool]) -> None:
+        """Tell the listeners once, when all documents have been taken."""
+        if any(list(news)):
             await self._tell()
 
     async def _tell(self) -> None:
@@ -268,8 +258,10 @@
         except (PeerUnreachable, ConnectionLost) as failed:
             logger.info('no documents from {}: {}', vm, failed)
             return
-        documents = [unpacked(document) for document in reply.documents]
-        await self._apply(documents)
+        await self._note_news(
+            self._catalogue.apply(unpacked(document))
+            for document in reply.documents
+        )
 
     async def _lost(self, failed: StoreUnavailable) -> None:
         self._catalogue.note_store_away()
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -187,8 +187,12 @@
             await tell(claim)
         return owner
 
-    async def _claim(self, group: GroupId) -> OwnerRumour:
+    async def _claim(self, group: GroupId) -> OwnerRumour | None:
         revision = await self._fresh_revision()
+        if not self._claims.should_claim(group):
+            # Another VM claimed while the store was asked. Outbidding it
+            # would change the owner once more, and cost a lease of loads.
+            return None
         known = self._catalogue.revision
         claim = self._claims.claim(group, max(revision or 0, known))
         owner = self._owners.get(group)
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -255,6 +255,7 @@
   content @2 :Data;
   deleted @3 :Bool;
   packed @4 :Bool $doc("Whether the content is compressed by zlib.");
+  lapsed @5 :Bool $doc("Whether it was deleted beside an outage of the store, so that it may come back.");
 }
 
 struct DocumentsReply $doc("Published documents, oldest first.") {
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -123,6 +123,28 @@
 
         curio.run(scenario)
 
+    def test_claim_that_came_while_the_store_was_asked_holds(self):
+        """Two VMs find a group without an owner within milliseconds.
+
+        Both asked the store for its revision; the second then outbid the
+        first, and the group changed its owner once more.
+        """
+
+        async def scenario():
+            other = next(v for v in VMS if v != self.claims.members.own_id)
+
+            async def hear_a_claim():
+                self.claims.hear(OwnerRumour(GROUP, other, 1, 50))
+                return 60
+
+            self.owned._fresh_revision = hear_a_claim
+            self.advance(10)
+            await self.tend()
+            self.assertEqual(self.claims.owner(GROUP), other)
+            self.assertIsNone(self.owned.find(GROUP))
+
+        curio.run(scenario)
+
     def test_nothing_is_ordered_while_the_fence_is_unknown(self):
         """A VM cut off from all others and from the store claims the engines.
 
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -68,7 +68,7 @@
         divided = shards.Shards(catalogue)
         self.assertEqual(divided.count(SERVICE), 8)
         for number in range(30, 70):
-            catalogue._delete(f'servers/engine-{number}')
+            catalogue._delete(f'servers/engine-{number}', lapsed=False)
         self.assertEqual(divided.count(SERVICE), 8)
         self.advance(1)
         self.assertEqual(divided.count(SERVICE), 8)
@@ -83,7 +83,7 @@
         divided = shards.Shards(catalogue)
         divided.count(SERVICE)
         for number in range(30, 70):
-            catalogue._delete(f'servers/engine-{number}')
+            catalogue._delete(f'servers/engine-{number}', lapsed=False)
         divided.count(SERVICE)
         self.advance(4)
         self.assertEqual(divided.count(SERVICE), 4)
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -272,11 +272,34 @@
         self.assertEqual(len(self.catalogue.upstreams(ServiceId('engines'))), 1)
         self.catalogue.note_store_away()
         gone = Document('servers/a', 11, b'', deleted=True)
-        self.catalogue.apply(gone, in_sequence=True)
+        self.catalogue.read(gone, in_sequence=True)
         self.assertEqual(len(self.catalogue.upstreams(ServiceId('engines'))), 1)
         self.advance(1.6)
         self.assertEqual(self.catalogue.upstreams(ServiceId('engines')), [])
 
+    def test_deletion_that_another_vm_read_holds_at_once(self):
+        """One VM is cut off from the store, and an upstream leaves.
+
+        All VMs took the deleted entry for one that had lapsed beside an
+        outage, and the upstream got requests for 1.5 s more.
+        """
+        self.catalogue.note_store_away()
+        gone = Document('servers/a', 11, b'', deleted=True)
+        self.catalogue.apply(gone)
+        self.assertEqual(self.catalogue.upstreams(ServiceId('engines')), [])
+
+    def test_deletion_beside_an_outage_is_passed_on_as_such(self):
+        self.catalogue.note_store_away()
+        gone = Document('servers/a', 11, b'', deleted=True)
+        self.catalogue.read(gone, in_sequence=True)
+        (told,) = self.catalogue.after(10)
+        other = Catalogue(lambda document: self.decode(document))
+        other.apply(Document('servers/a', 10, b'ready', deleted=False))
+        other.apply(told)
+        self.assertEqual(len(other.upstreams(ServiceId('engines'))), 1)
+        self.advance(1.6)
+        self.assertEqual(other.upstreams(ServiceId('engines')), [])
+
     def test_change_is_news(self):
         self.assertTrue(self.put(11, b'draining'))
         self.assertEqual(self.catalogue.news_revision, 11)
