Ranking watchers compares no members by their fields

Cause: choosing among 35 VMs of one size compared each with all others by value, five times a second on every VM.

Change: members are told apart by id, and the rest is ranked only where the large ones are too few (then all are).

--- a/flamingovalve/gateway/watchers.py
+++ b/flamingovalve/gateway/watchers.py
@@ -70,15 +70,17 @@
 
     def should_watch(self) -> bool:
         """Tell whether this VM is to watch the store now."""
+        own_id = self._members.own_id
+        if not self._members.is_present(own_id):
+            # We take no part in the fleet, as while leaving; what is still
+            # in progress here goes by what others read.
+            return False
         by_domain = self._by_domain()
-        own = self._members.by_id.get(self._members.own_id)
-        for domain, members in by_domain.items():
-            if own in members:
-                count = self._count(len(by_domain))
-                return own in self._chosen(domain, members, count)
-        # We take no part in the fleet, as while leaving; what is still in
-        # progress here goes by what others read.
-        return False
+        own = self._members.by_id[own_id].vm
+        domain = own.failure_domain
+        count = self._count(len(by_domain))
+        chosen = self._chosen(domain, by_domain[domain], count)
+        return own_id in {member.vm.id for member in chosen}
 
     def _count(self, domains: int) -> int:
         return max(self._per_domain, -(-_FEWEST_WATCHERS // domains))
@@ -90,11 +92,12 @@
         count: int,
     ) -> list[Member]:
         able = [one for one in members if not self._has_lost(one.vm.id)]
+        candidates = able or members
         # Large VMs have large links, and pass on what they read sooner.
-        large = largest(able or members)
-        chosen = _ranked(domain, large)[:count]
-        rest = [one for one in able or members if one not in large]
-        return [*chosen, *_ranked(domain, rest)][:count]
+        large = largest(candidates)
+        if len(large) < count:
+            large = candidates
+        return _ranked(domain, large)[:count]
 
     def _by_domain(self) -> dict[str, list[Member]]:
         by_domain: dict[str, list[Member]] = {}
