A declined request's wait is worked out only where no engine was chosen

It was worked out for each and thrown away where an engine had been chosen. Same behaviour; lint, and the tests of gateway, owned groups and shards pass (47).

--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -175,13 +175,15 @@
 
     def _decline_unless_good(self, ask: PlaceAsk) -> None:
         """Send a request to another group that would be late in this one."""
-        engines = self._candidates(ask)
         choice = self._choose(ask)
         if choice is not None and dispatch.is_good(ask, choice):
             return
         self.counts.declined += 1
-        wait = self._admission.expected_wait(ask, len(self._waiting), engines)
-        if choice is not None:
+        if choice is None:
+            ahead = len(self._waiting)
+            engines = self._candidates(ask)
+            wait = self._admission.expected_wait(ask, ahead, engines)
+        else:
             wait = choice.wait
         note(
             logger,
