--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -11,26 +11,31 @@
 
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import dispatch
+from flamingovalve.gateway.learning import HoldSeconds, Turnover
+from flamingovalve.util import hashing
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.ledger import EngineLedger
     from flamingovalve.generated.messages import PlaceAsk
 
-# A late answer is worth half of one in time at Indus Crest and a tenth at
-# Zahradni Karta, so a request may wait past its target, but not so long that
-# its caller's time runs out before a place and a first event.
+# Beyond this share of its caller's patience an answer mostly comes too late.
 _LONGEST_WAIT_SHARE: Final = 0.7
 # Back in time for a first event within about the target.
 _USEFUL_TARGETS: Final = 0.7
-# How long a request keeps its adapter in use: a review takes about a second,
-# a chat two and a half on the users' engines.
-_HOLD_SECONDS: Final = 1.6
 _SHORTEST_RETRY_SECONDS: Final = 0.3
+_NO_ENGINE_RETRY_SECONDS: Final = 0.5
+# Callers that are refused together come back over this share of their wait.
+_SPREAD_SHARE: Final = 0.3
 
 
 class Admission:
     """Judges requests that wait for a place."""
 
+    def __init__(self) -> None:
+        """Start with guesses of how fast places come free."""
+        self.holds = HoldSeconds()
+        self.turnover = Turnover()
+
     def judge(
         self,
         ask: PlaceAsk,
@@ -42,16 +47,25 @@
         :param ahead: requests that wait and go first
         """
         if not _slots(engines):
-            return _refusal('no engine of this group answers yet', 0.5)
-        for_place = _until_place(ask, ahead, engines)
+            return _refusal(
+                ask,
+                'no engine of this group answers yet',
+                _NO_ENGINE_RETRY_SECONDS,
+            )
+        for_place = self._until_place(ask, ahead, engines)
         for_event = dispatch.soonest(ask, engines)
         if for_event > ask.patience:
             return _refusal(
+                ask,
                 'every engine has too much to read',
                 for_event - _USEFUL_TARGETS * ask.target,
             )
         if for_place + for_event > ask.patience * _LONGEST_WAIT_SHARE:
-            return _refusal('every place of this group is taken', for_place)
+            return _refusal(
+                ask,
+                'every place of this group is taken',
+                for_place,
+            )
         return None
 
     def expected_wait(
@@ -62,27 +76,34 @@
     ) -> float:
         """Give the seconds until a first event, a place awaited."""
         for_event = dispatch.soonest(ask, engines)
-        return _until_place(ask, ahead, engines) + for_event
+        return self._until_place(ask, ahead, engines) + for_event
+
+    def _until_place(
+        self,
+        ask: PlaceAsk,
+        ahead: int,
+        engines: list[EngineLedger],
+    ) -> float:
+        slots = _slots(engines)
+        if not slots:
+            return float('inf')
+        each = self.turnover.seconds_each(self.holds.mean / slots)
+        for_slot = (ahead + 1) * each
+        return max(for_slot, dispatch.until_loads(ask, engines))
 
 
 def _slots(engines: list[EngineLedger]) -> int:
     return sum(engine.slots() for engine in engines)
 
 
-def _until_place(
-    ask: PlaceAsk,
-    ahead: int,
-    engines: list[EngineLedger],
-) -> float:
-    slots = _slots(engines)
-    if not slots:
-        return float('inf')
-    for_slot = (ahead + 1) * _HOLD_SECONDS / slots
-    return max(for_slot, dispatch.until_loads(ask, engines))
-
+def _refusal(ask: PlaceAsk, reason: str, retry_after: float) -> ServingError:
+    """Give a refusal that spreads the returns of those refused together.
 
-def _refusal(reason: str, retry_after: float) -> ServingError:
+    Told the same moment, they would come back as the same burst.
+    """
+    own = hashing.uniform('return', ask.request_id)
     pause = max(retry_after, _SHORTEST_RETRY_SECONDS)
+    pause *= 1 + _SPREAD_SHARE * own
     return ServingError(
         ErrorKind.OVERLOADED,
         f'{reason}; come back in {pause:.1f} s',
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -17,16 +17,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from flamingovalve.gateway.ledger import EngineLedger, Popularity
-    from flamingovalve.generated.ids import AdapterId
+    from flamingovalve.gateway.ledger import EngineLedger
+    from flamingovalve.gateway.popularity import Popularity
     from flamingovalve.generated.messages import PlaceAsk
 
-# An engine carries this many adapters on their way at once.
-MOST_COMING: Final = 4
-# An adapter that an engine held lately loads ten times as fast.
-_RECENT_SHARE: Final = 0.1
 # Loads from the weight store that run at full speed over all engines.
-FULL_SPEED_LOADS: Final = 8
+_FULL_SPEED_LOADS: Final = 8
 # Shares of a request's worth. A late answer is worth half of one in time or
 # less on the users' sheets.
 _LATE_SHARE: Final = 0.6
@@ -61,12 +57,20 @@
     :ivar wait: seconds until the first event, as expected
     :ivar load: whether the adapter has to be loaded first
     :ivar victim: adapter that makes room for it
+    :ivar held: the adapter, where the engine holds it or is about to
     """
 
     engine: EngineLedger
     wait: float
     load: bool = False
     victim: HeldAdapter | None = None
+    held: HeldAdapter | None = None
+
+    def is_ready(self) -> bool:
+        """Tell whether the engine can take the request as it is."""
+        if self.load:
+            return False
+        return self.held is None or self.held.state is Holding.RESIDENT
 
 
 def choose(
@@ -98,8 +102,7 @@
     popularity: Popularity,
     wanted_version: int,
 ) -> Choice | None:
-    full = len(engine.places) >= engine.traits.batch
-    if full or ask.model not in engine.models:
+    if engine.is_full() or ask.model not in engine.models:
         return None
     if not ask.adapter:
         return Choice(engine, _wait(ask, engine, 0))
@@ -113,7 +116,7 @@
     if held.version < wanted_version:
         return _with_replacement(ask, engine, held)
     loading = max(0, held.ready_at - clock.now())
-    return Choice(engine, _wait(ask, engine, loading))
+    return Choice(engine, _wait(ask, engine, loading), held=held)
 
 
 def _with_replacement(
@@ -122,9 +125,9 @@
     held: HeldAdapter,
 ) -> Choice | None:
     """Load another version in the place of the one that is there."""
-    if held.uses or not _may_load(engine):
+    if held.uses or not engine.may_load():
         return None
-    wait = _wait(ask, engine, load_seconds(ask.adapter, engine))
+    wait = _wait(ask, engine, engine.load_seconds(ask.adapter))
     return Choice(engine, wait, load=True)
 
 
@@ -133,12 +136,12 @@
     engine: EngineLedger,
     popularity: Popularity,
 ) -> Choice | None:
-    if not _may_load(engine):
+    if not engine.may_load():
         return None
-    wait = _wait(ask, engine, load_seconds(ask.adapter, engine))
+    wait = _wait(ask, engine, engine.load_seconds(ask.adapter))
     if engine.free_slots() > 0:
         return Choice(engine, wait, load=True)
-    victim = least_valuable(engine, popularity)
+    victim = engine.least_valuable(popularity)
     if victim is None:
         return None
     return Choice(engine, wait, load=True, victim=victim)
@@ -217,45 +220,22 @@
     )
 
 
-def _holders(name: ModelId, engines: list[EngineLedger]) -> int:
-    return sum(name in engine.models for engine in engines)
-
-
-def load_seconds(
-    adapter: AdapterId,
-    engine: EngineLedger,
-    slowness: float = 1,
-) -> float:
-    """Give what loading an adapter should take.
-
-    :param slowness: how much longer the weight store takes because of others
-    """
-    seconds = engine.settings.adapter_load_seconds
-    if adapter in engine.recent:
-        return seconds * _RECENT_SHARE
-    return seconds * slowness
+def openings(
+    engines: Iterable[EngineLedger],
+    popularity: Popularity,
+) -> bool:
+    """Tell whether some engine could load an adapter for who waits."""
+    return any(engine.has_opening(popularity) for engine in engines)
 
 
-def least_valuable(
-    engine: EngineLedger,
-    popularity: Popularity,
-) -> HeldAdapter | None:
-    """Give the idle adapter that is asked for most rarely."""
-    idle = [
-        held
-        for held in engine.held.values()
-        if held.state is Holding.RESIDENT and not held.uses
-    ]
-    if not idle:
-        return None
-    return min(
-        idle,
-        key=lambda held: (popularity.per_second(held.name), held.used_at),
-    )
+def store_slowness(engines: Iterable[EngineLedger]) -> float:
+    """Give how much longer a load takes because of others under way."""
+    coming = sum(engine.coming() for engine in engines)
+    return max(1.0, coming / _FULL_SPEED_LOADS)
 
 
-def _may_load(engine: EngineLedger) -> bool:
-    return engine.may_order() and engine.coming() < MOST_COMING
+def _holders(name: ModelId, engines: list[EngineLedger]) -> int:
+    return sum(name in engine.models for engine in engines)
 
 
 def expected_loss(
@@ -277,7 +257,7 @@
     if choice.victim is not None:
         rate = popularity.per_second(choice.victim.name)
         loss += min(rate, 1) * _MISSED_SHARE
-    if choice.load and ask.adapter not in engine.recent:
+    if choice.load and ask.adapter not in engine.kept:
         loss += _FETCH_SHARE
     return loss
 
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, fields
 from typing import TYPE_CHECKING, Final, Protocol
 
 import curio
@@ -16,11 +16,14 @@
 from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
-    from flamingovalve.errors import ServingError
-    from flamingovalve.gateway.ledger import EngineLedger, Place
+    from collections.abc import Callable
+
+    from flamingovalve.gateway.fencing import Fences
+    from flamingovalve.gateway.ledger import EngineLedger
     from flamingovalve.gateway.orders import EngineReport
-    from flamingovalve.gateway.owner import GroupOwner
-    from flamingovalve.generated.messages import PlaceAsk
+    from flamingovalve.gateway.popularity import Popularity
+    from flamingovalve.gateway.waiting import Waiter
+    from flamingovalve.generated.ids import VmId
 
 logger = get_logger(__name__)
 
@@ -43,39 +46,6 @@
         """Send one order."""
 
 
-@dataclass(eq=False)
-class Waiter:
-    """One request that waits for a place.
-
-    :ivar aged_at: up to when its times left were counted down
-    :ivar place: the place, once an engine was chosen
-    :ivar refusal: why there will be none
-    :ivar is_gone: whether its caller has left
-    """
-
-    ask: PlaceAsk
-    asked_at: float
-    aged_at: float
-    settled: curio.Event = field(default_factory=curio.Event)
-    place: Place | None = None
-    refusal: ServingError | None = None
-    is_gone: bool = False
-
-    def age(self) -> None:
-        """Count down what is left of its request's times.
-
-        Without this a request that waited for two seconds got a place as if
-        its caller had all of its patience left, and the caller was gone
-        before the first event: 20 of 390 chats on one heavy day.
-        """
-        moment = clock.now()
-        elapsed = moment - self.aged_at
-        self.aged_at = moment
-        self.ask.target -= elapsed
-        self.ask.patience -= elapsed
-        self.ask.remaining -= elapsed
-
-
 @dataclass
 class OwnerCounts:
     """What the owner of a group did."""
@@ -84,6 +54,7 @@
     granted: int = 0
     declined: int = 0
     refused: int = 0
+    withdrawn: int = 0
     loads: int = 0
     unloads: int = 0
     model_loads: int = 0
@@ -98,18 +69,52 @@
             setattr(self, entry.name, total)
 
 
+class EngineListener(Protocol):
+    """Is told what happens on engines to those who wait for them."""
+
+    async def pump(self) -> None:
+        """Look whether somebody who waits can be served now."""
+
+    async def requeue(self, waiters: list[Waiter]) -> None:
+        """Let requests wait again whose engine has gone."""
+
+    async def load_failed(
+        self,
+        waiters: list[Waiter],
+        outcome: OrderOutcome,
+    ) -> None:
+        """Hear that an adapter will not come."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineContext:
+    """What an engine's orders need to know beyond the engine itself.
+
+    :ivar ledgers: gives what is known of all engines of the group
+    :ivar missing_model: gives the model that an empty engine should load
+    """
+
+    vm: VmId
+    fences: Fences
+    counts: OwnerCounts
+    popularity: Popularity
+    ledgers: Callable[[], list[EngineLedger]]
+    missing_model: Callable[[EngineLedger], ModelId]
+    listener: EngineListener
+
+
 class OwnedEngine:
     """One engine of the group: its ledger, its link, its orders in turn."""
 
     def __init__(
         self,
-        owner: GroupOwner,
+        context: EngineContext,
         ledger: EngineLedger,
         link: EngineLink,
     ) -> None:
         """Keep ``ledger`` up to date by ``link``."""
         self.ledger = ledger
-        self._owner = owner
+        self._context = context
         self._link = link
         self._ordering = curio.Lock()
         self.waiting: dict[str, list[Waiter]] = {}
@@ -143,14 +148,19 @@
                 self._drop(held)
         if outcome not in _LOADING:
             waiters = self.waiting.pop(held.name, [])
-            await self._owner.load_failed(waiters, outcome)
+            await self._context.listener.load_failed(waiters, outcome)
             return
+        await self.arrive(held)
+
+    async def arrive(self, held: HeldAdapter) -> None:
+        """Wait until an adapter should be there; let go on who waits for it."""
         await curio.sleep(max(0, held.ready_at - clock.now()))
         held.replaces = None
         if held.state is Holding.COMING:
             held.state = Holding.RESIDENT
         for waiter in self.waiting.pop(held.name, []):
             await waiter.settled.set()
+        await self._context.listener.pump()
 
     async def _load(
         self,
@@ -161,12 +171,11 @@
         if victim is not None and not await self._unload(victim):
             return OrderOutcome.HELD_BACK
         outcome = await self._order_adapter(Action.LOAD, held)
-        self._owner.counts.loads += 1
+        self._context.counts.loads += 1
         if outcome is OrderOutcome.ACCEPTED:
             self.ledger.chain.note_accepted()
-            slowness = self._owner.store_slowness()
-            seconds = dispatch.load_seconds(held.name, self.ledger, slowness)
-            held.ready_at = clock.now() + seconds
+            slowness = dispatch.store_slowness(self._context.ledgers())
+            self.ledger.note_load_begun(held, slowness)
         elif outcome is OrderOutcome.HOLDS:
             held.ready_at = clock.now()
         else:
@@ -184,15 +193,15 @@
         chain = self.ledger.chain
         if chain.ordered or not chain.sequence or held.replaces is not None:
             return None
-        popularity = self._owner.popularity
-        victim = dispatch.least_valuable(self.ledger, popularity)
+        popularity = self._context.popularity
+        victim = self.ledger.least_valuable(popularity)
         if victim is not None:
             victim.state = Holding.GOING
         return victim
 
     async def _unload(self, victim: HeldAdapter) -> bool:
         outcome = await self._order_adapter(Action.UNLOAD, victim)
-        self._owner.counts.unloads += 1
+        self._context.counts.unloads += 1
         if outcome is OrderOutcome.HOLDS:
             self.ledger.chain.note_accepted()
             self.ledger.forget(victim.name)
@@ -211,7 +220,7 @@
         action: Action,
         held: HeldAdapter,
     ) -> OrderOutcome:
-        model = self._owner.model_of(self.ledger)
+        model = next(iter(self.ledger.models), ModelId(''))
         version = held.version if action is Action.LOAD else 0
         return await self._send(action, model, held.name, version)
 
@@ -230,7 +239,7 @@
             model,
             adapter,
             chain.sequence or 0,
-            self._owner.vm,
+            self._context.vm,
             self.ledger.fence,
             version,
         )
@@ -253,12 +262,12 @@
         if outcome is OrderOutcome.UNKNOWN:
             chain.note_unanswered()
         elif outcome is OrderOutcome.CONFLICT:
-            self._owner.counts.conflicts += 1
+            self._context.counts.conflicts += 1
             chain.note_conflict()
         elif outcome is OrderOutcome.OUTBID:
             chain.note_conflict()
-            self._owner.fences.outbid()
-            self.ledger.fence = self._owner.fences.claimed
+            self._context.fences.outbid()
+            self.ledger.fence = self._context.fences.claimed
         elif outcome is OrderOutcome.GONE:
             self.ledger.note_failure()
 
@@ -281,13 +290,13 @@
             return
         ledger.note_answer()
         if ledger.born and report.born != ledger.born:
-            self._owner.counts.restarts += 1
+            self._context.counts.restarts += 1
             logger.warning('upstream {} restarted', ledger.upstream.id)
             ledger.restart(report.born)
         ledger.born = report.born
         foreign = ledger.chain.foreign
         if ledger.chain.note_report(report):
-            self._owner.counts.foreign += 1
+            self._context.counts.foreign += 1
             logger.warning(
                 'upstream {} obeys somebody else; sequence={}',
                 ledger.upstream.id,
@@ -299,14 +308,14 @@
         ledger.adopt(report)
         if not ledger.models and not ledger.is_loading_model():
             await self.load_model()
-        await self._owner.pump()
+        await self._context.listener.pump()
 
     async def _find_fence(self) -> None:
         """Find a fencing number that exceeds those of all earlier orders."""
         ledger = self.ledger
         if ledger.fence != NO_FENCE:
             return
-        fences = self._owner.fences
+        fences = self._context.fences
         ledger.fence = await fences.found_after(ledger.chain.quiet_since)
         if ledger.fence == NO_FENCE and not ledger.chain.foreign:
             # The store is away. Nobody else was seen to order, and our claim
@@ -320,7 +329,7 @@
         this a fifth of the capacity of five engines stays idle after each
         of them was replaced.
         """
-        model = self._owner.missing_model(self.ledger)
+        model = self._context.missing_model(self.ledger)
         if not model or not self.ledger.may_order():
             return
         self.ledger.fetches_model = model not in self.ledger.at_hand
@@ -329,7 +338,7 @@
             outcome = await self._send(Action.LOAD, model, AdapterId(''), 0)
         if outcome in _LOADING:
             self.ledger.chain.note_accepted()
-            self._owner.counts.model_loads += 1
+            self._context.counts.model_loads += 1
             return
         self.ledger.model_ready_at = 0
         self._note_refusal(outcome)
--- a/flamingovalve/gateway/front.py
+++ b/flamingovalve/gateway/front.py
@@ -93,6 +93,7 @@
                 f'no route of host {host!r} begins {request.path!r}',
             )
         inbound = self._platform.inbound(request, route)
+        inbound.has_caller_left = responder.has_caller_left
         async with responder.watch_caller():
             await self._server.serve(inbound, responder)
 
--- a/flamingovalve/gateway/inbound.py
+++ b/flamingovalve/gateway/inbound.py
@@ -9,6 +9,8 @@
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingovalve.gateway.model import Route
     from flamingovalve.generated.ids import AdapterId, ModelId, RequestId
     from flamingovalve.generated.messages import PromptPart
@@ -21,6 +23,10 @@
 _PAUSES_OF_SILENCE: Final = 8
 
 
+def _nobody_left() -> bool:
+    return False
+
+
 @dataclass(slots=True)
 class Completion:
     """What a request asks of a model engine.
@@ -50,6 +56,7 @@
     :ivar service: the one of the route's services that it goes to
     :ivar tried: upstreams that it was sent to and that may have run it
     :ivar refused_by: upstreams that did not run it
+    :ivar has_caller_left: tells whether its caller closed the connection
     """
 
     id: RequestId
@@ -65,6 +72,7 @@
     completion: Completion | None = None
     tried: list[str] = field(default_factory=list)
     refused_by: list[str] = field(default_factory=list)
+    has_caller_left: Callable[[], bool] = _nobody_left
 
     def remaining(self) -> float:
         """Give the seconds left until the deadline."""
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -7,29 +7,29 @@
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.gateway.fencing import NO_FENCE
+from flamingovalve.gateway.learning import KeptAdapters
 from flamingovalve.gateway.reading import ReadingQueue
 from flamingovalve.util import clock
-from flamingovalve.util.rates import DecayingRate
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.model import EngineTraits, Upstream
     from flamingovalve.gateway.orders import EngineReport, OrderChain
+    from flamingovalve.gateway.popularity import Popularity
     from flamingovalve.generated.ids import AdapterId, ModelId
     from flamingovalve.generated.messages import PlaceAsk
     from flamingovalve.generated.settings import GatewaySettings
 
-# Popularity moves on every few seconds on the users' deployments; a shorter
-# memory forgets the Zipf head between two of its calls.
-_RATE_HALF_LIFE_SECONDS: Final = 15.0
+# An adapter that an engine held lately loads ten times as fast.
+_KEPT_SHARE: Final = 0.1
+# A load that was refused as not there yet is tried again after this.
+_LATE_LOAD_SECONDS: Final = 0.03
+# An engine carries this many adapters on their way at once.
+MOST_COMING: Final = 4
 # Reading a long prompt costs more than its tokens: attention grows with the
 # square of its length, 0.74 ms a million token pairs on the users' engines.
 _SECONDS_PER_TOKEN_PAIR: Final = 0.737e-9
-# Adapters that an engine's host memory keeps after they gave up their slot.
-_RECENT_ADAPTERS: Final = 48
-_REMEMBERED_PARTS: Final = 400
-# Callers name adapters as they like; 100 bytes for each that was asked for
-# lately, and 40 times as many as five engines hold.
-_RATED_ADAPTERS: Final = 2000
+# Parts of prompts that are remembered for each adapter.
+_REMEMBERED_PARTS: Final = 64
 # Of five requests in a row that fail, an engine is known to fail most.
 _FAILING_STEP: Final = 0.15
 # An engine that failed a request is left alone for twice this, then longer.
@@ -65,6 +65,9 @@
     :ivar replaces: the version that stays if the load does not come about
     :ivar is_ordered: false while its load still waits for its turn or for an
         answer; no report can show it before
+    :ivar presumed_kept: whether it was loaded as one that the engine has in
+        its memory, and no request has shown yet whether it had
+    :ivar fetched_at: when it should be there if it had to be fetched
     """
 
     name: AdapterId
@@ -75,19 +78,26 @@
     used_at: float = 0
     replaces: HeldAdapter | None = None
     is_ordered: bool = True
+    presumed_kept: bool = False
+    fetched_at: float = 0
+
+    def is_idle(self) -> bool:
+        """Tell whether it could give up its slot."""
+        return self.state is Holding.RESIDENT and not self.uses
 
 
 @dataclass(slots=True)
 class Place:
     """One request that an engine was chosen for.
 
-    :ivar reading_seconds: what reading its prompt should take
     :ivar expected: seconds from its start to the first event, as expected
+    :ivar taken_at: when it was given, on our clock
     """
 
     ask: PlaceAsk
     engine: EngineLedger
     expected: float
+    taken_at: float = 0
 
 
 @dataclass(slots=True)
@@ -112,7 +122,9 @@
     held: dict[AdapterId, HeldAdapter] = field(default_factory=dict)
     models: set[ModelId] = field(default_factory=set)
     places: dict[str, Place] = field(default_factory=dict)
-    parts: dict[str, None] = field(default_factory=dict)
+    parts_by_adapter: dict[AdapterId, dict[str, None]] = field(
+        default_factory=dict,
+    )
     born: int = 0
     reading: ReadingQueue = field(default_factory=ReadingQueue)
     pace: float = _FIRST_PACE
@@ -125,7 +137,8 @@
     fence: int = NO_FENCE
     fetches_model: bool = False
     reported_at: float = float('-inf')
-    recent: dict[AdapterId, None] = field(default_factory=dict)
+    kept: KeptAdapters = field(default_factory=KeptAdapters)
+    _victim: HeldAdapter | None = None
 
     def may_order(self) -> bool:
         """Tell whether this engine may be given an order now."""
@@ -160,12 +173,7 @@
         Parts that this engine has read for the same adapter, all parts
         before them included, are kept and cost nothing.
         """
-        kept = 0
-        for key, tokens in part_keys(ask):
-            if key not in self.parts:
-                break
-            kept += tokens
-        unread = max(0, ask.prompt_tokens - kept)
+        unread = max(0, ask.prompt_tokens - self._kept_tokens(ask))
         pairs = unread * ask.prompt_tokens
         rate = self.settings.prefill_tokens_per_second
         return (unread / rate + pairs * _SECONDS_PER_TOKEN_PAIR) * self.pace
@@ -177,14 +185,10 @@
             self.give_back(known)
         seconds = self.reading_seconds(ask)
         expected = self.reading.ahead_of(ask.priority) + seconds
-        place = Place(ask, self, expected)
+        place = Place(ask, self, expected, clock.now())
         self.places[ask.request_id] = place
         self.reading.add(ask.priority, seconds)
-        for key, _tokens in part_keys(ask):
-            self.parts.pop(key, None)
-            self.parts[key] = None
-        while len(self.parts) > _REMEMBERED_PARTS:
-            self.parts.pop(next(iter(self.parts)))
+        self._remember_parts(ask)
         adapter = self.held.get(ask.adapter)
         if adapter is not None:
             adapter.uses += 1
@@ -198,18 +202,112 @@
         adapter = self.held.get(place.ask.adapter)
         if adapter is not None and adapter.uses:
             adapter.uses -= 1
+            if not adapter.uses:
+                self._victim = None
+
+    def least_valuable(self, popularity: Popularity) -> HeldAdapter | None:
+        """Give the idle adapter that is asked for most rarely.
+
+        Every choice asks for it, so the last answer is kept until one more
+        adapter is idle.
+        """
+        known = self._victim
+        if known is not None and self._could_give_way(known):
+            return known
+        idle = [held for held in self.held.values() if held.is_idle()]
+        self._victim = min(
+            idle,
+            key=lambda held: (popularity.rank(held.name), held.used_at),
+            default=None,
+        )
+        return self._victim
+
+    def is_full(self) -> bool:
+        """Tell whether its batch takes no more requests."""
+        return len(self.places) >= self.traits.batch
+
+    def _could_give_way(self, held: HeldAdapter) -> bool:
+        return held.is_idle() and self.held.get(held.name) is held
+
+    def has_opening(self, popularity: Popularity) -> bool:
+        """Tell whether an adapter that is not here could be loaded now."""
+        if self.is_full() or not self.may_load():
+            return False
+        if self.free_slots() > 0:
+            return True
+        return self.least_valuable(popularity) is not None
+
+    def load_seconds(self, name: AdapterId, slowness: float = 1) -> float:
+        """Give what loading an adapter should take.
+
+        :param slowness: how much longer the weight store takes because of
+            others
+        """
+        seconds = self.settings.adapter_load_seconds
+        if name in self.kept:
+            return seconds * _KEPT_SHARE
+        return seconds * slowness
+
+    def note_load_begun(self, held: HeldAdapter, slowness: float) -> None:
+        """Expect an adapter whose load the engine has just accepted."""
+        moment = clock.now()
+        held.presumed_kept = held.name in self.kept
+        held.ready_at = moment + self.load_seconds(held.name, slowness)
+        fetching = self.settings.adapter_load_seconds * slowness
+        held.fetched_at = moment + fetching
+
+    def note_not_there(self, name: AdapterId) -> HeldAdapter | None:
+        """Note that the engine refused a request for want of its adapter.
+
+        :returns: the adapter, if it should come yet
+        """
+        held = self.held.get(name)
+        if held is None or held.state is not Holding.RESIDENT:
+            return None
+        held.state = Holding.COMING
+        held.ready_at = clock.now() + _LATE_LOAD_SECONDS
+        if held.presumed_kept:
+            held.presumed_kept = False
+            self.kept.note_missed(name)
+            held.ready_at = max(held.ready_at, held.fetched_at)
+        return held
+
+    def note_there(self, name: AdapterId) -> None:
+        """Note that a request found its adapter loaded."""
+        held = self.held.get(name)
+        if held is not None and held.presumed_kept:
+            held.presumed_kept = False
+            self.kept.note_found(name)
+
+    def may_load(self) -> bool:
+        """Tell whether the engine takes one more load."""
+        return self.may_order() and self.coming() < MOST_COMING
 
     def forget(self, name: AdapterId) -> None:
         """Count an adapter as gone, with what was kept for it."""
-        self.held.pop(name, None)
-        self.recent.pop(name, None)
-        self.recent[name] = None
-        while len(self.recent) > _RECENT_ADAPTERS:
-            self.recent.pop(next(iter(self.recent)))
-        prefix = f'{name}/'
-        lost = [key for key in self.parts if key.startswith(prefix)]
-        for key in lost:
-            del self.parts[key]
+        gone = self.held.pop(name, None)
+        if gone is not None:
+            gone.state = Holding.GOING
+        self.kept.note_left(name)
+        self.parts_by_adapter.pop(name, None)
+
+    def _kept_tokens(self, ask: PlaceAsk) -> int:
+        parts = self.parts_by_adapter.get(ask.adapter)
+        kept = 0
+        if parts is not None:
+            for key, tokens in part_keys(ask):
+                if key not in parts:
+                    break
+                kept += tokens
+        return kept
+
+    def _remember_parts(self, ask: PlaceAsk) -> None:
+        parts = self.parts_by_adapter.setdefault(ask.adapter, {})
+        for key, _tokens in part_keys(ask):
+            parts.pop(key, None)
+            parts[key] = None
+        while len(parts) > _REMEMBERED_PARTS:
+            parts.pop(next(iter(parts)))
 
     def adopt(self, report: EngineReport) -> None:
         """Take over what a report shows, where our own orders say nothing.
@@ -229,6 +327,7 @@
                 held.ready_at = clock.now() + self.settings.adapter_load_seconds
                 self.held[name] = held
         self._forget_missing({*report.resident, *report.coming})
+        self._victim = None
 
     def _adopt_resident(self, name: AdapterId, version: int) -> None:
         known = self.held.get(name)
@@ -259,10 +358,11 @@
         """Count everything as lost: the engine began anew."""
         self.born = born
         self.held.clear()
+        self._victim = None
         self.models.clear()
         self.model_ready_at = 0
-        self.parts.clear()
-        self.recent.clear()
+        self.parts_by_adapter.clear()
+        self.kept.clear()
         self.reading.clear()
         self.failing = 0
         self.chain.restart()
@@ -314,37 +414,14 @@
         self.pace = min(max(self.pace, _LEAST_PACE), _MOST_PACE)
 
 
-class Popularity:
-    """How often each adapter is asked for."""
-
-    def __init__(self) -> None:
-        """Start with nothing known."""
-        self._by_name: dict[AdapterId, DecayingRate] = {}
-
-    def note(self, name: AdapterId) -> None:
-        """Count one request for an adapter."""
-        rate = self._by_name.pop(name, None)
-        if rate is None:
-            rate = DecayingRate(_RATE_HALF_LIFE_SECONDS)
-        self._by_name[name] = rate
-        rate.add()
-        while len(self._by_name) > _RATED_ADAPTERS:
-            self._by_name.pop(next(iter(self._by_name)))
-
-    def per_second(self, name: AdapterId) -> float:
-        """Give the requests a second for an adapter."""
-        rate = self._by_name.get(name)
-        return rate.per_second() if rate else 0
-
-
 def part_keys(ask: PlaceAsk) -> list[tuple[str, int]]:
     """Give a key and the size of each shared part of a prompt, in order.
 
-    The key holds the adapter and all parts before, since an engine reuses a
-    part only behind the same ones and for the same weights.
+    The key holds all parts before, since an engine reuses a part only behind
+    the same ones.
     """
     keys = []
-    path: str = ask.adapter
+    path = ''
     for part in ask.parts[:-1]:
         path = f'{path}/{part.id}'
         keys.append((path, part.tokens))
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -130,11 +130,13 @@
         quiet = self._settings.lease_seconds
         quiet += 2 * self._settings.report_lag_seconds
         for owner in self._owners.values():
-            owner.hold_orders(quiet)
+            owner.engines.hold_orders(quiet)
 
     def engine_count(self) -> int:
         """Count the engines that this VM owns."""
-        return sum(len(one.engines_by_id) for one in self._owners.values())
+        return sum(
+            len(one.engines.engines_by_id) for one in self._owners.values()
+        )
 
     def total_counts(self) -> OwnerCounts:
         """Give the counts of all groups that this VM has owned, added up."""
@@ -155,7 +157,7 @@
                         'places': len(engine.ledger.places),
                         'sequence': engine.ledger.chain.sequence,
                     }
-                    for name, engine in owner.engines_by_id.items()
+                    for name, engine in owner.engines.engines_by_id.items()
                 },
             }
             for group, owner in self._owners.items()
@@ -224,8 +226,8 @@
             self._catalogue,
             self._link_to,
         )
-        owner.predecessor_ended = predecessor_ended
-        owner.orders_after = self._orders_after
+        owner.engines.predecessor_ended = predecessor_ended
+        owner.engines.orders_after = self._orders_after
         self._owners[group] = owner
         await owner.start()
         return owner
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -9,16 +9,10 @@
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import dispatch
 from flamingovalve.gateway.admission import Admission
-from flamingovalve.gateway.engine import OwnedEngine, OwnerCounts, Waiter
-from flamingovalve.gateway.ledger import (
-    EngineLedger,
-    HeldAdapter,
-    Holding,
-    Place,
-    Popularity,
-)
-from flamingovalve.gateway.orders import OrderChain, OrderOutcome
-from flamingovalve.generated.ids import ModelId
+from flamingovalve.gateway.group import EngineGroup
+from flamingovalve.gateway.ledger import HeldAdapter, Holding
+from flamingovalve.gateway.orders import OrderOutcome
+from flamingovalve.gateway.waiting import Waiter, WaitingRequests
 from flamingovalve.generated.messages import PlaceOutcome
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
@@ -28,18 +22,22 @@
     from collections.abc import Callable, Iterable
 
     from flamingovalve.gateway.catalogue import Catalogue
-    from flamingovalve.gateway.engine import EngineLink
+    from flamingovalve.gateway.engine import EngineLink, OwnedEngine
     from flamingovalve.gateway.fencing import Fences
+    from flamingovalve.gateway.ledger import EngineLedger, Place
     from flamingovalve.gateway.model import EngineTraits, Upstream
-    from flamingovalve.generated.ids import GroupId, UpstreamId, VmId
+    from flamingovalve.generated.ids import AdapterId, GroupId, VmId
     from flamingovalve.generated.messages import PlaceAsk, PlaceHold
     from flamingovalve.generated.settings import GatewaySettings
 
 logger = get_logger(__name__)
 
-_PUMP_SECONDS: Final = 0.05
-# A load that was refused as not there yet is tried again after this.
-_LATE_LOAD_SECONDS: Final = 0.03
+_SWEEP_SECONDS: Final = 0.05
+# Waiting requests that are tried after each event. One that cannot be served
+# is mostly followed by others that cannot either.
+_MOST_TRIED: Final = 3
+# Those that a sweep tries, from the first on, and judges, from the last on.
+_MOST_SWEPT: Final = 12
 _OWNER_CHANGE_SECONDS: Final = 0.2
 _REFUSED_LOAD_SECONDS: Final = 1.0
 
@@ -61,27 +59,19 @@
         :param fences: finds the fencing numbers of orders
         :param link_to: opens the way to an engine
         """
+        self._tasks = TaskSet()
         self.group = group
-        self.vm = vm
         self.fences = fences
-        self.counts = OwnerCounts()
-        self.predecessor_ended = False
-        self._is_new = True
-        self.orders_after = 0.0
-        self.engines_by_id: dict[UpstreamId, OwnedEngine] = {}
-        self.popularity = Popularity()
-        self._settings = settings
-        self._catalogue = catalogue
-        self._link_to = link_to
+        self.engines = EngineGroup(
+            settings, vm, fences, catalogue, link_to, self._tasks
+        )
+        self.counts = self.engines.counts
         self._admission = Admission()
-        self._waiting: list[Waiter] = []
-        self._asked_by_model: dict[ModelId, int] = {}
-        self._tasks = TaskSet()
-        self._followers: dict[UpstreamId, curio.Task] = {}
+        self._waiting = WaitingRequests()
 
     async def start(self) -> None:
         """Begin to look after waiting requests."""
-        await self._tasks.spawn(self._pump_forever)
+        await self._tasks.spawn(self._sweep_forever)
 
     async def close(self) -> None:
         """Stop ordering; refuse whoever still waits."""
@@ -89,59 +79,13 @@
             await self._refuse(waiter, _not_owner())
         await self._tasks.cancel()
 
-    def hold_orders(self, seconds: float) -> None:
-        """Order nothing for a while, nor let new engines be ordered."""
-        until = clock.now() + seconds
-        self.orders_after = max(self.orders_after, until)
-        for engine in self.engines_by_id.values():
-            chain = engine.ledger.chain
-            chain.stands_down_until = max(chain.stands_down_until, until)
-
     async def replace_engines(
         self,
         upstreams: Iterable[Upstream],
         traits: EngineTraits,
     ) -> None:
         """Own exactly ``upstreams`` from now on."""
-        wanted = {upstream.id: upstream for upstream in upstreams}
-        for name in list(self.engines_by_id):
-            if name not in wanted:
-                await self._release(name)
-        for name, upstream in wanted.items():
-            known = self.engines_by_id.get(name)
-            if known is None:
-                await self._adopt(upstream, traits)
-            else:
-                known.ledger.upstream = upstream
-                known.ledger.traits = traits
-        # Said of whoever owned the group before us; an engine that comes
-        # later may come from a group whose owner lives.
-        self.predecessor_ended = False
-        self._is_new = False
-
-    async def _adopt(self, upstream: Upstream, traits: EngineTraits) -> None:
-        settings = self._settings
-        chain = OrderChain(
-            settings.lease_seconds,
-            settings.report_lag_seconds,
-            self.orders_after,
-            predecessor_ended=self.predecessor_ended,
-        )
-        ledger = EngineLedger(upstream, traits, settings, chain)
-        if self._is_new:
-            # The claim exceeds those of whoever owned the group before.
-            ledger.fence = self.fences.claimed
-        engine = OwnedEngine(self, ledger, self._link_to(upstream))
-        self.engines_by_id[upstream.id] = engine
-        task = await self._tasks.spawn(engine.follow)
-        self._followers[upstream.id] = task
-
-    async def _release(self, name: UpstreamId) -> None:
-        engine = self.engines_by_id.pop(name)
-        await self._followers.pop(name).cancel()
-        for waiters in engine.waiting.values():
-            await self.requeue(waiters)
-        engine.waiting.clear()
+        await self.engines.replace(upstreams, traits, self)
 
     # -- Places
 
@@ -151,18 +95,42 @@
         :raises ServingError: when there will be none in time, or none that
             is good where another group can be asked
         """
+        at_once = self.place_at_once(ask)
+        if at_once is not None:
+            return at_once
+        return await self.place_in_turn(ask)
+
+    def place_at_once(self, ask: PlaceAsk) -> Place | None:
+        """Give a place on an engine that holds the adapter, if there is one.
+
+        Most requests ask for what is there. They need no task and no turn:
+        none of those who wait could use the place better, as they wait for
+        a slot.
+
+        :raises ServingError: when another group should be asked
+        """
         self.counts.asked += 1
-        if ask.may_decline:
-            self._decline_unless_good(ask)
-        if ask.model in self._models():
-            asked = self._asked_by_model.get(ask.model, 0)
-            self._asked_by_model[ask.model] = asked + 1
-        if ask.adapter:
-            self.popularity.note(ask.adapter)
+        self.engines.note_asked(ask)
+        choice = self.engines.choose(ask)
+        if ask.may_decline and not _is_good(ask, choice):
+            raise self._declined(ask, choice)
+        if choice is None or not choice.is_ready():
+            return None
+        place = choice.engine.take(ask)
+        self.counts.granted += 1
+        self._note_place(ask, choice, 0)
+        return place
+
+    async def place_in_turn(self, ask: PlaceAsk) -> Place:
+        """Wait for a place among the others who do.
+
+        :raises ServingError: when there will be none in time
+        """
         waiter = Waiter(ask, clock.now(), clock.now())
-        self._waiting.append(waiter)
+        self._enqueue(waiter)
         try:
             await self.pump()
+            await self._refuse_if_hopeless(waiter)
             await waiter.settled.wait()
         except curio.CancelledError:
             self._forget(waiter)
@@ -173,15 +141,21 @@
         self.counts.granted += 1
         return waiter.place
 
-    def _decline_unless_good(self, ask: PlaceAsk) -> None:
+    def _enqueue(self, waiter: Waiter) -> None:
+        if not self._waiting:
+            self._admission.turnover.note_first()
+        self._waiting.add(waiter)
+
+    def _declined(
+        self,
+        ask: PlaceAsk,
+        choice: dispatch.Choice | None,
+    ) -> ServingError:
         """Send a request to another group that would be late in this one."""
-        choice = self._choose(ask)
-        if choice is not None and dispatch.is_good(ask, choice):
-            return
         self.counts.declined += 1
         if choice is None:
             ahead = len(self._waiting)
-            engines = self._candidates(ask)
+            engines = self.engines.candidates(ask)
             wait = self._admission.expected_wait(ask, ahead, engines)
         else:
             wait = choice.wait
@@ -194,7 +168,7 @@
             expected=round(wait, 3),
             waiting=len(self._waiting),
         )
-        raise ServingError(
+        return ServingError(
             ErrorKind.NO_GOOD_PLACE,
             f'group {self.group} has no good place; ask another group',
             retry_after=wait,
@@ -202,7 +176,7 @@
 
     def adopt_place(self, hold: PlaceHold) -> Place | None:
         """Count a place that a former owner gave."""
-        engine = self.engines_by_id.get(hold.upstream)
+        engine = self.engines.engines_by_id.get(hold.upstream)
         if engine is None:
             return None
         ledger = engine.ledger
@@ -218,16 +192,23 @@
         first_event: float,
     ) -> None:
         """Take back a place."""
-        place.engine.give_back(place)
+        engine = place.engine
+        was_full = engine.is_full()
+        engine.give_back(place)
         if outcome is PlaceOutcome.REFUSED:
-            self._note_not_run(place)
+            await self._await_adapter(place)
         elif outcome is not PlaceOutcome.ABANDONED:
             failed = outcome is not PlaceOutcome.FINISHED
-            place.engine.note_verdict(failed=failed)
+            engine.note_verdict(failed=failed)
+        if outcome is PlaceOutcome.FINISHED:
+            self._admission.holds.note(clock.now() - place.taken_at)
         if first_event:
-            place.engine.note_first_event(place, first_event)
+            engine.note_there(place.ask.adapter)
+            engine.note_first_event(place, first_event)
         if outcome is PlaceOutcome.LOST:
             await self._look_again(place)
+        if was_full:
+            await self._fill(engine)
         await self.pump()
 
     async def _look_again(self, place: Place) -> None:
@@ -235,14 +216,16 @@
 
         Until the next report it would be given requests that all fail.
         """
-        engine = self.engines_by_id.get(place.engine.upstream.id)
+        engine = self.engines.engines_by_id.get(place.engine.upstream.id)
         if engine is not None:
             await engine.hurry.set()
 
-    def _note_not_run(self, place: Place) -> None:
-        held = place.engine.held.get(place.ask.adapter)
-        if held is not None and held.state is Holding.RESIDENT:
-            held.ready_at = clock.now() + _LATE_LOAD_SECONDS
+    async def _await_adapter(self, place: Place) -> None:
+        """Send nobody to an engine whose adapter turned out not to be there."""
+        engine = self.engines.engines_by_id.get(place.engine.upstream.id)
+        held = place.engine.note_not_there(place.ask.adapter)
+        if engine is not None and held is not None:
+            await self._tasks.spawn(engine.arrive, held)
 
     async def load_failed(
         self,
@@ -267,11 +250,10 @@
                 waiter.place.engine.give_back(waiter.place)
             waiter.place = None
             if not waiter.is_gone:
-                self._waiting.append(waiter)
+                self._enqueue(waiter)
 
     def _forget(self, waiter: Waiter) -> None:
-        if waiter in self._waiting:
-            self._waiting.remove(waiter)
+        self._waiting.remove(waiter)
         if waiter.place is not None:
             waiter.place.engine.give_back(waiter.place)
         # A load that fails later must not queue it again: nobody would give
@@ -279,40 +261,82 @@
         waiter.is_gone = True
 
     async def pump(self) -> None:
-        """Give places to those who wait, the most urgent first."""
-        for waiter in sorted(self._waiting, key=_turn):
-            waiter.age()
-            choice = self._choose(waiter.ask)
-            if choice is not None:
-                await self._grant(waiter, choice)
-        await self._refuse_hopeless()
-
-    def _choose(self, ask: PlaceAsk) -> dispatch.Choice | None:
-        return dispatch.choose(
-            ask,
-            self._candidates(ask),
-            self.popularity,
-            self._version(ask),
-        )
+        """Give places to those who wait for a slot, as far as there are any.
+
+        Every ask, end and load comes here, so it looks at no more of those
+        who wait than could be served: the rest costs nothing.
+        """
+        failures = 0
+        while failures < _MOST_TRIED and self._may_serve_more():
+            waiters = self._waiting.first(failures + 1)
+            if len(waiters) <= failures:
+                return
+            if not await self._try(waiters[failures]):
+                failures += 1
+
+    def _may_serve_more(self) -> bool:
+        if not self._waiting:
+            return False
+        return self.engines.has_openings()
+
+    async def _try(self, waiter: Waiter) -> bool:
+        """Give a place to one request, and to those of the same adapter."""
+        waiter.age()
+        choice = self.engines.choose(waiter.ask)
+        if choice is None:
+            return False
+        await self._grant(waiter, choice)
+        if choice.load:
+            await self._let_join(waiter.ask.adapter)
+        return True
 
-    async def _pump_forever(self) -> None:
+    async def _let_join(self, adapter: AdapterId) -> None:
+        """Let those go on who wait for an adapter that has come in."""
+        for waiter in self._waiting.of_adapter(adapter):
+            waiter.age()
+            choice = self.engines.choose(waiter.ask)
+            if choice is None or choice.load:
+                return
+            await self._grant(waiter, choice)
+
+    async def _fill(self, engine: EngineLedger) -> None:
+        """Serve who waits for an engine that was full to its last place."""
+        for name in list(engine.held):
+            if engine.is_full():
+                return
+            await self._let_join(name)
+
+    async def _sweep_forever(self) -> None:
         while True:
-            await curio.sleep(_PUMP_SECONDS)
+            await curio.sleep(_SWEEP_SECONDS)
             if self._waiting:
-                await self.pump()
-
-    async def _refuse_hopeless(self) -> None:
-        ahead = 0
-        for waiter in sorted(self._waiting, key=_turn):
-            refusal = self._admission.judge(
-                waiter.ask,
-                ahead,
-                self._candidates(waiter.ask),
-            )
-            if refusal is None:
-                ahead += 1
-            else:
-                await self._refuse(waiter, refusal)
+                await self._sweep()
+
+    async def _sweep(self) -> None:
+        """Try and judge some of those who wait, whatever happened.
+
+        Nobody tells when a backlog has been read, when an engine's pause is
+        over, or when an engine with which others reckoned is lost.
+        """
+        for waiter in self._waiting.first(_MOST_SWEPT):
+            if waiter in self._waiting:
+                await self._try(waiter)
+        for waiter in self._waiting.first(_MOST_SWEPT):
+            await self._refuse_if_hopeless(waiter)
+        for waiter in self._waiting.last(_MOST_SWEPT):
+            await self._refuse_if_hopeless(waiter)
+
+    async def _refuse_if_hopeless(self, waiter: Waiter) -> None:
+        if waiter not in self._waiting:
+            return
+        waiter.age()
+        refusal = self._admission.judge(
+            waiter.ask,
+            self._waiting.ahead_of(waiter),
+            self.engines.candidates(waiter.ask),
+        )
+        if refusal is not None:
+            await self._refuse(waiter, refusal)
 
     async def _refuse(self, waiter: Waiter, refusal: ServingError) -> None:
         self._waiting.remove(waiter)
@@ -331,26 +355,37 @@
     async def _grant(self, waiter: Waiter, choice: dispatch.Choice) -> None:
         self._waiting.remove(waiter)
         ledger = choice.engine
-        owned = self.engines_by_id[ledger.upstream.id]
+        owned = self.engines.engines_by_id[ledger.upstream.id]
         if choice.load:
             await self._begin_load(owned, waiter.ask, choice.victim)
         held = ledger.held.get(waiter.ask.adapter)
         waiter.place = ledger.take(waiter.ask)
+        self._admission.turnover.note_place()
+        self._note_place(waiter.ask, choice, clock.now() - waiter.asked_at)
+        if held is None or held.state is Holding.RESIDENT:
+            await waiter.settled.set()
+            return
+        owned.waiting.setdefault(held.name, []).append(waiter)
+
+    def _note_place(
+        self,
+        ask: PlaceAsk,
+        choice: dispatch.Choice,
+        waited: float,
+    ) -> None:
+        ledger = choice.engine
         note(
             logger,
             'place',
-            id=waiter.ask.request_id,
+            id=ask.request_id,
             upstream=ledger.upstream.id,
-            adapter=waiter.ask.adapter,
+            adapter=ask.adapter,
             load=choice.load,
             expected=round(choice.wait, 3),
-            waited=round(clock.now() - waiter.asked_at, 3),
+            waited=round(waited, 3),
+            waiting=len(self._waiting),
             report_age=round(clock.now() - ledger.reported_at, 2),
         )
-        if held is None or held.state is Holding.RESIDENT:
-            await waiter.settled.set()
-            return
-        owned.waiting.setdefault(held.name, []).append(waiter)
 
     async def _begin_load(
         self,
@@ -362,57 +397,18 @@
             victim.state = Holding.GOING
         held = HeldAdapter(
             ask.adapter,
-            self._version(ask),
+            self.engines.version(ask),
             Holding.COMING,
-            ready_at=clock.now()
-            + dispatch.load_seconds(ask.adapter, owned.ledger),
+            ready_at=clock.now() + owned.ledger.load_seconds(ask.adapter),
             replaces=owned.ledger.held.get(ask.adapter),
             is_ordered=False,
         )
         owned.ledger.held[ask.adapter] = held
         await self._tasks.spawn(owned.load, held, victim)
 
-    # -- What choices rest on
-
-    def store_slowness(self) -> float:
-        """Give how much longer a load takes because of others."""
-        coming = sum(ledger.coming() for ledger in self._ledgers())
-        return max(1.0, coming / dispatch.FULL_SPEED_LOADS)
-
-    def model_of(self, ledger: EngineLedger) -> ModelId:
-        """Give the base model that adapters of an engine extend."""
-        return next(iter(ledger.models), ModelId(''))
-
-    def missing_model(self, engine: EngineLedger) -> ModelId:
-        """Give the model that an empty engine should load; empty for none."""
-        ledgers = self._ledgers()
-        model = dispatch.model_in_demand(ledgers, self._asked_by_model)
-        if model in engine.at_hand or not dispatch.is_fetching(ledgers):
-            return model
-        return ModelId('')
-
-    def _models(self) -> set[ModelId]:
-        ledgers = self._ledgers()
-        return {name for ledger in ledgers for name in ledger.traits.models}
-
-    def _ledgers(self) -> list[EngineLedger]:
-        return [engine.ledger for engine in self.engines_by_id.values()]
-
-    def _candidates(self, ask: PlaceAsk) -> list[EngineLedger]:
-        return [
-            ledger
-            for ledger in self._ledgers()
-            if ledger.is_usable()
-            and ledger.upstream.id not in ask.avoided
-            and self._catalogue.takes_requests(ledger.upstream)
-        ]
-
-    def _version(self, ask: PlaceAsk) -> int:
-        return self._catalogue.wanted_version(ask.model, ask.adapter)
-
 
-def _turn(waiter: Waiter) -> tuple[int, float]:
-    return (waiter.ask.priority, waiter.asked_at)
+def _is_good(ask: PlaceAsk, choice: dispatch.Choice | None) -> bool:
+    return choice is not None and dispatch.is_good(ask, choice)
 
 
 def _not_owner() -> ServingError:
--- a/flamingovalve/gateway/places.py
+++ b/flamingovalve/gateway/places.py
@@ -22,6 +22,7 @@
 from flamingovalve.peer.client import PeerUnreachable
 from flamingovalve.peer.server import PeerWatch, error_of, refusal_of
 from flamingovalve.util.logs import get_logger
+from flamingovalve.util.network import has_ended
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -248,17 +249,31 @@
         ask: PlaceAsk,
         connection: PeerConnection,
     ) -> None:
-        place: Place | None = None
+        if has_ended(connection.socket):
+            # Its caller stopped waiting before we came to read this. Whatever
+            # was done for it would be missing to those who still wait.
+            owner.counts.withdrawn += 1
+            return
+        place = owner.place_at_once(ask)
+        if place is None:
+            place = await self._wait(owner, ask, connection)
         ended = PlaceEnd(PlaceOutcome.ABANDONED, 0)
-        await connection.send(Heartbeat(0))
         try:
-            async with PeerWatch(connection, _BEAT_SECONDS):
-                place = await owner.place(ask)
             await connection.send(grant_of(place))
             ended = await self._until_ended(connection, ask)
         finally:
-            if place is not None:
-                await owner.end(place, ended.outcome, ended.first_event)
+            await owner.end(place, ended.outcome, ended.first_event)
+
+    async def _wait(
+        self,
+        owner: GroupOwner,
+        ask: PlaceAsk,
+        connection: PeerConnection,
+    ) -> Place:
+        """Wait for a place while heartbeats tell that we do."""
+        await connection.send(Heartbeat(0))
+        async with PeerWatch(connection, _BEAT_SECONDS):
+            return await owner.place_in_turn(ask)
 
     async def _until_ended(
         self,
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING, Final, Protocol
@@ -12,6 +13,8 @@
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.http.client import (
@@ -48,6 +51,11 @@
     BROKEN = 'broken'
 
 
+_CONNECTION_SPOILT: Final = frozenset(
+    (Outcome.LOST, Outcome.TIMED_OUT, Outcome.BROKEN),
+)
+
+
 @dataclass(slots=True)
 class Sent:
     """What came of one send.
@@ -111,16 +119,9 @@
         sending: Sending,
     ) -> Sent:
         """Send a request and read its whole answer."""
-        connection = await self._open(upstream, sending.seconds)
-        if connection is None:
-            return Sent(Outcome.UNREACHABLE)
-        try:
-            sent = await self._whole(connection, request, upstream, sending)
-        except BaseException:
-            await connection.close()
-            raise
-        await self._finish(connection, sent)
-        return sent
+        return await self._over_connection(
+            self._whole, request, upstream, sending
+        )
 
     async def stream(
         self,
@@ -130,13 +131,23 @@
         sink: EventSink,
     ) -> Sent:
         """Send a request and pass its events on as they come."""
+        talk = functools.partial(self._stream, sink=sink)
+        return await self._over_connection(talk, request, upstream, sending)
+
+    async def _over_connection(
+        self,
+        talk: Callable[..., Awaitable[Sent]],
+        request: InboundRequest,
+        upstream: Upstream,
+        sending: Sending,
+    ) -> Sent:
         connection = await self._open(upstream, sending.seconds)
         if connection is None:
             return Sent(Outcome.UNREACHABLE)
         try:
-            sent = await self._stream(
-                connection, request, upstream, sending, sink
-            )
+            sent = Sent(Outcome.UNREACHABLE)
+            if _is_wanted(request):
+                sent = await talk(connection, request, upstream, sending)
         except BaseException:
             await connection.close()
             raise
@@ -161,7 +172,7 @@
         connection: UpstreamConnection,
         sent: Sent,
     ) -> None:
-        if sent.outcome in {Outcome.LOST, Outcome.TIMED_OUT, Outcome.BROKEN}:
+        if sent.outcome in _CONNECTION_SPOILT:
             await connection.close()
         else:
             await self._pool.give(connection)
@@ -174,7 +185,7 @@
         sending: Sending,
     ) -> ResponseHead:
         call = self._wire.call_of(request, upstream, sending)
-        await connection.send(call, request.remaining())
+        await connection.send(call, request.time_left())
         head = await connection.head(request.time_left())
         while self._wire.verdict(head, request) is Verdict.OTHER_REQUEST:
             # A second answer to an earlier call may come late; ours follows.
@@ -310,6 +321,20 @@
                 self.last_event = line[3:].strip().decode('latin-1')
 
 
+def _is_wanted(request: InboundRequest) -> bool:
+    """Tell whether somebody still waits for an answer.
+
+    A VM that is short of processor time reads a request long after it came
+    in. Its caller has left by then; sent on, it would take an upstream's time
+    from those who wait. One sees requests that begin after their deadline.
+
+    :raises ConnectionLost: when its caller has left
+    """
+    if request.has_caller_left():
+        raise ConnectionLost('the caller left before its request was sent')
+    return request.remaining() > 0
+
+
 def may_send_again(request: InboundRequest, outcome: Outcome) -> bool:
     """Tell whether a request may go to another upstream after ``outcome``."""
     if outcome in {Outcome.NOT_RUN, Outcome.UNREACHABLE}:
--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -19,6 +19,7 @@
     header_map,
 )
 from flamingovalve.util.logs import get_logger
+from flamingovalve.util.network import has_ended
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
@@ -98,6 +99,10 @@
         await self._write(h11.EndOfMessage())
         self.ended = True
 
+    def has_caller_left(self) -> bool:
+        """Tell, without waiting, whether the caller closed its connection."""
+        return has_ended(self._socket)
+
     def watch_caller(self) -> CallerWatch:
         """Cancel the current task once the caller closes its connection.
 
--- a/flamingovalve/util/hashing.py
+++ b/flamingovalve/util/hashing.py
@@ -72,9 +72,12 @@
 
 
 def _sized_weight(key: str, name: str, size: float) -> float:
-    # The share of hash values below this one, never quite 0 nor 1.
-    uniform = math.ldexp(weight(key, name) + 0.5, -_HASH_BITS)
-    return -size / math.log(uniform)
+    return -size / math.log(uniform(key, name))
+
+
+def uniform(key: str, candidate: str) -> float:
+    """Give the share of hash values below this one, never quite 0 nor 1."""
+    return math.ldexp(weight(key, candidate) + 0.5, -_HASH_BITS)
 
 
 def fingerprint(*parts: str | bytes) -> int:
--- a/flamingovalve/util/rates.py
+++ b/flamingovalve/util/rates.py
@@ -21,18 +21,22 @@
 class DecayingRate:
     """Events a second, averaged with exponentially fading weights."""
 
-    __slots__ = ('_at', '_half_life', '_rate')
+    __slots__ = ('_at', '_half_life', '_rate', 'rank')
 
     def __init__(self, half_life: float) -> None:
         """Fade by half every ``half_life`` seconds."""
         self._half_life = half_life
         self._rate = 0.0
         self._at = clock.now()
+        # Orders rates of one half-life without fading each of them: all fade
+        # alike, so their order changes only when one of them counts.
+        self.rank = float('-inf')
 
     def add(self, amount: float = 1) -> None:
         """Count ``amount`` events now."""
         self._fade()
         self._rate += amount * math.log(2) / self._half_life
+        self.rank = math.log2(self._rate) + self._at / self._half_life
 
     def per_second(self) -> float:
         """Give the rate as of now."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from flamingovalve.gateway.admission import Admission
-from flamingovalve.gateway.engine import Waiter
+from flamingovalve.gateway.waiting import Waiter
 from tests.rig.engines import ask, hold, ledger
 from tests.rig.timeline import TimedTestCase
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from flamingovalve.gateway import dispatch
-from flamingovalve.gateway.ledger import Holding, Popularity
+from flamingovalve.gateway.ledger import Holding
+from flamingovalve.gateway.popularity import Popularity
 from flamingovalve.generated.ids import AdapterId, ModelId
 from tests.rig.engines import MODEL, ask, hold, ledger, report
 from tests.rig.timeline import TimedTestCase
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -173,7 +173,9 @@
         self.site.world.advance(8)
         self.assertTrue(task.terminated)
         owner = self.site.vms_by_id[self.site.owner()].daemon
-        for engine in owner.owned.find('engines').engines_by_id.values():
+        for engine in owner.owned.find(
+            'engines'
+        ).engines.engines_by_id.values():
             self.assertFalse(engine.ledger.places)
 
     def test_unknown_adapter_is_refused_at_once(self):
--- /dev/null
+++ b/tests/test_learning.py
@@ -0,0 +1,89 @@
+"""What owners learn of engines, whatever the first guess was."""
+
+from __future__ import annotations
+
+from flamingovalve.gateway.learning import HoldSeconds, KeptAdapters, Turnover
+from flamingovalve.generated.ids import AdapterId
+from tests.rig.engines import hold, ledger
+from tests.rig.timeline import TimedTestCase
+
+
+class TestKeptAdapters(TimedTestCase):
+    """An engine that keeps some adapters at hand after their unload."""
+
+    def play(self, kept, capacity):
+        """Load adapters in turn from an engine that keeps ``capacity``."""
+        memory = []
+        for number in range(4000):
+            name = AdapterId(f'a{number * 7 % 300}')
+            presumed = name in kept
+            if presumed and name in memory[-capacity:]:
+                kept.note_found(name)
+            elif presumed:
+                kept.note_missed(name)
+            if name in memory:
+                memory.remove(name)
+            memory.append(name)
+            kept.note_left(name)
+            if number % 3 == 0:
+                again = memory[-1 - number % min(200, len(memory))]
+                if again in kept:
+                    found = again in memory[-capacity:]
+                    note = kept.note_found if found else kept.note_missed
+                    note(again)
+
+    def test_size_of_the_memory_is_found_out(self):
+        for capacity in (10, 108):
+            kept = KeptAdapters()
+            self.play(kept, capacity)
+            self.assertGreater(kept.capacity, 0.7 * capacity)
+            self.assertLess(kept.capacity, 1.3 * capacity)
+
+    def test_request_refused_for_want_of_its_adapter_waits_for_the_fetch(self):
+        """An engine has dropped an adapter that it was thought to keep.
+
+        The request was sent again and again within a tenth of the time that
+        the fetch takes, and failed after the last try.
+        """
+        engine = ledger()
+        engine.kept.note_left(AdapterId('a'))
+        held = hold(engine, 'a')
+        engine.note_load_begun(held, 1)
+        self.assertLess(held.ready_at - self.moment, 0.1)
+        self.advance(0.03)
+        engine.note_not_there(AdapterId('a'))
+        self.assertGreater(held.ready_at - self.moment, 0.2)
+
+
+class TestHold(TimedTestCase):
+    """Services whose requests take very different times."""
+
+    def test_time_is_learnt_within_a_fifth(self):
+        for seconds in (0.05, 0.4, 5.0):
+            holds = HoldSeconds()
+            for _request in range(40):
+                holds.note(seconds)
+            self.assertAlmostEqual(holds.mean, seconds, delta=seconds / 5)
+
+
+class TestTurnover(TimedTestCase):
+    """How soon those who wait get a place."""
+
+    def test_rate_is_learnt(self):
+        turnover = Turnover()
+        for _place in range(40):
+            self.advance(0.02)
+            turnover.note_place()
+        self.assertAlmostEqual(turnover.seconds_each(1), 0.02, delta=0.004)
+
+    def test_standstill_shows(self):
+        """No place has come free for seconds.
+
+        Going by what was seen before, requests were let wait in vain.
+        """
+        turnover = Turnover()
+        for _place in range(40):
+            self.advance(0.02)
+            turnover.note_place()
+        self.advance(5)
+        self.assertGreater(turnover.seconds_each(1), 3)
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -75,7 +75,7 @@
 
     def orders_after(self):
         """Give the seconds until the VM may order."""
-        engine = self.owned.find(GROUP).engines_by_id['engine-0']
+        engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
         return engine.ledger.chain.stands_down_until - self.moment
 
     def test_nothing_is_ordered_within_a_lease_of_losing_it(self):
@@ -115,7 +115,7 @@
             self.revision = 90
             await self.tend()
             await curio.sleep(0)
-            engine = self.owned.find(GROUP).engines_by_id['engine-1']
+            engine = self.owned.find(GROUP).engines.engines_by_id['engine-1']
             await engine._look()
             self.assertGreater(engine.ledger.fence, claimed)
             self.assertEqual(engine.ledger.fence >> 24, 90)
@@ -134,7 +134,7 @@
             self.revision = None
             self.advance(10)
             await self.tend()
-            engine = self.owned.find(GROUP).engines_by_id['engine-0']
+            engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
             await engine._look()
             self.advance(10)
             await engine._look()
@@ -179,7 +179,7 @@
             self.revision = None
             self.advance(10)
             await self.tend()
-            engine = self.owned.find(GROUP).engines_by_id['engine-0']
+            engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
             await engine._look()
             self.advance(10)
             await engine._look()
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -3,19 +3,23 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import curio
 
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import dispatch, shards
 from flamingovalve.gateway.catalogue import Catalogue
-from flamingovalve.gateway.ledger import EngineLedger, Popularity
 from flamingovalve.gateway.places import OwnerSilent
+from flamingovalve.gateway.popularity import Popularity
 from flamingovalve.gateway.seeking import PlaceSeeker
 from flamingovalve.generated.ids import GroupId, ServiceId, VmId
 from tests.rig.engines import ask, hold, ledger, upstream
 from tests.rig.timeline import TimedTestCase
 
+if TYPE_CHECKING:
+    from flamingovalve.gateway.ledger import EngineLedger
+
 SERVICE = ServiceId('engines')
 
 
