Answers in time go first; load times are learnt

Who can still be answered in time gets a place before who can not. Cause: some 100 requests waited all along for slots that came free at 35 a second, so each got its place after 1.9 s, too late (objective 0.5 s). A request whose slack has passed goes behind the others, and is refused where those behind get no places.

How long a load takes, and how many the weight store runs at full speed, is learnt from requests that found their adapter or did not. Cause, from the states of slots in the log: each engine had its four loads under way while 3 to 9 of its 18 slots were idle and others waited; a load was waited for 0.6 s, as the store was taken to run 8 at full speed.

Ruled out: slots (idle while others waited), the owner's processor time.

--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import dispatch
-from flamingovalve.gateway.learning import HoldSeconds, Turnover
-from flamingovalve.util import hashing
+from flamingovalve.gateway.learning import MeanSeconds, Turnover
+from flamingovalve.util import clock, hashing
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.ledger import EngineLedger
@@ -24,27 +25,76 @@
 _USEFUL_TARGETS: Final = 0.7
 _SHORTEST_RETRY_SECONDS: Final = 0.3
 _NO_ENGINE_RETRY_SECONDS: Final = 0.5
+_FIRST_HOLD_SECONDS: Final = 1.0
+_FIRST_EVENT_SECONDS: Final = 0.1
 # Callers that are refused together come back over this share of their wait.
 _SPREAD_SHARE: Final = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Who goes before a waiting request.
+
+    :ivar ahead: requests of its kind that go first
+    :ivar is_late: whether its answer can no longer be in time, so that it
+        waits behind those whose can
+    """
+
+    ahead: int
+    is_late: bool = False
+
+
 class Admission:
-    """Judges requests that wait for a place."""
+    """Judges requests that wait for a place.
+
+    :ivar holds: how long a request keeps its place
+    :ivar first_events: time from sending a request to its first event
+    :ivar in_time: how soon those get a place who can be answered in time
+    :ivar late: how soon the others do, after all of the former
+    """
 
     def __init__(self) -> None:
         """Start with guesses of how fast places come free."""
-        self.holds = HoldSeconds()
-        self.turnover = Turnover()
+        self.holds = MeanSeconds(_FIRST_HOLD_SECONDS)
+        self.first_events = MeanSeconds(_FIRST_EVENT_SECONDS)
+        self.in_time = Turnover()
+        self.late = Turnover()
 
-    def judge(
+    def in_time_until(
         self,
         ask: PlaceAsk,
         ahead: int,
         engines: list[EngineLedger],
+    ) -> float:
+        """Give until when a place makes an answer come in time, on our clock.
+
+        :param ahead: those who wait and can be answered in time
+        :returns: the past where a place should come later than that
+        """
+        moment = clock.now()
+        slots = _slots(engines)
+        if not slots:
+            return moment
+        loading = min(engine.load_seconds(ask.adapter) for engine in engines)
+        for_event = max(
+            dispatch.soonest(ask, engines),
+            self.first_events.mean,
+        )
+        slack = ask.target - loading - for_event
+        each = self.in_time.seconds_each(self.holds.mean / slots)
+        if (ahead + 1) * each > slack:
+            return moment
+        return moment + slack
+
+    def judge(
+        self,
+        ask: PlaceAsk,
+        waiting: Line,
+        engines: list[EngineLedger],
     ) -> ServingError | None:
         """Give the refusal of a request that cannot be served in time.
 
-        :param ahead: requests that wait and go first
+        :param waiting: who goes before it
         """
         if not _slots(engines):
             return _refusal(
@@ -52,7 +102,7 @@
                 'no engine of this group answers yet',
                 _NO_ENGINE_RETRY_SECONDS,
             )
-        for_place = self._until_place(ask, ahead, engines)
+        for_place = self._until_place(ask, waiting, engines)
         for_event = dispatch.soonest(ask, engines)
         if for_event > ask.patience:
             return _refusal(
@@ -71,24 +121,25 @@
     def expected_wait(
         self,
         ask: PlaceAsk,
-        ahead: int,
+        waiting: Line,
         engines: list[EngineLedger],
     ) -> float:
         """Give the seconds until a first event, a place awaited."""
         for_event = dispatch.soonest(ask, engines)
-        return self._until_place(ask, ahead, engines) + for_event
+        return self._until_place(ask, waiting, engines) + for_event
 
     def _until_place(
         self,
         ask: PlaceAsk,
-        ahead: int,
+        waiting: Line,
         engines: list[EngineLedger],
     ) -> float:
         slots = _slots(engines)
         if not slots:
             return float('inf')
-        each = self.turnover.seconds_each(self.holds.mean / slots)
-        for_slot = (ahead + 1) * each
+        turnover = self.late if waiting.is_late else self.in_time
+        each = turnover.seconds_each(self.holds.mean / slots)
+        for_slot = (waiting.ahead + 1) * each
         return max(for_slot, dispatch.until_loads(ask, engines))
 
 
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -21,8 +21,6 @@
     from flamingovalve.gateway.popularity import Popularity
     from flamingovalve.generated.messages import PlaceAsk
 
-# Loads from the weight store that run at full speed over all engines.
-_FULL_SPEED_LOADS: Final = 8
 # Shares of a request's worth. A late answer is worth half of one in time or
 # less on the users' sheets.
 _LATE_SHARE: Final = 0.6
@@ -228,12 +226,6 @@
     return any(engine.has_opening(popularity) for engine in engines)
 
 
-def store_slowness(engines: Iterable[EngineLedger]) -> float:
-    """Give how much longer a load takes because of others under way."""
-    coming = sum(engine.coming() for engine in engines)
-    return max(1.0, coming / _FULL_SPEED_LOADS)
-
-
 def _holders(name: ModelId, engines: list[EngineLedger]) -> int:
     return sum(name in engine.models for engine in engines)
 
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -7,7 +7,6 @@
 
 import curio
 
-from flamingovalve.gateway import dispatch
 from flamingovalve.gateway.fencing import NO_FENCE
 from flamingovalve.gateway.ledger import HeldAdapter, Holding
 from flamingovalve.gateway.orders import Action, Order, OrderOutcome
@@ -90,7 +89,6 @@
 class EngineContext:
     """What an engine's orders need to know beyond the engine itself.
 
-    :ivar ledgers: gives what is known of all engines of the group
     :ivar missing_model: gives the model that an empty engine should load
     """
 
@@ -98,7 +96,6 @@
     fences: Fences
     counts: OwnerCounts
     popularity: Popularity
-    ledgers: Callable[[], list[EngineLedger]]
     missing_model: Callable[[EngineLedger], ModelId]
     listener: EngineListener
 
@@ -150,7 +147,17 @@
             waiters = self.waiting.pop(held.name, [])
             await self._context.listener.load_failed(waiters, outcome)
             return
-        await self.arrive(held)
+        await self._fetch(held)
+
+    async def _fetch(self, held: HeldAdapter) -> None:
+        """Wait for an adapter while others count it as under way."""
+        loads = self.ledger.loads
+        fetches = held.load is not None and not held.load.is_kept
+        loads.under_way += fetches
+        try:
+            await self.arrive(held)
+        finally:
+            loads.under_way -= fetches
 
     async def arrive(self, held: HeldAdapter) -> None:
         """Wait until an adapter should be there; let go on who waits for it."""
@@ -174,8 +181,7 @@
         self._context.counts.loads += 1
         if outcome is OrderOutcome.ACCEPTED:
             self.ledger.chain.note_accepted()
-            slowness = dispatch.store_slowness(self._context.ledgers())
-            self.ledger.note_load_begun(held, slowness)
+            self.ledger.note_load_begun(held)
         elif outcome is OrderOutcome.HOLDS:
             held.ready_at = clock.now()
         else:
--- a/flamingovalve/gateway/group.py
+++ b/flamingovalve/gateway/group.py
@@ -10,6 +10,7 @@
     OwnedEngine,
     OwnerCounts,
 )
+from flamingovalve.gateway.learning import LoadTimes
 from flamingovalve.gateway.ledger import EngineLedger
 from flamingovalve.gateway.orders import OrderChain
 from flamingovalve.gateway.popularity import Popularity
@@ -57,6 +58,7 @@
         self.counts = OwnerCounts()
         self.popularity = Popularity()
         self.engines_by_id: dict[UpstreamId, OwnedEngine] = {}
+        self.loads = LoadTimes(settings.adapter_load_seconds)
         self.predecessor_ended = False
         self.orders_after = 0.0
         self._is_new = True
@@ -162,7 +164,9 @@
             self.orders_after,
             predecessor_ended=self.predecessor_ended,
         )
-        ledger = EngineLedger(upstream, traits, settings, chain)
+        ledger = EngineLedger(
+            upstream, traits, settings, chain, loads=self.loads
+        )
         if self._is_new:
             # The claim exceeds those of whoever owned the group before.
             ledger.fence = self._fences.claimed
@@ -171,7 +175,6 @@
             self._fences,
             self.counts,
             self.popularity,
-            self.ledgers,
             self._missing_model,
             listener,
         )
--- a/flamingovalve/gateway/learning.py
+++ b/flamingovalve/gateway/learning.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.util import clock
@@ -16,10 +17,21 @@
 
 # One request in eight moves a mean by an eighth, as TCP smooths its times.
 _STEP: Final = 0.125
-_FIRST_HOLD_SECONDS: Final = 1.0
-_LONGEST_INTERVAL_SECONDS: Final = 1.0
 # Adapters that gave up their slot and may still be in an engine's memory.
 _REMEMBERED_ADAPTERS: Final = 512
+_FIRST_LOAD_SECONDS: Final = 0.25
+# An adapter in an engine's own memory takes this share of a fetch.
+_KEPT_SHARE: Final = 0.1
+_FIRST_FULL_SPEED: Final = 8.0
+_MOST_FULL_SPEED: Final = 512.0
+# Loads more at full speed after one that came in time, until the first that
+# did not; after it, this share more.
+_FIRST_STEP: Final = 1.0
+_LATER_SHARE: Final = 0.003
+_MISS_SHARE: Final = 0.06
+_SHRINK_SHARE: Final = 0.001
+# Below this share of full speed a late load tells of loads as such.
+_LITTLE_CONTENTION: Final = 0.5
 _FIRST_KEPT: Final = 48
 # Loads are tried as if this many more were kept than have been seen to be.
 _FIRST_MARGIN: Final = 24
@@ -28,15 +40,15 @@
 _MISSED_SHARE: Final = 0.9
 
 
-class HoldSeconds:
-    """How long a request keeps its place, averaged over those that ended."""
+class MeanSeconds:
+    """How long something takes, averaged over the last times."""
 
-    def __init__(self) -> None:
+    def __init__(self, guess: float) -> None:
         """Start with a guess."""
-        self.mean = _FIRST_HOLD_SECONDS
+        self.mean = guess
 
     def note(self, seconds: float) -> None:
-        """Take one request that ended into account."""
+        """Take one more time into account."""
         self.mean += (seconds - self.mean) * _STEP
 
 
@@ -59,7 +71,7 @@
     def note_place(self) -> None:
         """Note that somebody who waited got a place."""
         moment = clock.now()
-        passed = min(moment - self._since, _LONGEST_INTERVAL_SECONDS)
+        passed = moment - self._since
         self._since = moment
         if self._interval is None:
             self._interval = passed
@@ -74,7 +86,80 @@
         seen = self._interval
         if seen is None:
             seen = guess
-        return max(seen, clock.now() - self._since - _LONGEST_INTERVAL_SECONDS)
+        # A standstill shows before it ends.
+        return max(seen, clock.now() - self._since)
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedLoad:
+    """What was expected of one load until a request showed the truth.
+
+    :ivar is_kept: whether the engine was thought to have it in its memory
+    :ivar contention: loads under way over those that run at full speed
+    :ivar ready_at: when it should be there, on our clock
+    :ivar fetched_at: when it should be there if it had to be fetched
+    """
+
+    is_kept: bool
+    contention: float
+    ready_at: float
+    fetched_at: float
+
+
+class LoadTimes:
+    """How long loads take, alone and while others are under way.
+
+    The weight store serves some loads at full speed; more take longer in
+    proportion. Neither figure is told. Requests are sent when their adapter
+    should be there, and an engine refuses those that come too early: from a
+    refusal the times grow, from successes they shrink, as a sender on a
+    network learns its share of a link.
+    """
+
+    def __init__(self, seconds: float = _FIRST_LOAD_SECONDS) -> None:
+        """Start with a guess.
+
+        :param seconds: of one load from the weight store
+        """
+        self.seconds = seconds
+        self.full_speed = _FIRST_FULL_SPEED
+        self.under_way = 0
+        self._was_missed = False
+
+    def expected(self, *, is_kept: bool) -> ExpectedLoad:
+        """Give what to expect of a load that begins now."""
+        moment = clock.now()
+        contention = (self.under_way + 1) / self.full_speed
+        fetching = self.seconds * max(1, contention)
+        taking = self.seconds * _KEPT_SHARE if is_kept else fetching
+        return ExpectedLoad(
+            is_kept,
+            contention,
+            moment + taking,
+            moment + fetching,
+        )
+
+    def note_hit(self, load: ExpectedLoad) -> None:
+        """Note that an adapter was there when it should have been."""
+        if load.is_kept:
+            return
+        if load.contention > 1:
+            step = _FIRST_STEP
+            if self._was_missed:
+                step = _LATER_SHARE * self.full_speed
+            self.full_speed = min(self.full_speed + step, _MOST_FULL_SPEED)
+        else:
+            self.seconds *= 1 - _SHRINK_SHARE
+
+    def note_miss(self, load: ExpectedLoad) -> None:
+        """Note that an adapter was not there yet."""
+        if load.is_kept:
+            return
+        if load.contention > _LITTLE_CONTENTION:
+            self._was_missed = True
+            self.full_speed = max(1, self.full_speed * (1 - _MISS_SHARE))
+        else:
+            self.seconds *= 1 + _MISS_SHARE
 
 
 class KeptAdapters:
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.gateway.fencing import NO_FENCE
-from flamingovalve.gateway.learning import KeptAdapters
+from flamingovalve.gateway.learning import ExpectedLoad, KeptAdapters, LoadTimes
 from flamingovalve.gateway.reading import ReadingQueue
 from flamingovalve.util import clock
 
@@ -19,8 +19,6 @@
     from flamingovalve.generated.messages import PlaceAsk
     from flamingovalve.generated.settings import GatewaySettings
 
-# An adapter that an engine held lately loads ten times as fast.
-_KEPT_SHARE: Final = 0.1
 # A load that was refused as not there yet is tried again after this.
 _LATE_LOAD_SECONDS: Final = 0.03
 # An engine carries this many adapters on their way at once.
@@ -65,9 +63,8 @@
     :ivar replaces: the version that stays if the load does not come about
     :ivar is_ordered: false while its load still waits for its turn or for an
         answer; no report can show it before
-    :ivar presumed_kept: whether it was loaded as one that the engine has in
-        its memory, and no request has shown yet whether it had
-    :ivar fetched_at: when it should be there if it had to be fetched
+    :ivar load: what was expected of its load, until a request shows whether
+        it was there
     """
 
     name: AdapterId
@@ -78,8 +75,7 @@
     used_at: float = 0
     replaces: HeldAdapter | None = None
     is_ordered: bool = True
-    presumed_kept: bool = False
-    fetched_at: float = 0
+    load: ExpectedLoad | None = None
 
     def is_idle(self) -> bool:
         """Tell whether it could give up its slot."""
@@ -138,6 +134,7 @@
     fetches_model: bool = False
     reported_at: float = float('-inf')
     kept: KeptAdapters = field(default_factory=KeptAdapters)
+    loads: LoadTimes = field(default_factory=LoadTimes)
     _victim: HeldAdapter | None = None
 
     def may_order(self) -> bool:
@@ -237,24 +234,15 @@
             return True
         return self.least_valuable(popularity) is not None
 
-    def load_seconds(self, name: AdapterId, slowness: float = 1) -> float:
-        """Give what loading an adapter should take.
+    def load_seconds(self, name: AdapterId) -> float:
+        """Give what loading an adapter should take if it began now."""
+        load = self.loads.expected(is_kept=name in self.kept)
+        return load.ready_at - clock.now()
 
-        :param slowness: how much longer the weight store takes because of
-            others
-        """
-        seconds = self.settings.adapter_load_seconds
-        if name in self.kept:
-            return seconds * _KEPT_SHARE
-        return seconds * slowness
-
-    def note_load_begun(self, held: HeldAdapter, slowness: float) -> None:
+    def note_load_begun(self, held: HeldAdapter) -> None:
         """Expect an adapter whose load the engine has just accepted."""
-        moment = clock.now()
-        held.presumed_kept = held.name in self.kept
-        held.ready_at = moment + self.load_seconds(held.name, slowness)
-        fetching = self.settings.adapter_load_seconds * slowness
-        held.fetched_at = moment + fetching
+        held.load = self.loads.expected(is_kept=held.name in self.kept)
+        held.ready_at = held.load.ready_at
 
     def note_not_there(self, name: AdapterId) -> HeldAdapter | None:
         """Note that the engine refused a request for want of its adapter.
@@ -266,18 +254,24 @@
             return None
         held.state = Holding.COMING
         held.ready_at = clock.now() + _LATE_LOAD_SECONDS
-        if held.presumed_kept:
-            held.presumed_kept = False
-            self.kept.note_missed(name)
-            held.ready_at = max(held.ready_at, held.fetched_at)
+        load = held.load
+        held.load = None
+        if load is not None:
+            self.loads.note_miss(load)
+            if load.is_kept:
+                self.kept.note_missed(name)
+                held.ready_at = max(held.ready_at, load.fetched_at)
         return held
 
     def note_there(self, name: AdapterId) -> None:
         """Note that a request found its adapter loaded."""
         held = self.held.get(name)
-        if held is not None and held.presumed_kept:
-            held.presumed_kept = False
+        if held is None or held.load is None:
+            return
+        self.loads.note_hit(held.load)
+        if held.load.is_kept:
             self.kept.note_found(name)
+        held.load = None
 
     def may_load(self) -> bool:
         """Tell whether the engine takes one more load."""
@@ -324,7 +318,7 @@
         for name in report.coming:
             if name not in self.held:
                 held = HeldAdapter(name, 0, Holding.COMING)
-                held.ready_at = clock.now() + self.settings.adapter_load_seconds
+                held.ready_at = clock.now() + self.loads.seconds
                 self.held[name] = held
         self._forget_missing({*report.resident, *report.coming})
         self._victim = None
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -8,7 +8,7 @@
 
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import dispatch
-from flamingovalve.gateway.admission import Admission
+from flamingovalve.gateway.admission import Admission, Line
 from flamingovalve.gateway.group import EngineGroup
 from flamingovalve.gateway.ledger import HeldAdapter, Holding
 from flamingovalve.gateway.orders import OrderOutcome
@@ -129,6 +129,7 @@
         waiter = Waiter(ask, clock.now(), clock.now())
         self._enqueue(waiter)
         try:
+            await self._let_join(ask.adapter)
             await self.pump()
             await self._refuse_if_hopeless(waiter)
             await waiter.settled.wait()
@@ -142,9 +143,18 @@
         return waiter.place
 
     def _enqueue(self, waiter: Waiter) -> None:
-        if not self._waiting:
-            self._admission.turnover.note_first()
-        self._waiting.add(waiter)
+        ask = waiter.ask
+        waiting = self._waiting
+        waiter.in_time_until = self._admission.in_time_until(
+            ask,
+            waiting.in_time_count(),
+            self.engines.candidates(ask),
+        )
+        if not waiting.in_time_count():
+            self._admission.in_time.note_first()
+        if not waiting.late_count:
+            self._admission.late.note_first()
+        waiting.add(waiter)
 
     def _declined(
         self,
@@ -154,7 +164,7 @@
         """Send a request to another group that would be late in this one."""
         self.counts.declined += 1
         if choice is None:
-            ahead = len(self._waiting)
+            ahead = Line(len(self._waiting))
             engines = self.engines.candidates(ask)
             wait = self._admission.expected_wait(ask, ahead, engines)
         else:
@@ -203,6 +213,7 @@
         if outcome is PlaceOutcome.FINISHED:
             self._admission.holds.note(clock.now() - place.taken_at)
         if first_event:
+            self._admission.first_events.note(first_event)
             engine.note_there(place.ask.adapter)
             engine.note_first_event(place, first_event)
         if outcome is PlaceOutcome.LOST:
@@ -266,6 +277,8 @@
         Every ask, end and load comes here, so it looks at no more of those
         who wait than could be served: the rest costs nothing.
         """
+        for waiter in self._waiting.put_back_late():
+            await self._refuse_if_hopeless(waiter)
         failures = 0
         while failures < _MOST_TRIED and self._may_serve_more():
             waiters = self._waiting.first(failures + 1)
@@ -332,12 +345,18 @@
         waiter.age()
         refusal = self._admission.judge(
             waiter.ask,
-            self._waiting.ahead_of(waiter),
+            self._line_before(waiter),
             self.engines.candidates(waiter.ask),
         )
         if refusal is not None:
             await self._refuse(waiter, refusal)
 
+    def _line_before(self, waiter: Waiter) -> Line:
+        ahead = self._waiting.ahead_of(waiter)
+        if waiter.turn.is_late:
+            ahead -= self._waiting.in_time_count()
+        return Line(ahead, waiter.turn.is_late)
+
     async def _refuse(self, waiter: Waiter, refusal: ServingError) -> None:
         self._waiting.remove(waiter)
         self.counts.refused += 1
@@ -360,7 +379,10 @@
             await self._begin_load(owned, waiter.ask, choice.victim)
         held = ledger.held.get(waiter.ask.adapter)
         waiter.place = ledger.take(waiter.ask)
-        self._admission.turnover.note_place()
+        turnover = self._admission.in_time
+        if waiter.turn.is_late:
+            turnover = self._admission.late
+        turnover.note_place()
         self._note_place(waiter.ask, choice, clock.now() - waiter.asked_at)
         if held is None or held.state is Holding.RESIDENT:
             await waiter.settled.set()
--- a/flamingovalve/gateway/waiting.py
+++ b/flamingovalve/gateway/waiting.py
@@ -33,6 +33,7 @@
 class Turn(NamedTuple):
     """When the turn of a waiting request comes; the lowest goes first."""
 
+    is_late: bool
     moment: float
     serial: int
 
@@ -45,6 +46,8 @@
     :ivar place: the place, once an engine was chosen
     :ivar refusal: why there will be none
     :ivar is_gone: whether its caller has left
+    :ivar in_time_until: a place before this moment still makes its answer
+        come in time, on our clock
     """
 
     ask: PlaceAsk
@@ -54,7 +57,8 @@
     place: Place | None = None
     refusal: ServingError | None = None
     is_gone: bool = False
-    turn: Turn = Turn(0, 0)
+    in_time_until: float = 0
+    turn: Turn = Turn(is_late=False, moment=0, serial=0)
 
     def age(self) -> None:
         """Count down what is left of its request's times.
@@ -72,11 +76,18 @@
 
 
 class WaitingRequests:
-    """Keeps those who wait by their turn and by their adapter."""
+    """Keeps those who wait by their turn and by their adapter.
+
+    Who can still be answered in time goes first. In turn of their coming,
+    a burst that lasts makes everybody wait until just too late: as many are
+    served, but none of them in time.
+    """
 
     def __init__(self) -> None:
         """Start with nobody waiting."""
+        self.late_count = 0
         self._by_turn: SortedDict = SortedDict()
+        self._by_limit: SortedDict = SortedDict()
         self._by_adapter: dict[AdapterId, dict[Turn, Waiter]] = {}
         self._serials = itertools.count()
 
@@ -88,19 +99,44 @@
         """Tell whether a request waits."""
         return self._by_turn.get(waiter.turn) is waiter
 
+    def in_time_count(self) -> int:
+        """Count those whose answer can still be in time."""
+        return len(self) - self.late_count
+
     def add(self, waiter: Waiter) -> None:
         """Let a request wait for its turn."""
         ask = waiter.ask
+        is_late = clock.now() >= waiter.in_time_until
         moment = waiter.asked_at + ask.priority * _RANK_SECONDS
-        waiter.turn = Turn(moment, next(self._serials))
+        waiter.turn = Turn(is_late, moment, next(self._serials))
         self._by_turn[waiter.turn] = waiter
         self._by_adapter.setdefault(ask.adapter, {})[waiter.turn] = waiter
+        self.late_count += is_late
+        if not is_late:
+            self._by_limit[_limit_of(waiter)] = waiter
+
+    def put_back_late(self) -> list[Waiter]:
+        """Put those behind who can no longer be answered in time.
+
+        :returns: who they are
+        """
+        moment = clock.now()
+        overdue = []
+        while self._by_limit and self._by_limit.peekitem(0)[0] <= (moment,):
+            _limit, waiter = self._by_limit.peekitem(0)
+            self.remove(waiter)
+            self.add(waiter)
+            overdue.append(waiter)
+        return overdue
 
     def remove(self, waiter: Waiter) -> bool:
         """Let a request wait no more; tell whether it did."""
         if waiter not in self:
             return False
         del self._by_turn[waiter.turn]
+        self.late_count -= waiter.turn.is_late
+        if not waiter.turn.is_late:
+            del self._by_limit[_limit_of(waiter)]
         same = self._by_adapter[waiter.ask.adapter]
         del same[waiter.turn]
         if not same:
@@ -127,3 +163,7 @@
     def __iter__(self) -> Iterator[Waiter]:
         """Go through everybody in turn."""
         return iter(list(self._by_turn.values()))
+
+
+def _limit_of(waiter: Waiter) -> tuple[float, int]:
+    return (waiter.in_time_until, waiter.turn.serial)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from flamingovalve.gateway.admission import Admission
+from flamingovalve.gateway.admission import Admission, Line
 from flamingovalve.gateway.waiting import Waiter
 from tests.rig.engines import ask, hold, ledger
 from tests.rig.timeline import TimedTestCase
@@ -22,7 +22,7 @@
 
     def judge(self, request, ahead=0):
         """Judge one request."""
-        return Admission().judge(request, ahead, [self.engine])
+        return Admission().judge(request, Line(ahead), [self.engine])
 
     def test_short_queue_is_waited_for(self):
         self.assertIsNone(self.judge(ask('new')))
@@ -37,7 +37,7 @@
         self.assertGreater(refusal.retry_after, 5)
 
     def test_no_engine_at_all(self):
-        refusal = Admission().judge(ask('new'), 0, [])
+        refusal = Admission().judge(ask('new'), Line(0), [])
         self.assertGreater(refusal.retry_after, 0)
 
     def test_owner_that_may_not_load_yet_says_when(self):
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from flamingovalve.gateway.learning import HoldSeconds, KeptAdapters, Turnover
+from flamingovalve.gateway.learning import (
+    KeptAdapters,
+    LoadTimes,
+    MeanSeconds,
+    Turnover,
+)
 from flamingovalve.generated.ids import AdapterId
 from tests.rig.engines import hold, ledger
 from tests.rig.timeline import TimedTestCase
@@ -48,7 +53,7 @@
         engine = ledger()
         engine.kept.note_left(AdapterId('a'))
         held = hold(engine, 'a')
-        engine.note_load_begun(held, 1)
+        engine.note_load_begun(held)
         self.assertLess(held.ready_at - self.moment, 0.1)
         self.advance(0.03)
         engine.note_not_there(AdapterId('a'))
@@ -60,7 +65,7 @@
 
     def test_time_is_learnt_within_a_fifth(self):
         for seconds in (0.05, 0.4, 5.0):
-            holds = HoldSeconds()
+            holds = MeanSeconds(1)
             for _request in range(40):
                 holds.note(seconds)
             self.assertAlmostEqual(holds.mean, seconds, delta=seconds / 5)
@@ -87,3 +92,43 @@
             turnover.note_place()
         self.advance(5)
         self.assertGreater(turnover.seconds_each(1), 3)
+
+
+class TestLoadTimes(TimedTestCase):
+    """Weight stores of different speeds."""
+
+    def play(self, seconds, full_speed, under_way):
+        """Load from a store for a while; give what is then expected."""
+        loads = LoadTimes()
+        missed = 0
+        for _load in range(400):
+            loads.under_way = under_way - 1
+            load = loads.expected(is_kept=False)
+            taken = seconds * max(1, under_way / full_speed)
+            if load.ready_at - self.moment >= taken:
+                loads.note_hit(load)
+            else:
+                loads.note_miss(load)
+                missed += 1
+        loads.under_way = under_way - 1
+        load = loads.expected(is_kept=False)
+        return load.ready_at - self.moment, missed
+
+    def test_store_that_serves_many_at_once(self):
+        """A store serves three times as many loads at full speed as guessed.
+
+        Each load was waited for three times as long as it took, and as an
+        engine takes four at once, its idle slots stayed empty meanwhile.
+        """
+        expected, missed = self.play(0.25, 24, 24)
+        self.assertLess(expected, 0.25 * 1.2)
+        self.assertLess(missed, 40)
+
+    def test_store_that_is_slower_than_guessed(self):
+        expected, _missed = self.play(1.0, 24, 2)
+        self.assertAlmostEqual(expected, 1.0, delta=0.2)
+
+    def test_store_that_serves_few_at_once(self):
+        expected, missed = self.play(0.25, 4, 20)
+        self.assertAlmostEqual(expected, 1.25, delta=0.25)
+        self.assertLess(missed, 60)
