Completions go on by the engines' reports while nobody owns them

Cause: after a loss of all VMs, or of the owner's, every completion waited for an owner up to 0.8 s and was refused then; a silent owner cost each ask half a second.

The next owner is told of these places. A silent owner is asked once in 0.3 s only.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -26,6 +26,7 @@
 from flamingovalve.gateway.seeking import PlaceSeeker
 from flamingovalve.gateway.serving import RequestServer
 from flamingovalve.gateway.shards import Shards
+from flamingovalve.gateway.unowned import UnownedPlaces
 from flamingovalve.gateway.watchers import Watchers
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
@@ -139,6 +140,11 @@
             self.places,
             self.shards,
             self.gossip.probe_now,
+            UnownedPlaces(
+                self.catalogue,
+                lambda upstream: self.platform.engine(self.pool, upstream),
+                lambda: len(self.members.present()),
+            ),
         )
         self.directory = AddressDirectory(
             self.members,
--- a/flamingovalve/gateway/places.py
+++ b/flamingovalve/gateway/places.py
@@ -149,6 +149,10 @@
         self._open.discard(lease)
         await lease.end(outcome, first_event)
 
+    def note_open(self, lease: PlaceLease) -> None:
+        """Tell the next owner of a place that no owner has given."""
+        self._open.add(lease)
+
     async def tell_new_owner(self, group: GroupId, vm: VmId) -> None:
         """Tell the new owner of a group which places are held here.
 
--- a/flamingovalve/gateway/seeking.py
+++ b/flamingovalve/gateway/seeking.py
@@ -18,6 +18,7 @@
     from flamingovalve.gateway.ownership import GroupClaims
     from flamingovalve.gateway.places import PlaceClient, PlaceLease
     from flamingovalve.gateway.shards import Shards
+    from flamingovalve.gateway.unowned import UnownedPlaces
     from flamingovalve.generated.ids import GroupId, VmId
     from flamingovalve.generated.messages import PlaceAsk
 
@@ -35,6 +36,8 @@
 # An owner that was silent is asked last until membership has found out, about
 # 1.3 s with the users' settings. Each ask in vain takes half a second.
 _SILENT_SECONDS: Final = 1.5
+# Meanwhile one request in this time asks it all the same.
+_SILENT_PAUSE_SECONDS: Final = 0.3
 
 
 class PlaceSeeker:
@@ -52,16 +55,20 @@
         places: PlaceClient,
         shards: Shards,
         probe: Callable[[VmId], Awaitable[None]],
+        unowned: UnownedPlaces,
     ) -> None:
         """Ask the owners that ``claims`` name.
 
         :param probe: looks at once whether a VM still answers
+        :param unowned: finds places where no owner answers
         """
+        self._unowned = unowned
         self._probe = probe
         self._claims = claims
         self._places = places
         self._shards = shards
         self._silent_until: dict[VmId, float] = {}
+        self._next_ask: dict[VmId, float] = {}
 
     async def take(self, request: InboundRequest, ask: PlaceAsk) -> PlaceLease:
         """Wait for a place.
@@ -71,12 +78,32 @@
         began = clock.now()
         while True:
             lease = await self._ask_groups(request, ask)
+            if lease is not None:
+                return lease
+            lease = await self._take_unowned(request, ask)
             if lease is not None:
                 return lease
             if clock.now() > began + _OWNER_PATIENCE_SECONDS:
                 raise _no_owner()
             await curio.sleep(_OWNER_PAUSE_SECONDS)
 
+    async def _take_unowned(
+        self,
+        request: InboundRequest,
+        ask: PlaceAsk,
+    ) -> PlaceLease | None:
+        lease = await self._unowned.take(request, ask)
+        if lease is None:
+            return None
+        group = self._shards.group_holding(
+            request.service,
+            lease.grant.upstream,
+        )
+        if group is not None:
+            ask.group = group
+            self._places.note_open(lease)
+        return lease
+
     async def _ask_groups(
         self,
         request: InboundRequest,
@@ -126,6 +153,21 @@
             return True
         return clock.now() < self._silent_until.get(owner, 0)
 
+    def _should_spare(self, owner: VmId) -> bool:
+        """Tell whether an owner that was silent should not be asked now.
+
+        One that is late gets later by each request that asks it in vain, and
+        each of them loses half a second. One in a while shows whether it
+        answers again.
+        """
+        moment = clock.now()
+        if moment >= self._silent_until.get(owner, 0):
+            return False
+        if moment < self._next_ask[owner]:
+            return True
+        self._next_ask[owner] = moment + _SILENT_PAUSE_SECONDS
+        return False
+
     async def _ask(
         self,
         request: InboundRequest,
@@ -133,7 +175,7 @@
         group: GroupId,
     ) -> PlaceLease | None:
         owner = self._claims.owner(group)
-        if owner is None:
+        if owner is None or self._should_spare(owner):
             return None
         ask.group = group
         ask.target = request.until_late()
@@ -141,15 +183,20 @@
         ask.patience = request.until_first_event()
         ask.avoided = list(request.tried)
         try:
-            return await self._places.take(owner, ask)
+            lease = await self._places.take(owner, ask)
         except OwnerSilent as silent:
             reason = str(silent)
-            self._silent_until[owner] = clock.now() + _SILENT_SECONDS
+            moment = clock.now()
+            self._silent_until[owner] = moment + _SILENT_SECONDS
+            self._next_ask[owner] = moment + _SILENT_PAUSE_SECONDS
             await self._probe(owner)
         except ServingError as refused:
             if refused.kind is not ErrorKind.NOT_OWNER:
                 raise
             reason = refused.message
+        else:
+            self._silent_until.pop(owner, None)
+            return lease
         note(
             logger,
             'no place from the owner',
--- a/flamingovalve/gateway/shards.py
+++ b/flamingovalve/gateway/shards.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.model import Upstream
-    from flamingovalve.generated.ids import ServiceId
+    from flamingovalve.generated.ids import ServiceId, UpstreamId
     from flamingovalve.generated.messages import PlaceAsk
 
 logger = get_logger(__name__)
@@ -117,6 +117,17 @@
             by_group[group_of(upstream, count)].append(upstream)
         return by_group
 
+    def group_holding(
+        self,
+        service: ServiceId,
+        engine: UpstreamId,
+    ) -> GroupId | None:
+        """Give the group of an engine that is listed."""
+        for group, upstreams in self.engines(service).items():
+            if any(upstream.id == engine for upstream in upstreams):
+                return group
+        return None
+
     def preference(self, service: ServiceId, ask: PlaceAsk) -> list[GroupId]:
         """Order the groups for a request, the likeliest holder first.
 
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -162,6 +162,13 @@
     until_first_event = remaining
 
 
+class NoPlaces:
+    """Engines that hold nothing."""
+
+    async def take(self, _request, _ask):
+        """Give no place."""
+
+
 class TestSeeking(TimedTestCase):
     """One request before eight groups."""
 
@@ -180,7 +187,9 @@
 
     def seeker(self, claims):
         """Give a VM's way to its places; silent owners are noted."""
-        return PlaceSeeker(claims, self.places, self.shards, self._probe)
+        return PlaceSeeker(
+            claims, self.places, self.shards, self._probe, NoPlaces()
+        )
 
     async def _probe(self, vm):
         """Note which VM is to be probed."""
