--- a/flamingovalve/gateway/learning.py
+++ b/flamingovalve/gateway/learning.py
@@ -96,12 +96,14 @@
 
     :ivar is_kept: whether the engine was thought to have it in its memory
     :ivar contention: loads under way over those that run at full speed
+    :ivar began_at: when its order was accepted, on our clock
     :ivar ready_at: when it should be there, on our clock
     :ivar fetched_at: when it should be there if it had to be fetched
     """
 
     is_kept: bool
     contention: float
+    began_at: float
     ready_at: float
     fetched_at: float
 
@@ -125,6 +127,7 @@
         self.full_speed = _FIRST_FULL_SPEED
         self.under_way = 0
         self._was_missed = False
+        self._missed_at = float('-inf')
 
     def expected(self, *, is_kept: bool) -> ExpectedLoad:
         """Give what to expect of a load that begins now."""
@@ -135,6 +138,7 @@
         return ExpectedLoad(
             is_kept,
             contention,
+            moment,
             moment + taking,
             moment + fetching,
         )
@@ -153,8 +157,10 @@
 
     def note_miss(self, load: ExpectedLoad) -> None:
         """Note that an adapter was not there yet."""
-        if load.is_kept:
+        if load.is_kept or load.began_at < self._missed_at:
+            # Loads that began before the last miss tell of the same moment.
             return
+        self._missed_at = clock.now()
         if load.contention > _LITTLE_CONTENTION:
             self._was_missed = True
             self.full_speed = max(1, self.full_speed * (1 - _MISS_SHARE))
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -181,7 +181,7 @@
         if known is not None:
             self.give_back(known)
         seconds = self.reading_seconds(ask)
-        expected = self.reading.ahead_of(ask.priority) + seconds
+        expected = self.reading.ahead() + seconds
         place = Place(ask, self, expected, clock.now())
         self.places[ask.request_id] = place
         self.reading.add(ask.priority, seconds)
--- a/flamingovalve/gateway/reading.py
+++ b/flamingovalve/gateway/reading.py
@@ -28,14 +28,16 @@
         waiting = self._seconds_by_priority.get(priority, 0)
         self._seconds_by_priority[priority] = waiting + seconds
 
-    def ahead_of(self, priority: int) -> float:
-        """Give the seconds until a prompt of ``priority`` is begun."""
+    def ahead(self) -> float:
+        """Give the seconds until one more prompt is begun.
+
+        Less urgent prompts count too: an engine finishes a long one that it
+        has begun before it reads a short one that is more urgent. Left out,
+        a question waited half a second behind a long document on an engine
+        that seemed to be free.
+        """
         self._drain()
-        return sum(
-            seconds
-            for other, seconds in self._seconds_by_priority.items()
-            if other <= priority
-        )
+        return sum(self._seconds_by_priority.values())
 
     def clear(self) -> None:
         """Count nothing as waiting: the engine began anew."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -126,6 +126,17 @@
         self.assertGreater(granted, 3)
         self.assertLess(granted, 9)
 
+    def test_question_avoids_the_engine_that_reads_a_long_document(self):
+        """An engine has begun to read a long prompt of a less urgent kind.
+
+        It finishes that first. A short urgent question sent there waited
+        behind it for half a second, while another engine was free.
+        """
+        reads, free = ledger('engine-0', 'a'), ledger('engine-1', 'a')
+        reads.take(ask('a', 1, prompt_tokens=30_000, parts=[], priority=2))
+        question = ask('a', 2, prompt_tokens=500, parts=[], priority=0)
+        self.assertIs(self.choose(question, reads, free).engine, free)
+
     def test_full_batch_takes_no_more(self):
         engine = ledger('engine-0', 'a')
         for number in range(engine.traits.batch):
