--- /dev/null
+++ b/flamingovalve/account/__init__.py
@@ -0,0 +1,1 @@
+"""What the structured log lines of many VMs say about lost requests."""
--- a/flamingovalve/cmd/flamingovalve.py
+++ b/flamingovalve/cmd/flamingovalve.py
@@ -14,6 +14,7 @@
 import curio
 
 from flamingovalve import VERSION
+from flamingovalve.cmd.account import Account
 from flamingovalve.cmd.tables import state_table
 from flamingovalve.config.inventory import (
     CompactPage,
@@ -46,6 +47,7 @@
   flamingovalve entry 127.0.0.1:8080 --model scarf-1 --application studio
   flamingovalve send 127.0.0.1:8080 --model scarf-1 --application studio hello
   flamingovalve state 127.0.0.1:8080 --json
+  flamingovalve account logs/*.log --request 5d454e7725b9cef4
   flamingovalve drain 127.0.0.1:8080 --secret SECRET
 """
 
@@ -182,7 +184,7 @@
 class Flamingovalve:
     """Look after flamingovalve."""
 
-    command: cappa.Subcommands[Check | Entry | Send | State | Drain]
+    command: cappa.Subcommands[Check | Entry | Send | State | Drain | Account]
 
 
 def check_file(path: Path) -> list[Fault]:
