--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -21,11 +21,10 @@
     from flamingovalve.gateway.popularity import Popularity
     from flamingovalve.generated.messages import PlaceAsk
 
-# Shares of a request's worth. A late answer is worth half of one in time or
-# less on the users' sheets.
+# Shares of what an answer in time is worth to its caller: lost by a late one,
+# by each second of waiting, by each request that the batch holds already.
 _LATE_SHARE: Final = 0.6
 _WAIT_SHARE: Final = 0.06
-# Step time grows by about 0.2 ms with each request in a batch of 64.
 _CROWD_SHARE: Final = 0.0015
 _OTHER_DOMAIN_SHARE: Final = 0.001
 # An adapter that is asked for once a second is fetched again within a second.
@@ -35,11 +34,9 @@
 _FETCH_SHARE: Final = 0.15
 # A first event that is expected later than this share of its caller's
 # patience often comes when the caller has left, and reading the prompt delays
-# the others: an engine that had just come in was given eleven reviews with
-# 0.9 to 3.4 s of four, and none of their callers saw an event.
+# the others. An engine that has just come in would be given all that wait.
 _USEFUL_SHARE: Final = 0.55
-# Measured first events scatter about their expectation by a fifth, and an ask
-# of another group takes its share.
+# Leaves room for what was guessed wrong, and for the ask of another group.
 _GOOD_SHARE: Final = 0.6
 # Weighs a model that no engine holds before any that one does.
 _NO_HOLDER: Final = 0.01
@@ -209,9 +206,9 @@
 def is_fetching(engines: list[EngineLedger]) -> bool:
     """Tell whether a base model is on its way from the weight store.
 
-    Answers engines that are replaced together. The store runs one load at
-    full speed, 1.9 s on the users' sites; two at once take 3.8 s each, so
-    in turn the first engine serves twice as soon and the second no later.
+    Answers engines that are replaced together. A store that runs one load at
+    full speed takes twice as long for each of two; in turn the first engine
+    serves twice as soon and the second no later.
     """
     return any(
         engine.is_loading_model() and engine.fetches_model for engine in engines
@@ -257,7 +254,7 @@
 def _late_probability(wait: float, target: float) -> float:
     """Give how likely a first event is late that should take ``wait``.
 
-    Waits are guesses: those measured scatter about them by a fifth.
+    Waits are guesses, and true ones scatter about them.
     """
     if target <= 0:
         return 1.0
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -8,6 +8,7 @@
 
 from flamingovalve.gateway.fencing import NO_FENCE
 from flamingovalve.gateway.learning import ExpectedLoad, KeptAdapters, LoadTimes
+from flamingovalve.gateway.prompts import ReadParts
 from flamingovalve.gateway.reading import ReadingQueue
 from flamingovalve.util import clock
 
@@ -24,10 +25,8 @@
 # An engine carries this many adapters on their way at once.
 MOST_COMING: Final = 4
 # Reading a long prompt costs more than its tokens: attention grows with the
-# square of its length, 0.74 ms a million token pairs on the users' engines.
+# square of its length.
 _SECONDS_PER_TOKEN_PAIR: Final = 0.737e-9
-# Parts of prompts that are remembered for each adapter.
-_REMEMBERED_PARTS: Final = 64
 # Of five requests in a row that fail, an engine is known to fail most.
 _FAILING_STEP: Final = 0.15
 # An engine that failed a request is left alone for twice this, then longer.
@@ -39,8 +38,7 @@
 # that is slow by half is known after a second or two of load.
 _PACE_STEP: Final = 0.08
 _MOST_RATIO: Final = 3.0
-# Engines of one service differ by 1.3 on the users' sites; steps of other
-# requests between the pieces of a prompt take up to another 1.5.
+# Beyond these a pace tells of something else than the engine's speed.
 _LEAST_PACE: Final = 0.7
 _MOST_PACE: Final = 4.0
 _FIRST_PACE: Final = 1.25
@@ -100,6 +98,7 @@
 class EngineLedger:
     """One engine as its owner knows it.
 
+    :ivar parts: parts of prompts that it has read and keeps
     :ivar reading: prompts given to it that should not be read yet
     :ivar pace: measured time to a first event over what prompts alone take
     :ivar avoided_until: not chosen before this moment after a failure
@@ -118,9 +117,7 @@
     held: dict[AdapterId, HeldAdapter] = field(default_factory=dict)
     models: set[ModelId] = field(default_factory=set)
     places: dict[str, Place] = field(default_factory=dict)
-    parts_by_adapter: dict[AdapterId, dict[str, None]] = field(
-        default_factory=dict,
-    )
+    parts: ReadParts = field(default_factory=ReadParts)
     born: int = 0
     reading: ReadingQueue = field(default_factory=ReadingQueue)
     pace: float = _FIRST_PACE
@@ -170,7 +167,7 @@
         Parts that this engine has read for the same adapter, all parts
         before them included, are kept and cost nothing.
         """
-        unread = max(0, ask.prompt_tokens - self._kept_tokens(ask))
+        unread = max(0, ask.prompt_tokens - self.parts.tokens_of(ask))
         pairs = unread * ask.prompt_tokens
         rate = self.settings.prefill_tokens_per_second
         return (unread / rate + pairs * _SECONDS_PER_TOKEN_PAIR) * self.pace
@@ -185,7 +182,7 @@
         place = Place(ask, self, expected, clock.now())
         self.places[ask.request_id] = place
         self.reading.add(ask.priority, seconds)
-        self._remember_parts(ask)
+        self.parts.add(ask)
         adapter = self.held.get(ask.adapter)
         if adapter is not None:
             adapter.uses += 1
@@ -283,25 +280,7 @@
         if gone is not None:
             gone.state = Holding.GOING
         self.kept.note_left(name)
-        self.parts_by_adapter.pop(name, None)
-
-    def _kept_tokens(self, ask: PlaceAsk) -> int:
-        parts = self.parts_by_adapter.get(ask.adapter)
-        kept = 0
-        if parts is not None:
-            for key, tokens in part_keys(ask):
-                if key not in parts:
-                    break
-                kept += tokens
-        return kept
-
-    def _remember_parts(self, ask: PlaceAsk) -> None:
-        parts = self.parts_by_adapter.setdefault(ask.adapter, {})
-        for key, _tokens in part_keys(ask):
-            parts.pop(key, None)
-            parts[key] = None
-        while len(parts) > _REMEMBERED_PARTS:
-            parts.pop(next(iter(parts)))
+        self.parts.forget(name)
 
     def adopt(self, report: EngineReport) -> None:
         """Take over what a report shows, where our own orders say nothing.
@@ -355,7 +334,7 @@
         self._victim = None
         self.models.clear()
         self.model_ready_at = 0
-        self.parts_by_adapter.clear()
+        self.parts.clear()
         self.kept.clear()
         self.reading.clear()
         self.failing = 0
@@ -388,8 +367,8 @@
         """Learn from the end of one request.
 
         An engine that fails some of its requests still serves the others.
-        Leaving it alone for a while after each failure halved what five
-        engines served that all failed four in ten.
+        Left alone for a while after each failure, engines that all fail in
+        part would serve half of what they could.
         """
         self.failing += (failed - self.failing) * _FAILING_STEP
         if not failed:
@@ -406,17 +385,3 @@
         ratio = min(max(seconds / place.expected, 1 / _MOST_RATIO), _MOST_RATIO)
         self.pace *= ratio**_PACE_STEP
         self.pace = min(max(self.pace, _LEAST_PACE), _MOST_PACE)
-
-
-def part_keys(ask: PlaceAsk) -> list[tuple[str, int]]:
-    """Give a key and the size of each shared part of a prompt, in order.
-
-    The key holds all parts before, since an engine reuses a part only behind
-    the same ones.
-    """
-    keys = []
-    path = ''
-    for part in ask.parts[:-1]:
-        path = f'{path}/{part.id}'
-        keys.append((path, part.tokens))
-    return keys
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -18,9 +18,8 @@
 
 logger = get_logger(__name__)
 
-# VMs that started together have found each other 0.4 s after the start of
-# the last one, on two sites of 12 and 20; whoever claims before that would
-# claim beside others.
+# By then VMs that started together have found each other; whoever claims
+# before that would claim beside others.
 _SETTLE_SECONDS: Final = 0.7
 # Views of who lives can differ for seconds. A claim holds this long unless
 # its process has provably ended, so two VMs that each miss the other cannot
@@ -78,9 +77,8 @@
 
         A process that has just started orders nothing for a lease, since the
         one before it may have ordered a moment ago. One that has run for
-        longer can go on at once, so it goes first: after a kill of 12 VMs of
-        20, a fresh owner cost its group 3 s without loads. Of those the
-        large ones go first, as owning takes processor time.
+        longer can go on at once, so it goes first. Of those the large ones
+        go first, as owning takes processor time.
         """
         oldest = clock.now() - _SEASONED_SECONDS
         present = self.members.present()
--- a/flamingovalve/gateway/packing.py
+++ b/flamingovalve/gateway/packing.py
@@ -1,8 +1,8 @@
 """Compresses published documents on their way between VMs.
 
 Answers large configurations on small links: 1,000 routes are 300 KB, and a
-VM with 5 Mbit/s passes them on to four others. Uncompressed, some of 140 VMs
-had not got them after three seconds and denied callers the new routes.
+VM with 5 Mbit/s passes them on to four others. Uncompressed, they reach the
+last VMs seconds late, and those deny callers the new routes.
 """
 
 from __future__ import annotations
--- a/flamingovalve/gateway/shards.py
+++ b/flamingovalve/gateway/shards.py
@@ -1,9 +1,8 @@
 """Divides the engines of a service into groups that have an owner each.
 
-Answers services of more engines than one owner can look after: a place takes
-its owner about 4 ms of a small VM's processor, so one VM of a third of a
-core ends at some 80 requests a second. Measured with one owner before 70
-engines and 235 requests a second: three in four were not answered in time.
+Answers services of more engines than one owner can look after: each place
+takes its owner processor time, and a small VM's is used up by the requests of
+some dozens of engines. An owner that is late makes all of them late.
 """
 
 from __future__ import annotations
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -379,11 +379,11 @@
         """Tell a process that has just joined who else there is.
 
         News is piggybacked only while it is new, so a newcomer would hear
-        of each old member at that member's next change, perhaps never. One
-        that was restarted knew 5 of 20 members seconds later and, with what
-        it took for a quorum, claimed what others owned. A few VMs do it, the
-        same ones in everybody's eyes: told by each of 140, a newcomer would
-        read 800 datagrams before its first request.
+        of each old member at that member's next change, perhaps never. With
+        what it then takes for a quorum it would claim what others own. A few
+        VMs do it, the same ones in everybody's eyes: told by each of a large
+        fleet, a newcomer would read hundreds of datagrams before its first
+        request.
         """
         newcomer = self.members.by_id.get(vm)
         if newcomer is None or self.members.own_vm is None:
--- a/flamingovalve/membership/push.py
+++ b/flamingovalve/membership/push.py
@@ -18,8 +18,8 @@
 
 _FANOUT: Final = 4
 # News of members that comes within this time of a push shares the next one.
-# Each of 140 VMs that started together sent 4,800 datagrams in its first four
-# seconds when every rumour of a join was pushed by itself.
+# Pushed one by one, the joins of many VMs that start together cost each of
+# them thousands of datagrams.
 _PAUSE_SECONDS: Final = 0.02
 
 
