Who waits for a place is decided in a module of its own; none gets two

A request that was given a place while others of its adapter were looked at is passed over; it would have held a second place that nobody gives back.

--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -8,11 +8,12 @@
 
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import dispatch
-from flamingovalve.gateway.admission import Admission, Line
+from flamingovalve.gateway.admission import Line
 from flamingovalve.gateway.group import EngineGroup
 from flamingovalve.gateway.ledger import HeldAdapter, Holding
 from flamingovalve.gateway.orders import OrderOutcome
-from flamingovalve.gateway.waiting import Waiter, WaitingRequests
+from flamingovalve.gateway.place_queue import PlaceQueue
+from flamingovalve.gateway.waiting import Waiter
 from flamingovalve.generated.messages import PlaceOutcome
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
@@ -24,20 +25,14 @@
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.engine import EngineLink, OwnedEngine
     from flamingovalve.gateway.fencing import Fences
-    from flamingovalve.gateway.ledger import EngineLedger, Place
+    from flamingovalve.gateway.ledger import Place
     from flamingovalve.gateway.model import EngineTraits, Upstream
-    from flamingovalve.generated.ids import AdapterId, GroupId, VmId
+    from flamingovalve.generated.ids import GroupId, VmId
     from flamingovalve.generated.messages import PlaceAsk, PlaceHold
     from flamingovalve.generated.settings import GatewaySettings
 
 logger = get_logger(__name__)
 
-_SWEEP_SECONDS: Final = 0.05
-# Waiting requests that are tried after each event. One that cannot be served
-# is mostly followed by others that cannot either.
-_MOST_TRIED: Final = 3
-# Those that a sweep tries, from the first on, and judges, from the last on.
-_MOST_SWEPT: Final = 12
 _OWNER_CHANGE_SECONDS: Final = 0.2
 _REFUSED_LOAD_SECONDS: Final = 1.0
 
@@ -66,17 +61,15 @@
             settings, vm, fences, catalogue, link_to, self._tasks
         )
         self.counts = self.engines.counts
-        self._admission = Admission()
-        self._waiting = WaitingRequests()
+        self._queue = PlaceQueue(self.engines, self._grant)
 
     async def start(self) -> None:
         """Begin to look after waiting requests."""
-        await self._tasks.spawn(self._sweep_forever)
+        await self._tasks.spawn(self._queue.sweep_forever)
 
     async def close(self) -> None:
         """Stop ordering; refuse whoever still waits."""
-        for waiter in list(self._waiting):
-            await self._refuse(waiter, _not_owner())
+        await self._queue.refuse_all(_not_owner())
         await self._tasks.cancel()
 
     async def replace_engines(
@@ -127,11 +120,11 @@
         :raises ServingError: when there will be none in time
         """
         waiter = Waiter(ask, clock.now(), clock.now())
-        self._enqueue(waiter)
+        self._queue.enqueue(waiter)
         try:
-            await self._let_join(ask.adapter)
-            await self.pump()
-            await self._refuse_if_hopeless(waiter)
+            await self._queue.let_join(ask.adapter)
+            await self._queue.pump()
+            await self._queue.refuse_if_hopeless(waiter)
             await waiter.settled.wait()
         except curio.CancelledError:
             self._forget(waiter)
@@ -142,20 +135,6 @@
         self.counts.granted += 1
         return waiter.place
 
-    def _enqueue(self, waiter: Waiter) -> None:
-        ask = waiter.ask
-        waiting = self._waiting
-        waiter.in_time_until = self._admission.in_time_until(
-            ask,
-            waiting.in_time_count(),
-            self.engines.candidates(ask),
-        )
-        if not waiting.in_time_count():
-            self._admission.in_time.note_first()
-        if not waiting.late_count:
-            self._admission.late.note_first()
-        waiting.add(waiter)
-
     def _declined(
         self,
         ask: PlaceAsk,
@@ -164,9 +143,9 @@
         """Send a request to another group that would be late in this one."""
         self.counts.declined += 1
         if choice is None:
-            ahead = Line(len(self._waiting))
+            ahead = Line(len(self._queue))
             engines = self.engines.candidates(ask)
-            wait = self._admission.expected_wait(ask, ahead, engines)
+            wait = self._queue.admission.expected_wait(ask, ahead, engines)
         else:
             wait = choice.wait
         note(
@@ -176,7 +155,7 @@
             group=self.group,
             adapter=ask.adapter,
             expected=round(wait, 3),
-            waiting=len(self._waiting),
+            waiting=len(self._queue),
         )
         return ServingError(
             ErrorKind.NO_GOOD_PLACE,
@@ -211,15 +190,15 @@
             failed = outcome is not PlaceOutcome.FINISHED
             engine.note_verdict(failed=failed)
         if outcome is PlaceOutcome.FINISHED:
-            self._admission.holds.note(clock.now() - place.taken_at)
+            self._queue.admission.holds.note(clock.now() - place.taken_at)
         if first_event:
-            self._admission.first_events.note(first_event)
+            self._queue.admission.first_events.note(first_event)
             engine.note_there(place.ask.adapter)
             engine.note_first_event(place, first_event)
         if outcome is PlaceOutcome.LOST:
             await self._look_again(place)
         if was_full:
-            await self._fill(engine)
+            await self._queue.fill(engine)
         await self.pump()
 
     async def _look_again(self, place: Place) -> None:
@@ -252,7 +231,9 @@
         if outcome is OrderOutcome.REFUSED:
             still_here = [one for one in waiters if not one.is_gone]
             for waiter in still_here:
-                await self._refuse(waiter, _load_refused(waiter.ask.adapter))
+                await self._queue.refuse(
+                    waiter, _load_refused(waiter.ask.adapter)
+                )
 
     async def requeue(self, waiters: list[Waiter]) -> None:
         """Let requests wait again whose load did not come about."""
@@ -261,128 +242,28 @@
                 waiter.place.engine.give_back(waiter.place)
             waiter.place = None
             if not waiter.is_gone:
-                self._enqueue(waiter)
+                self._queue.enqueue(waiter)
+
+    async def pump(self) -> None:
+        """Look whether somebody who waits can be served now."""
+        await self._queue.pump()
 
     def _forget(self, waiter: Waiter) -> None:
-        self._waiting.remove(waiter)
+        self._queue.remove(waiter)
         if waiter.place is not None:
             waiter.place.engine.give_back(waiter.place)
         # A load that fails later must not queue it again: nobody would give
         # the place back, and its adapter could never be unloaded.
         waiter.is_gone = True
 
-    async def pump(self) -> None:
-        """Give places to those who wait for a slot, as far as there are any.
-
-        Every ask, end and load comes here, so it looks at no more of those
-        who wait than could be served: the rest costs nothing.
-        """
-        for waiter in self._waiting.put_back_late():
-            await self._refuse_if_hopeless(waiter)
-        failures = 0
-        while failures < _MOST_TRIED and self._may_serve_more():
-            waiters = self._waiting.first(failures + 1)
-            if len(waiters) <= failures:
-                return
-            if not await self._try(waiters[failures]):
-                failures += 1
-
-    def _may_serve_more(self) -> bool:
-        if not self._waiting:
-            return False
-        return self.engines.has_openings()
-
-    async def _try(self, waiter: Waiter) -> bool:
-        """Give a place to one request, and to those of the same adapter."""
-        waiter.age()
-        choice = self.engines.choose(waiter.ask)
-        if choice is None:
-            return False
-        await self._grant(waiter, choice)
-        if choice.load:
-            await self._let_join(waiter.ask.adapter)
-        return True
-
-    async def _let_join(self, adapter: AdapterId) -> None:
-        """Let those go on who wait for an adapter that has come in."""
-        for waiter in self._waiting.of_adapter(adapter):
-            waiter.age()
-            choice = self.engines.choose(waiter.ask)
-            if choice is None or choice.load:
-                return
-            await self._grant(waiter, choice)
-
-    async def _fill(self, engine: EngineLedger) -> None:
-        """Serve who waits for an engine that was full to its last place."""
-        for name in list(engine.held):
-            if engine.is_full():
-                return
-            await self._let_join(name)
-
-    async def _sweep_forever(self) -> None:
-        while True:
-            await curio.sleep(_SWEEP_SECONDS)
-            if self._waiting:
-                await self._sweep()
-
-    async def _sweep(self) -> None:
-        """Try and judge some of those who wait, whatever happened.
-
-        Nobody tells when a backlog has been read, when an engine's pause is
-        over, or when an engine with which others reckoned is lost.
-        """
-        for waiter in self._waiting.first(_MOST_SWEPT):
-            if waiter in self._waiting:
-                await self._try(waiter)
-        for waiter in self._waiting.first(_MOST_SWEPT):
-            await self._refuse_if_hopeless(waiter)
-        for waiter in self._waiting.last(_MOST_SWEPT):
-            await self._refuse_if_hopeless(waiter)
-
-    async def _refuse_if_hopeless(self, waiter: Waiter) -> None:
-        if waiter not in self._waiting:
-            return
-        waiter.age()
-        refusal = self._admission.judge(
-            waiter.ask,
-            self._line_before(waiter),
-            self.engines.candidates(waiter.ask),
-        )
-        if refusal is not None:
-            await self._refuse(waiter, refusal)
-
-    def _line_before(self, waiter: Waiter) -> Line:
-        ahead = self._waiting.ahead_of(waiter)
-        if waiter.turn.is_late:
-            ahead -= self._waiting.in_time_count()
-        return Line(ahead, waiter.turn.is_late)
-
-    async def _refuse(self, waiter: Waiter, refusal: ServingError) -> None:
-        self._waiting.remove(waiter)
-        self.counts.refused += 1
-        note(
-            logger,
-            'refused',
-            id=waiter.ask.request_id,
-            adapter=waiter.ask.adapter,
-            reason=refusal.message,
-            waited=round(clock.now() - waiter.asked_at, 3),
-        )
-        waiter.refusal = refusal
-        await waiter.settled.set()
-
     async def _grant(self, waiter: Waiter, choice: dispatch.Choice) -> None:
-        self._waiting.remove(waiter)
+        """Give a place; whoever waits for a load gets it when that is done."""
         ledger = choice.engine
         owned = self.engines.engines_by_id[ledger.upstream.id]
         if choice.load:
             await self._begin_load(owned, waiter.ask, choice.victim)
         held = ledger.held.get(waiter.ask.adapter)
         waiter.place = ledger.take(waiter.ask)
-        turnover = self._admission.in_time
-        if waiter.turn.is_late:
-            turnover = self._admission.late
-        turnover.note_place()
         self._note_place(waiter.ask, choice, clock.now() - waiter.asked_at)
         if held is None or held.state is Holding.RESIDENT:
             await waiter.settled.set()
@@ -405,7 +286,7 @@
             load=choice.load,
             expected=round(choice.wait, 3),
             waited=round(waited, 3),
-            waiting=len(self._waiting),
+            waiting=len(self._queue),
             report_age=round(clock.now() - ledger.reported_at, 2),
         )
 
