A quiet time is no standstill

Found by reading: the time since the last place counted while nobody waited. The first request of a burst was put behind all others, and a group that had been idle told others a long wait.

--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -38,10 +38,12 @@
     :ivar ahead: requests of its kind that go first
     :ivar is_late: whether its answer can no longer be in time, so that it
         waits behind those whose can
+    :ivar is_waited_in: whether it or another has begun to wait there
     """
 
     ahead: int
     is_late: bool = False
+    is_waited_in: bool = True
 
 
 class Admission:
@@ -81,7 +83,10 @@
             self.first_events.mean,
         )
         slack = ask.target - loading - for_event
-        each = self.in_time.seconds_each(self.holds.mean / slots)
+        each = self.in_time.seconds_each(
+            self.holds.mean / slots,
+            is_waited_for=ahead > 0,
+        )
         if (ahead + 1) * each > slack:
             return moment
         return moment + slack
@@ -138,7 +143,10 @@
         if not slots:
             return float('inf')
         turnover = self.late if waiting.is_late else self.in_time
-        each = turnover.seconds_each(self.holds.mean / slots)
+        each = turnover.seconds_each(
+            self.holds.mean / slots,
+            is_waited_for=waiting.is_waited_in,
+        )
         for_slot = (waiting.ahead + 1) * each
         return max(for_slot, dispatch.until_loads(ask, engines))
 
--- a/flamingovalve/gateway/learning.py
+++ b/flamingovalve/gateway/learning.py
@@ -78,15 +78,16 @@
         else:
             self._interval += (passed - self._interval) * _STEP
 
-    def seconds_each(self, guess: float) -> float:
+    def seconds_each(self, guess: float, *, is_waited_for: bool) -> float:
         """Give the time from one place to the next.
 
         :param guess: what to go by while nothing has been seen
+        :param is_waited_for: whether somebody waits, so that a standstill
+            shows before it ends
         """
-        seen = self._interval
-        if seen is None:
-            seen = guess
-        # A standstill shows before it ends.
+        seen = guess if self._interval is None else self._interval
+        if not is_waited_for:
+            return seen
         return max(seen, clock.now() - self._since)
 
 
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -143,7 +143,8 @@
         """Send a request to another group that would be late in this one."""
         self.counts.declined += 1
         if choice is None:
-            ahead = Line(len(self._queue))
+            waiting = len(self._queue)
+            ahead = Line(waiting, is_waited_in=waiting > 0)
             engines = self.engines.candidates(ask)
             wait = self._queue.admission.expected_wait(ask, ahead, engines)
         else:
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -79,7 +79,8 @@
         for _place in range(40):
             self.advance(0.02)
             turnover.note_place()
-        self.assertAlmostEqual(turnover.seconds_each(1), 0.02, delta=0.004)
+        each = turnover.seconds_each(1, is_waited_for=True)
+        self.assertAlmostEqual(each, 0.02, delta=0.004)
 
     def test_standstill_shows(self):
         """No place has come free for seconds.
@@ -91,7 +92,23 @@
             self.advance(0.02)
             turnover.note_place()
         self.advance(5)
-        self.assertGreater(turnover.seconds_each(1), 3)
+        each = turnover.seconds_each(1, is_waited_for=True)
+        self.assertGreater(each, 3)
+
+    def test_idle_time_is_no_standstill(self):
+        """Nobody has waited for a while, then a request finds all taken.
+
+        Taken for a standstill, the quiet time had the first of a burst count
+        as late, and a group that was idle look slower than a busy one.
+        """
+        turnover = Turnover()
+        for _place in range(40):
+            self.advance(0.02)
+            turnover.note_place()
+        self.advance(30)
+        self.assertLess(turnover.seconds_each(1, is_waited_for=False), 0.1)
+        turnover.note_first()
+        self.assertLess(turnover.seconds_each(1, is_waited_for=True), 0.1)
 
 
 class TestLoadTimes(TimedTestCase):
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -117,6 +117,25 @@
                 self.choices_of_one_request(waiting), at_rest + 3
             )
 
+    def test_first_who_waits_after_a_quiet_time_is_not_late(self):
+        """The engines were idle for a while, then all slots are taken.
+
+        The first request that had to wait was put behind all others, as the
+        quiet time looked as if no place had come free for as long.
+        """
+
+        async def scenario():
+            owner = await self.own()
+            self.advance(30)
+            await self.fill(owner)
+            request = ask('cold', 100, target=10)
+            await curio.spawn(owner.place, request, daemon=True)
+            await curio.sleep(0)
+            waiting = owner._queue._waiting
+            self.assertEqual((len(waiting), waiting.late_count), (1, 0))
+
+        curio.run(scenario)
+
     def test_slot_that_comes_free_goes_to_the_first(self):
         async def scenario():
             owner = await self.own()
