--- a/flamingovalve/gateway/learning.py
+++ b/flamingovalve/gateway/learning.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from flamingovalve.generated.ids import AdapterId
 
-# One request in eight moves a mean by an eighth, as TCP smooths its times.
+# Share of the newest time in a mean, as TCP smooths its round trips.
 _STEP: Final = 0.125
 # Adapters that gave up their slot and may still be in an engine's memory.
 _REMEMBERED_ADAPTERS: Final = 512
