--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from flamingovalve.gateway.fencing import NO_FENCE
 from flamingovalve.gateway.learning import ExpectedLoad, KeptAdapters, LoadTimes
@@ -134,6 +134,17 @@
     loads: LoadTimes = field(default_factory=LoadTimes)
     _victim: HeldAdapter | None = None
 
+    def state_dump(self) -> dict[str, Any]:
+        """Give what is known of the engine."""
+        return {
+            'held': list(self.held),
+            'places': len(self.places),
+            'sequence': self.chain.sequence,
+            'pace': self.pace,
+            'failing': self.failing,
+            'adapters_kept': self.kept.capacity,
+        }
+
     def may_order(self) -> bool:
         """Tell whether this engine may be given an order now."""
         return self.fence != NO_FENCE and self.chain.may_order()
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -151,19 +151,7 @@
     def state_dump(self) -> dict[str, Any]:
         """Give what each owned group is doing."""
         return {
-            group: {
-                'counts': dataclasses.asdict(owner.counts),
-                'fence': owner.fences.claimed,
-                'engines': {
-                    name: {
-                        'held': list(engine.ledger.held),
-                        'places': len(engine.ledger.places),
-                        'sequence': engine.ledger.chain.sequence,
-                    }
-                    for name, engine in owner.engines.engines_by_id.items()
-                },
-            }
-            for group, owner in self._owners.items()
+            group: owner.state_dump() for group, owner in self._owners.items()
         }
 
     async def _tend_group(
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any, Final
 
 import curio
 
@@ -80,6 +81,24 @@
         """Own exactly ``upstreams`` from now on."""
         await self.engines.replace(upstreams, traits, self)
 
+    def state_dump(self) -> dict[str, Any]:
+        """Give what this owner does and what it has learnt."""
+        return {
+            'counts': asdict(self.counts),
+            'fence': self.fences.claimed,
+            'waiting': len(self._queue),
+            'learnt': {
+                'hold_seconds': self._queue.admission.holds.mean,
+                'first_event_seconds': self._queue.admission.first_events.mean,
+                'load_seconds': self.engines.loads.seconds,
+                'full_speed_loads': self.engines.loads.full_speed,
+            },
+            'engines': {
+                name: engine.ledger.state_dump()
+                for name, engine in self.engines.engines_by_id.items()
+            },
+        }
+
     # -- Places
 
     async def place(self, ask: PlaceAsk) -> Place:
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import curio
 
 from flamingovalve.gateway.catalogue import Catalogue
@@ -240,6 +242,18 @@
 
         curio.run(scenario)
 
+    def test_state_shows_what_was_learnt(self):
+        async def scenario():
+            self.advance(10)
+            await self.tend()
+            state = self.owned.state_dump()[GROUP]
+            self.assertEqual(state['learnt']['load_seconds'], 0.25)
+            self.assertIn('adapters_kept', state['engines']['engine-0'])
+            json.dumps(state)
+            await self.owned.close()
+
+        curio.run(scenario)
+
     def test_groups_of_an_older_division_are_given_up(self):
         async def scenario():
             self.advance(10)
