Who is late is counted once; one way to an engine; a constant made private

The number of late requests followed from the two sorted lists and was kept beside them; the way to an engine was built twice. No behaviour changes.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any, Final, Self
@@ -122,6 +123,7 @@
     def _build_serving(self) -> None:
         settings = self.settings
         domain = DomainId(settings.vm.failure_domain)
+        link_to = functools.partial(self.platform.engine, self.pool)
         self.claims = GroupClaims(self.members, clock.now())
         self.shards = Shards(self.catalogue)
         self.owned = OwnedGroups(
@@ -132,7 +134,7 @@
             self.shards,
             self.follower.fresh_revision,
             self.gossip.probe_now,
-            lambda upstream: self.platform.engine(self.pool, upstream),
+            link_to,
         )
         self.places = PlaceClient(self.members, self.peers, self.owned.find)
         self.seeker = PlaceSeeker(
@@ -142,7 +144,7 @@
             self.gossip.probe_now,
             UnownedPlaces(
                 self.catalogue,
-                lambda upstream: self.platform.engine(self.pool, upstream),
+                link_to,
                 lambda: len(self.members.present()),
             ),
         )
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -23,7 +23,7 @@
 # A load that was refused as not there yet is tried again after this.
 _LATE_LOAD_SECONDS: Final = 0.03
 # An engine carries this many adapters on their way at once.
-MOST_COMING: Final = 4
+_MOST_COMING: Final = 4
 # Reading a long prompt costs more than its tokens: attention grows with the
 # square of its length.
 _SECONDS_PER_TOKEN_PAIR: Final = 0.737e-9
@@ -283,7 +283,7 @@
 
     def may_load(self) -> bool:
         """Tell whether the engine takes one more load."""
-        return self.may_order() and self.coming() < MOST_COMING
+        return self.may_order() and self.coming() < _MOST_COMING
 
     def forget(self, name: AdapterId) -> None:
         """Count an adapter as gone, with what was kept for it."""
--- a/flamingovalve/gateway/waiting.py
+++ b/flamingovalve/gateway/waiting.py
@@ -85,7 +85,6 @@
 
     def __init__(self) -> None:
         """Start with nobody waiting."""
-        self.late_count = 0
         self._by_turn: SortedDict = SortedDict()
         self._by_limit: SortedDict = SortedDict()
         self._by_adapter: dict[AdapterId, dict[Turn, Waiter]] = {}
@@ -99,9 +98,14 @@
         """Tell whether a request waits."""
         return self._by_turn.get(waiter.turn) is waiter
 
+    @property
+    def late_count(self) -> int:
+        """Count those whose answer can no longer be in time."""
+        return len(self) - self.in_time_count()
+
     def in_time_count(self) -> int:
         """Count those whose answer can still be in time."""
-        return len(self) - self.late_count
+        return len(self._by_limit)
 
     def add(self, waiter: Waiter) -> None:
         """Let a request wait for its turn."""
@@ -111,7 +115,6 @@
         waiter.turn = Turn(is_late, moment, next(self._serials))
         self._by_turn[waiter.turn] = waiter
         self._by_adapter.setdefault(ask.adapter, {})[waiter.turn] = waiter
-        self.late_count += is_late
         if not is_late:
             self._by_limit[_limit_of(waiter)] = waiter
 
@@ -134,7 +137,6 @@
         if waiter not in self:
             return False
         del self._by_turn[waiter.turn]
-        self.late_count -= waiter.turn.is_late
         if not waiter.turn.is_late:
             del self._by_limit[_limit_of(waiter)]
         same = self._by_adapter[waiter.ask.adapter]
