Ports of a VM open before its libraries load; a lease counts from the start of the process

Changed: flamingovalve.cmd.boot opens the ports of requests and look-ups with nothing but the standard library loaded; connections wait in the backlog. The daemon accepts them once it has read the first configuration and knows another VM, after 0.2 s at the latest. The lease without orders after a start counts from the start of the process, since the process before it had ended by then.

Ruled out: an earlier first order. After a loss of all VMs nobody knows whether the VM that orders now had ordered just before the last owner, so less than a lease since its own start could make two holders take turns.

--- a/flamingovalve/cmd/service.py
+++ b/flamingovalve/cmd/service.py
@@ -1,9 +1,7 @@
 """Runs the daemon that a settings file describes.
 
-Started as a module, it takes the path of the settings from the environment,
-as platforms give it, and leaves out the command line and its libraries: on
-VMs whose memory is dear they are 6 MB that serve nobody (peak memory of a
-process that imports them, against one that does not).
+Leaves out the command line and its libraries, which on a VM would take memory
+and serve nobody.
 """
 
 from __future__ import annotations
@@ -11,17 +9,20 @@
 import os
 import signal
 import sys
-from pathlib import Path
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import curio
 
 from flamingovalve.config.settings import load_settings
+from flamingovalve.util import clock
+from flamingovalve.util.listeners import EarlyListeners
 from flamingovalve.util.logs import LogOutput, get_logger
 from flamingovalve.util.network import Network
 from flamingovalve.util.signals import SignalQueue
 
 if TYPE_CHECKING:
+    from pathlib import Path
     from typing import Protocol
 
     from flamingovalve.generated.settings import Settings
@@ -39,25 +40,44 @@
 logger = get_logger(__name__)
 
 EXIT_SETTINGS: Final = 2
-SETTINGS_VARIABLE: Final = 'FLAMINGOVALVE_BOOT'
 
 
-def build(settings: Settings) -> Leaving:
+@dataclass(frozen=True, slots=True)
+class Start:
+    """How this process began.
+
+    :ivar listeners: ports that are open already
+    :ivar began_at: when it began, on our clock
+    """
+
+    listeners: EarlyListeners = field(default_factory=EarlyListeners)
+    began_at: float = field(default_factory=clock.now)
+
+
+def build(settings: Settings, start: Start) -> Leaving:
     """Build the daemon that ``settings`` describe."""
+    network = Network(start.listeners)
     if settings.platform.store:
         from flamingovalve.gateway.daemon import GatewayDaemon
         from flamingovalve.platform.adapter import UsersPlatform
 
         platform = UsersPlatform(settings.platform.store)
-        return GatewayDaemon.from_config(settings, Network(), platform)
+        return GatewayDaemon.from_config(
+            settings, network, platform, started_at=start.began_at
+        )
     from flamingovalve.daemon import Daemon
 
-    return Daemon.from_config(settings, Network())
+    return Daemon.from_config(settings, network)
 
 
-async def serve(path: Path, settings: Settings, output: LogOutput) -> None:
+async def serve(
+    path: Path,
+    settings: Settings,
+    output: LogOutput,
+    start: Start,
+) -> None:
     """Run the daemon until it has drained."""
-    daemon = build(settings)
+    daemon = build(settings, start)
     await curio.spawn(_obey_signals, daemon, path, output, daemon=True)
     await daemon.run()
 
@@ -66,17 +86,21 @@
     path: Path,
     settings: Settings,
     output: LogOutput,
+    start: Start,
 ) -> None:
     """Run the daemon, then end the process without waiting for its tasks."""
-    await serve(path, settings, output)
+    await serve(path, settings, output, start)
     end_process()
 
 
-def run(path: Path, settings: Settings) -> None:
-    """Run the daemon of checked settings."""
+def run(path: Path, settings: Settings, start: Start | None = None) -> None:
+    """Run the daemon of checked settings.
+
+    :param start: what was done before; none where the process begins here
+    """
     output = LogOutput()
     output.apply(settings.logging)
-    curio.run(serve_and_end, path, settings, output)
+    curio.run(serve_and_end, path, settings, output, start or Start())
 
 
 def end_process() -> None:
@@ -112,17 +136,10 @@
     logger.info('log settings reloaded')
 
 
-def main() -> None:
-    """Run the daemon whose settings the environment names."""
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if path is None:
-        sys.exit(f'set {SETTINGS_VARIABLE} to the path of the settings file')
-    outcome = load_settings(Path(path))
+def main(path: Path, start: Start) -> None:
+    """Run the daemon of the settings file at ``path``."""
+    outcome = load_settings(path)
     if outcome.is_error():
         sys.stderr.write('\n'.join(map(str, outcome.error)))
         sys.exit(EXIT_SETTINGS)
-    run(Path(path), outcome.ok)
-
-
-if __name__ == '__main__':
-    main()
+    run(path, outcome.ok, start)
--- a/flamingovalve/config/inventory.py
+++ b/flamingovalve/config/inventory.py
@@ -31,7 +31,7 @@
     ServiceCall,
     VmList,
 )
-from flamingovalve.util.network import split_address
+from flamingovalve.util.listeners import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/flamingovalve/config/settings.py
+++ b/flamingovalve/config/settings.py
@@ -10,7 +10,7 @@
 from flamingovalve.config.checker import read_struct
 from flamingovalve.errors import Fault
 from flamingovalve.generated.settings import SECTIONS, Settings
-from flamingovalve.util.network import split_address
+from flamingovalve.util.listeners import split_address
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -39,8 +39,8 @@
 from flamingovalve.peer.client import PeerPool
 from flamingovalve.peer.server import PeerServer
 from flamingovalve.util import clock
+from flamingovalve.util.listeners import split_address
 from flamingovalve.util.logs import get_logger
-from flamingovalve.util.network import split_address
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
@@ -60,6 +60,9 @@
 _GRACE_MARGIN_SECONDS: Final = 1.0
 _CLOSE_SECONDS: Final = 0.3
 _TICK_SECONDS: Final = 0.1
+# Callers queue for this long at most before the first configuration is known.
+_FIRST_READING_SECONDS: Final = 0.2
+_FIRST_READING_TICK_SECONDS: Final = 0.01
 # Claims that are repeated in each probe, for VMs that missed them.
 _STANDING_CLAIMS: Final = 2
 
@@ -74,11 +77,15 @@
         platform: PlatformAdapter,
         chance: random.Random,
         incarnation: Incarnation,
+        started_at: float | None = None,
     ) -> None:
         """Put the parts together; nothing runs yet.
 
         :param platform: speaks as the platform's callers do
+        :param started_at: when this process started, on our clock; now if
+            not given
         """
+        self.started_at = clock.now() if started_at is None else started_at
         self.settings = settings
         self.network = network
         self.platform = platform
@@ -110,15 +117,17 @@
         network: Network,
         platform: PlatformAdapter,
         seed: int | None = None,
+        started_at: float | None = None,
     ) -> Self:
         """Build the daemon of ``settings``.
 
         :param seed: of random choices; none for real randomness
+        :param started_at: when this process started, on our clock
         """
         settings.vm.id = VmId(settings.vm.peer_address)
         incarnation = Incarnation(int(clock.wall() * _MICROSECONDS))
         chance = random.Random(seed)
-        return cls(settings, network, platform, chance, incarnation)
+        return cls(settings, network, platform, chance, incarnation, started_at)
 
     def _build_serving(self) -> None:
         settings = self.settings
@@ -135,6 +144,7 @@
             self.follower.fresh_revision,
             self.gossip.probe_now,
             link_to,
+            self.started_at,
         )
         self.places = PlaceClient(self.members, self.peers, self.owned.find)
         self.seeker = PlaceSeeker(
@@ -226,19 +236,41 @@
     async def _listen(self) -> None:
         settings = self.settings
         spawn = self.background.spawn
-        front = self.network.listen(settings.vm.http_address)
-        self._accepting = await spawn(self.http.serve, front)
-        for address in self._side_addresses():
-            await spawn(self.side.serve, self.network.listen(address))
+        self._front_socket = self.network.listen(settings.vm.http_address)
+        self._side_sockets = [
+            self.network.listen(address) for address in self._side_addresses()
+        ]
         peer = self.network.listen(settings.vm.peer_address)
         await spawn(self.peer_server.serve, peer)
 
+    async def _accept_callers(self) -> None:
+        """Accept callers once they can be answered, or soon at the latest.
+
+        Connections queue while this process starts. Answered before the
+        first configuration has been read, their requests would be refused,
+        and callers would be told of no VM but this one.
+        """
+        async with curio.ignore_after(_FIRST_READING_SECONDS):
+            while not self._knows_fleet():
+                await curio.sleep(_FIRST_READING_TICK_SECONDS)
+        spawn = self.background.spawn
+        self._accepting = await spawn(self.http.serve, self._front_socket)
+        for opened in self._side_sockets:
+            await spawn(self.side.serve, opened)
+
+    def _knows_fleet(self) -> bool:
+        is_alone = not self.settings.fleet.seeds
+        return self.catalogue.is_ready and (
+            is_alone or len(self.members.present()) > 1
+        )
+
     async def _start(self) -> None:
         spawn = self.background.spawn
         await spawn(self.gossip.receive_forever)
         await spawn(self.gossip.probe_forever)
         await spawn(self.follower.follow_forever)
         await spawn(self.owned.tend_forever, self._tell_claim)
+        await self._accept_callers()
 
     async def begin_leaving(self) -> None:
         """Leave the fleet: no new callers, finish what is in progress."""
--- a/flamingovalve/gateway/fencing.py
+++ b/flamingovalve/gateway/fencing.py
@@ -18,7 +18,7 @@
 import curio
 
 from flamingovalve.util import clock
-from flamingovalve.util.network import split_address
+from flamingovalve.util.listeners import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -50,12 +50,14 @@
         fresh_revision: FreshRevision,
         probe: Callable[[VmId | None], Awaitable[None]],
         link_to: Callable[[Upstream], EngineLink],
+        started_at: float,
     ) -> None:
         """Own nothing yet.
 
         :param fresh_revision: asks the store for its revision
         :param probe: looks at once whether a VM still answers
         :param link_to: opens the way to an engine
+        :param started_at: when this process started, on our clock
         """
         self._settings = settings
         self._members = members
@@ -72,8 +74,8 @@
         # A process that has just started does not know whether the one
         # before it on this VM ordered a moment ago: taking turns with
         # whoever followed that one would be seen as two holders. That one
-        # ended before this one started, so a lease from now on is enough.
-        self._orders_after = clock.now() + settings.lease_seconds
+        # ended before this one started, so a lease from then on is enough.
+        self._orders_after = started_at + settings.lease_seconds
 
     def find(self, group: GroupId) -> GroupOwner | None:
         """Give the owner of a group, if that is this VM."""
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -28,8 +28,8 @@
 from flamingovalve.membership.rumours import RumourQueue
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.authentication import Keyring, ReplayWindow
+from flamingovalve.util.listeners import split_address
 from flamingovalve.util.logs import get_logger
-from flamingovalve.util.network import split_address
 from flamingovalve.util.rates import jittered
 from flamingovalve.util.tasks import TaskSet
 
--- a/flamingovalve/util/network.py
+++ b/flamingovalve/util/network.py
@@ -3,33 +3,28 @@
 from __future__ import annotations
 
 import contextlib
-from typing import TYPE_CHECKING, NewType
+from typing import NewType
 
 import curio
 from curio import socket
+from curio.io import Socket
 
-if TYPE_CHECKING:
-    from curio.io import Socket
+from flamingovalve.util.listeners import (
+    EarlyListeners,
+    listen,
+    split_address,
+)
 
 Address = NewType('Address', str)
 
-_BACKLOG = 1024
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:port`` into its two parts.
-
-    :raises ValueError: when the text is not of that form
-    """
-    host, separator, port = address.rpartition(':')
-    if not separator or not port.isdigit():
-        raise ValueError(f'{address!r} is not of the form IP:port')
-    return host, int(port)
-
 
 class Network:
     """Opens listening, connected and datagram sockets."""
 
+    def __init__(self, listeners: EarlyListeners | None = None) -> None:
+        """Use sockets that ``listeners`` has open already, where it has."""
+        self._listeners = listeners or EarlyListeners()
+
     async def connect(self, address: str, seconds: float) -> Socket:
         """Connect to ``address`` within ``seconds``.
 
@@ -65,11 +60,7 @@
 
     def listen(self, address: str) -> Socket:
         """Accept connections at ``address``."""
-        opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        opened.bind(split_address(address))
-        opened.listen(_BACKLOG)
-        return opened
+        return Socket(self._listeners.take(address) or listen(address))
 
     def datagrams(self, address: str) -> Socket:
         """Send and receive datagrams at ``address``."""
--- a/tests/rig/network.py
+++ b/tests/rig/network.py
@@ -10,7 +10,8 @@
 from curio.io import Socket
 from curio.traps import _read_wait
 
-from flamingovalve.util.network import Network, split_address
+from flamingovalve.util.listeners import split_address
+from flamingovalve.util.network import Network
 from tests.rig.addresses import own_host
 
 if TYPE_CHECKING:
@@ -132,6 +133,7 @@
 
     def __init__(self, links: Links, node: str) -> None:
         """Open sockets of the node ``node``."""
+        super().__init__()
         self.links = links
         self.node = node
         self.open_sockets: list[Any] = []
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,7 +11,7 @@
 from flamingovalve.generated import messages
 from flamingovalve.membership.rumours import RumourQueue
 from flamingovalve.util.authentication import Keyring, ReplayWindow
-from flamingovalve.util.network import split_address
+from flamingovalve.util.listeners import split_address
 from tests.rig.fleet import Fleet, Shape
 
 OLD, NEW = 'the old key of the fleet', 'the new key of the fleet'
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -53,6 +53,7 @@
             self._revision,
             self._probe,
             lambda _upstream: StillEngine(),
+            self.moment,
         )
 
     async def _revision(self):
