Modules and functions of the gateway get the usual terms of the field

place_finder, fallback_placement, prefill and gossip_handlers replace seeking, unowned, reading and rumour_dispatch; serve_waiting, grant_same_adapter, demote_late, notify_new_owner, announce_raised_epochs replace names that had to be explained. No change of behaviour: 102 tests of the parts touched pass.

--- a/flamingovalve/daemon.py
+++ b/flamingovalve/daemon.py
@@ -18,6 +18,7 @@
 from flamingovalve.errors import ErrorKind, Ran, ServingError
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import Incarnation, VmId
+from flamingovalve.gossip_handlers import GossipHandlers
 from flamingovalve.http.client import ConnectionPool
 from flamingovalve.http.server import HttpServer
 from flamingovalve.membership.gossip import Gossip
@@ -37,7 +38,6 @@
 from flamingovalve.routing.ownership import Ownership
 from flamingovalve.routing.placement import Placement
 from flamingovalve.routing.router import Router
-from flamingovalve.rumour_dispatch import RumourDispatch
 from flamingovalve.state import state_of
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger
@@ -198,7 +198,7 @@
         server.on_ask(messages.TakeoverAsk, self.engines.answer_takeover)
         server.on_work(messages.ForwardCompletion, self._forwarded_work)
         server.on_work(messages.ForwardCall, self._forwarded_call)
-        self.rumours = RumourDispatch(self)
+        self.rumours = GossipHandlers(self)
         self.gossip.rumour_listener = self.rumours.hear
         self.gossip.standing_rumours = self.rumours.standing_rumours
         self.gossip.late_listeners.append(self.engines.suspect_leases)
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -15,9 +15,9 @@
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.inbound import Completion, InboundRequest
     from flamingovalve.gateway.model import Upstream
+    from flamingovalve.gateway.place_finder import PlaceFinder
     from flamingovalve.gateway.places import PlaceClient, PlaceLease
     from flamingovalve.gateway.relay import Sent, UpstreamRelay
-    from flamingovalve.gateway.seeking import PlaceSeeker
     from flamingovalve.generated.ids import DomainId
     from flamingovalve.http.server import Responder
 
@@ -38,7 +38,7 @@
         catalogue: Catalogue,
         relay: UpstreamRelay,
         attempts: Attempts,
-        seeker: PlaceSeeker,
+        finder: PlaceFinder,
         places: PlaceClient,
     ) -> None:
         """Serve from a VM in ``domain``."""
@@ -46,7 +46,7 @@
         self._catalogue = catalogue
         self._relay = relay
         self._attempts = attempts
-        self._seeker = seeker
+        self._finder = finder
         self._places = places
 
     async def serve(
@@ -92,7 +92,7 @@
         ask: PlaceAsk,
         sink: EventSink,
     ) -> Sent:
-        lease = await self._seeker.take(request, ask)
+        lease = await self._finder.take(request, ask)
         outcome, first_event = PlaceOutcome.ABANDONED, 0.0
         try:
             upstream = self._leased(request, lease)
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -15,19 +15,19 @@
 from flamingovalve.gateway.catalogue import Catalogue
 from flamingovalve.gateway.completions import CompletionServer
 from flamingovalve.gateway.directory import AddressDirectory
+from flamingovalve.gateway.fallback_placement import FallbackPlacement
 from flamingovalve.gateway.follower import CatalogueFollower
 from flamingovalve.gateway.front import Front, SideAnswers
 from flamingovalve.gateway.metrics import GatewayMetrics
 from flamingovalve.gateway.owned import OwnedGroups
 from flamingovalve.gateway.ownership import GroupClaims
+from flamingovalve.gateway.place_finder import PlaceFinder
 from flamingovalve.gateway.places import PlaceClient, PlaceServer
 from flamingovalve.gateway.quarantine import CrashQuarantine
 from flamingovalve.gateway.relay import UpstreamRelay
 from flamingovalve.gateway.retries import FleetRetryBudget
-from flamingovalve.gateway.seeking import PlaceSeeker
 from flamingovalve.gateway.serving import RequestServer
 from flamingovalve.gateway.shards import Shards
-from flamingovalve.gateway.unowned import UnownedPlaces
 from flamingovalve.gateway.watchers import Watchers
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
@@ -147,12 +147,12 @@
             self.started_at,
         )
         self.places = PlaceClient(self.members, self.peers, self.owned.find)
-        self.seeker = PlaceSeeker(
+        self.finder = PlaceFinder(
             self.claims,
             self.places,
             self.shards,
             self.gossip.probe_now,
-            UnownedPlaces(
+            FallbackPlacement(
                 self.catalogue,
                 link_to,
                 lambda: len(self.members.present()),
@@ -179,7 +179,7 @@
             self.catalogue,
             relay,
             attempts,
-            self.seeker,
+            self.finder,
             self.places,
         )
         self.server = RequestServer(
@@ -269,7 +269,7 @@
         await spawn(self.gossip.receive_forever)
         await spawn(self.gossip.probe_forever)
         await spawn(self.follower.follow_forever)
-        await spawn(self.owned.tend_forever, self._tell_claim)
+        await spawn(self.owned.tend_forever, self._announce_claim)
         await self._accept_callers()
 
     async def begin_leaving(self) -> None:
@@ -281,7 +281,7 @@
             'this VM is leaving; in_progress={}', self.front.in_progress
         )
         self.http.is_closing = True
-        await self.owned.tell_raised(self._tell_claim)
+        await self.owned.announce_raised_epochs(self._announce_claim)
         self.members.leave()
         await self.owned.close()
         await self.gossip.push(self.members.own_rumour())
@@ -357,16 +357,16 @@
         own.header_bytes = limits.header_bytes
         own.body_bytes = limits.body_bytes
         own.idle_seconds = limits.idle_seconds
-        await self.owned.tend(self._tell_claim)
+        await self.owned.tend(self._announce_claim)
         await self.gossip.push(self.follower.own_rumour())
 
     async def _refuses(self, address: str) -> bool:
         seconds = self.settings.relay.connect_seconds
         return await self.network.refuses(address, seconds)
 
-    async def _tell_claim(self, rumour: messages.OwnerRumour) -> None:
+    async def _announce_claim(self, rumour: messages.OwnerRumour) -> None:
         await self.gossip.push(rumour)
-        await self.places.tell_new_owner(rumour.group, rumour.vm)
+        await self.places.notify_new_owner(rumour.group, rumour.vm)
 
     def _standing_rumours(self) -> list[Any]:
         claims = list(self.claims.by_group.values())
@@ -392,7 +392,7 @@
         news = self.claims.hear(rumour)
         if news is not News.NONE and before != rumour.vm:
             await self.background.spawn(
-                self.places.tell_new_owner,
+                self.places.notify_new_owner,
                 rumour.group,
                 rumour.vm,
             )
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -144,8 +144,8 @@
 
 def _wait(ask: PlaceAsk, engine: EngineLedger, loading: float) -> float:
     """Give the seconds until the first event; loading overlaps the queue."""
-    backlog = engine.reading.ahead()
-    return max(backlog, loading) + engine.reading_seconds(ask)
+    backlog = engine.prefill.ahead()
+    return max(backlog, loading) + engine.prefill_seconds(ask)
 
 
 def is_good(ask: PlaceAsk, choice: Choice) -> bool:
@@ -161,7 +161,7 @@
 def soonest(ask: PlaceAsk, engines: Iterable[EngineLedger]) -> float:
     """Give the wait for a first event where it is shortest, places aside."""
     waits = [
-        engine.reading.ahead() + engine.reading_seconds(ask)
+        engine.prefill.ahead() + engine.prefill_seconds(ask)
         for engine in engines
         if ask.model in engine.models
     ]
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -71,7 +71,7 @@
 class EngineListener(Protocol):
     """Is told what happens on engines to those who wait for them."""
 
-    async def pump(self) -> None:
+    async def serve_waiting(self) -> None:
         """Look whether somebody who waits can be served now."""
 
     async def requeue(self, waiters: list[Waiter]) -> None:
@@ -115,12 +115,12 @@
         self._link = link
         self._ordering = curio.Lock()
         self.waiting: dict[str, list[Waiter]] = {}
-        self.hurry = curio.Event()
+        self.report_now = curio.Event()
 
     async def follow(self) -> None:
         """Read reports until cancelled."""
         while True:
-            await self._look()
+            await self._poll_report()
             chain = self.ledger.chain
             unsure = chain.sequence is None or chain.unanswered
             unsure = unsure or self.ledger.silent or not self.ledger.models
@@ -130,8 +130,8 @@
             if 0 < paused < waits:
                 waits = paused
             async with curio.ignore_after(waits):
-                await self.hurry.wait()
-            self.hurry.clear()
+                await self.report_now.wait()
+            self.report_now.clear()
 
     async def load(self, held: HeldAdapter, victim: HeldAdapter | None) -> None:
         """Make room and load an adapter; then let those who wait go on."""
@@ -167,7 +167,7 @@
             held.state = Holding.RESIDENT
         for waiter in self.waiting.pop(held.name, []):
             await waiter.settled.set()
-        await self._context.listener.pump()
+        await self._context.listener.serve_waiting()
 
     async def _load(
         self,
@@ -286,7 +286,7 @@
             # The version before it still takes the slot.
             self.ledger.held[held.name] = held.replaces
 
-    async def _look(self) -> None:
+    async def _poll_report(self) -> None:
         report = await self._link.report()
         ledger = self.ledger
         if report is None:
@@ -314,7 +314,7 @@
         ledger.adopt(report)
         if not ledger.models and not ledger.is_loading_model():
             await self.load_model()
-        await self._context.listener.pump()
+        await self._context.listener.serve_waiting()
 
     async def _find_fence(self) -> None:
         """Find a fencing number that exceeds those of all earlier orders."""
--- a/flamingovalve/gateway/unowned.py
+++ b/flamingovalve/gateway/fallback_placement.py
@@ -37,7 +37,7 @@
 _FEWEST_PLACES: Final = 2
 
 
-class UnownedPlaces:
+class FallbackPlacement:
     """Takes places by what engines say of themselves."""
 
     def __init__(
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -8,8 +8,8 @@
 
 from flamingovalve.gateway.fencing import NO_FENCE
 from flamingovalve.gateway.learning import ExpectedLoad, KeptAdapters, LoadTimes
+from flamingovalve.gateway.prefill import PrefillBacklog
 from flamingovalve.gateway.prompts import ReadParts
-from flamingovalve.gateway.reading import ReadingQueue
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -99,7 +99,7 @@
     """One engine as its owner knows it.
 
     :ivar parts: parts of prompts that it has read and keeps
-    :ivar reading: prompts given to it that should not be read yet
+    :ivar prefill: prompts given to it that should not be read yet
     :ivar pace: measured time to a first event over what prompts alone take
     :ivar avoided_until: not chosen before this moment after a failure
     :ivar failing: share of its requests that failed lately
@@ -119,7 +119,7 @@
     places: dict[str, Place] = field(default_factory=dict)
     parts: ReadParts = field(default_factory=ReadParts)
     born: int = 0
-    reading: ReadingQueue = field(default_factory=ReadingQueue)
+    prefill: PrefillBacklog = field(default_factory=PrefillBacklog)
     pace: float = _FIRST_PACE
     avoided_until: float = 0
     failures: int = 0
@@ -172,7 +172,7 @@
             entry.state is Holding.COMING for entry in self.held.values()
         )
 
-    def reading_seconds(self, ask: PlaceAsk) -> float:
+    def prefill_seconds(self, ask: PlaceAsk) -> float:
         """Give what reading the prompt of ``ask`` should take here.
 
         Parts that this engine has read for the same adapter, all parts
@@ -188,11 +188,11 @@
         known = self.places.get(ask.request_id)
         if known is not None:
             self.give_back(known)
-        seconds = self.reading_seconds(ask)
-        expected = self.reading.ahead() + seconds
+        seconds = self.prefill_seconds(ask)
+        expected = self.prefill.ahead() + seconds
         place = Place(ask, self, expected, clock.now())
         self.places[ask.request_id] = place
-        self.reading.add(ask.priority, seconds)
+        self.prefill.add(ask.priority, seconds)
         self.parts.add(ask)
         adapter = self.held.get(ask.adapter)
         if adapter is not None:
@@ -252,7 +252,7 @@
         held.load = self.loads.expected(is_kept=held.name in self.kept)
         held.ready_at = held.load.ready_at
 
-    def note_not_there(self, name: AdapterId) -> HeldAdapter | None:
+    def note_adapter_missing(self, name: AdapterId) -> HeldAdapter | None:
         """Note that the engine refused a request for want of its adapter.
 
         :returns: the adapter, if it should come yet
@@ -271,7 +271,7 @@
                 held.ready_at = max(held.ready_at, load.fetched_at)
         return held
 
-    def note_there(self, name: AdapterId) -> None:
+    def note_adapter_present(self, name: AdapterId) -> None:
         """Note that a request found its adapter loaded."""
         held = self.held.get(name)
         if held is None or held.load is None:
@@ -347,7 +347,7 @@
         self.model_ready_at = 0
         self.parts.clear()
         self.kept.clear()
-        self.reading.clear()
+        self.prefill.clear()
         self.failing = 0
         self.chain.restart()
 
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -98,7 +98,7 @@
                     await self._tend_service(service, service.engine, tell)
             for group in set(self._owners) - wanted:
                 await self._give_up(group)
-            await self.tell_raised(tell)
+            await self.announce_raised_epochs(tell)
 
     async def _tend_service(
         self,
@@ -183,7 +183,7 @@
             await tell(claim)
         return owner
 
-    async def tell_raised(self, tell: Tell) -> None:
+    async def announce_raised_epochs(self, tell: Tell) -> None:
         """Tell of fencing numbers that were found since they were claimed."""
         for group, owner in list(self._owners.items()):
             raised = self._claims.raise_epoch(group, owner.fences.epoch)
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -141,8 +141,8 @@
         waiter = Waiter(ask, clock.now(), clock.now())
         self._queue.enqueue(waiter)
         try:
-            await self._queue.let_join(ask.adapter)
-            await self._queue.pump()
+            await self._queue.grant_same_adapter(ask.adapter)
+            await self._queue.serve_waiting()
             await self._queue.refuse_if_hopeless(waiter)
             await waiter.settled.wait()
         except curio.CancelledError:
@@ -213,27 +213,27 @@
             self._queue.admission.holds.note(clock.now() - place.taken_at)
         if first_event:
             self._queue.admission.first_events.note(first_event)
-            engine.note_there(place.ask.adapter)
+            engine.note_adapter_present(place.ask.adapter)
             engine.note_first_event(place, first_event)
         if outcome is PlaceOutcome.LOST:
-            await self._look_again(place)
+            await self._request_report(place)
         if was_full:
             await self._queue.fill(engine)
-        await self.pump()
+        await self.serve_waiting()
 
-    async def _look_again(self, place: Place) -> None:
+    async def _request_report(self, place: Place) -> None:
         """See at once whether an engine that broke a connection still answers.
 
         Until the next report it would be given requests that all fail.
         """
         engine = self.engines.engines_by_id.get(place.engine.upstream.id)
         if engine is not None:
-            await engine.hurry.set()
+            await engine.report_now.set()
 
     async def _await_adapter(self, place: Place) -> None:
         """Send nobody to an engine whose adapter turned out not to be there."""
         engine = self.engines.engines_by_id.get(place.engine.upstream.id)
-        held = place.engine.note_not_there(place.ask.adapter)
+        held = place.engine.note_adapter_missing(place.ask.adapter)
         if engine is not None and held is not None:
             await self._tasks.spawn(engine.arrive, held)
 
@@ -264,9 +264,9 @@
             if not waiter.is_gone:
                 self._queue.enqueue(waiter)
 
-    async def pump(self) -> None:
+    async def serve_waiting(self) -> None:
         """Look whether somebody who waits can be served now."""
-        await self._queue.pump()
+        await self._queue.serve_waiting()
 
     def _forget(self, waiter: Waiter) -> None:
         self._queue.remove(waiter)
--- a/flamingovalve/gateway/seeking.py
+++ b/flamingovalve/gateway/place_finder.py
@@ -14,11 +14,11 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from flamingovalve.gateway.fallback_placement import FallbackPlacement
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.ownership import GroupClaims
     from flamingovalve.gateway.places import PlaceClient, PlaceLease
     from flamingovalve.gateway.shards import Shards
-    from flamingovalve.gateway.unowned import UnownedPlaces
     from flamingovalve.generated.ids import GroupId, VmId
     from flamingovalve.generated.messages import PlaceAsk
 
@@ -40,7 +40,7 @@
 _SILENT_PAUSE_SECONDS: Final = 0.3
 
 
-class PlaceSeeker:
+class PlaceFinder:
     """Asks the owners of a service's groups in turn.
 
     An owner that has no good place for a request says so at once, and the
@@ -55,14 +55,14 @@
         places: PlaceClient,
         shards: Shards,
         probe: Callable[[VmId], Awaitable[None]],
-        unowned: UnownedPlaces,
+        fallback: FallbackPlacement,
     ) -> None:
         """Ask the owners that ``claims`` name.
 
         :param probe: looks at once whether a VM still answers
-        :param unowned: finds places where no owner answers
+        :param fallback: finds places where no owner answers
         """
-        self._unowned = unowned
+        self._fallback = fallback
         self._probe = probe
         self._claims = claims
         self._places = places
@@ -80,19 +80,19 @@
             lease = await self._ask_groups(request, ask)
             if lease is not None:
                 return lease
-            lease = await self._take_unowned(request, ask)
+            lease = await self._take_from_fallback(request, ask)
             if lease is not None:
                 return lease
             if clock.now() > began + _OWNER_PATIENCE_SECONDS:
                 raise _no_owner()
             await curio.sleep(_OWNER_PAUSE_SECONDS)
 
-    async def _take_unowned(
+    async def _take_from_fallback(
         self,
         request: InboundRequest,
         ask: PlaceAsk,
     ) -> PlaceLease | None:
-        lease = await self._unowned.take(request, ask)
+        lease = await self._fallback.take(request, ask)
         if lease is None:
             return None
         group = self._shards.group_holding(
--- a/flamingovalve/gateway/place_queue.py
+++ b/flamingovalve/gateway/place_queue.py
@@ -77,13 +77,13 @@
             self.admission.late.note_first()
         waiting.add(waiter)
 
-    async def pump(self) -> None:
+    async def serve_waiting(self) -> None:
         """Give places to those who wait for a slot, as far as there are any.
 
         Every ask, end and load comes here, so it looks at no more of those
         who wait than could be served: the rest costs nothing.
         """
-        for waiter in self._waiting.put_back_late():
+        for waiter in self._waiting.demote_late():
             await self.refuse_if_hopeless(waiter)
         failures = 0
         while failures < _MOST_TRIED and self._may_serve_more():
@@ -106,10 +106,10 @@
             return False
         await self._grant(waiter, choice)
         if choice.load:
-            await self.let_join(waiter.ask.adapter)
+            await self.grant_same_adapter(waiter.ask.adapter)
         return True
 
-    async def let_join(self, adapter: AdapterId) -> None:
+    async def grant_same_adapter(self, adapter: AdapterId) -> None:
         """Let those go on who wait for an adapter that has come in."""
         for waiter in self._waiting.of_adapter(adapter):
             waiter.age()
@@ -123,7 +123,7 @@
         for name in list(engine.held):
             if engine.is_full():
                 return
-            await self.let_join(name)
+            await self.grant_same_adapter(name)
 
     async def sweep_forever(self) -> None:
         """Look after those who wait until cancelled."""
--- a/flamingovalve/gateway/places.py
+++ b/flamingovalve/gateway/places.py
@@ -153,7 +153,7 @@
         """Tell the next owner of a place that no owner has given."""
         self._open.add(lease)
 
-    async def tell_new_owner(self, group: GroupId, vm: VmId) -> None:
+    async def notify_new_owner(self, group: GroupId, vm: VmId) -> None:
         """Tell the new owner of a group which places are held here.
 
         It knows only what engines report, and they do not say which adapters
--- a/flamingovalve/gateway/reading.py
+++ b/flamingovalve/gateway/prefill.py
@@ -10,7 +10,7 @@
 from flamingovalve.util import clock
 
 
-class ReadingQueue:
+class PrefillBacklog:
     """Seconds of reading that wait, drained as time passes.
 
     Nobody reports when a prompt has been read, so the queue is drained by
--- a/flamingovalve/gateway/waiting.py
+++ b/flamingovalve/gateway/waiting.py
@@ -118,7 +118,7 @@
         if not is_late:
             self._by_limit[_limit_of(waiter)] = waiter
 
-    def put_back_late(self) -> list[Waiter]:
+    def demote_late(self) -> list[Waiter]:
         """Put those behind who can no longer be answered in time.
 
         :returns: who they are
--- a/flamingovalve/rumour_dispatch.py
+++ b/flamingovalve/gossip_handlers.py
@@ -1,4 +1,4 @@
-"""Dispatches the rumours that a daemon hears and collects its own."""
+"""Hands received gossip to the parts that handle it, and collects ours."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 _STORE_GOSSIP_VMS: Final = 64
 
 
-class RumourDispatch:
+class GossipHandlers:
     """Hands rumours to the parts they concern and collects theirs."""
 
     def __init__(self, daemon: Daemon) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -32,7 +32,7 @@
         self.assertGreater(refusal.retry_after, 1)
 
     def test_engine_with_too_much_to_read(self):
-        self.engine.reading.add(0, 10)
+        self.engine.prefill.add(0, 10)
         refusal = self.judge(ask('new'))
         self.assertGreater(refusal.retry_after, 5)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -32,7 +32,7 @@
 
     def test_long_backlog_outweighs_fetch(self):
         holder, other = ledger('engine-0', 'a'), ledger('engine-1')
-        holder.reading.add(0, 3)
+        holder.prefill.add(0, 3)
         choice = self.choose(ask('a'), holder, other)
         self.assertIs(choice.engine, other)
         self.assertTrue(choice.load)
@@ -189,10 +189,10 @@
 
     def test_shared_parts_are_read_once(self):
         engine = ledger('engine-0', 'a')
-        first = engine.reading_seconds(ask('a'))
+        first = engine.prefill_seconds(ask('a'))
         engine.take(ask('a'))
-        self.assertLess(engine.reading_seconds(ask('a', 1)), first / 2)
-        self.assertEqual(engine.reading_seconds(ask('b', 2)), first)
+        self.assertLess(engine.prefill_seconds(ask('a', 1)), first / 2)
+        self.assertEqual(engine.prefill_seconds(ask('b', 2)), first)
 
     def test_place_is_given_back_once(self):
         engine = ledger('engine-0', 'a')
--- a/tests/test_unowned.py
+++ b/tests/test_fallback_placement.py
@@ -5,8 +5,8 @@
 import curio
 
 from flamingovalve.gateway.catalogue import Catalogue
+from flamingovalve.gateway.fallback_placement import FallbackPlacement
 from flamingovalve.gateway.model import Configuration, UpstreamService
-from flamingovalve.gateway.unowned import UnownedPlaces
 from flamingovalve.generated.ids import AdapterId, ServiceId
 from flamingovalve.generated.messages import PlaceOutcome
 from tests.rig.engines import TRAITS, ask, report, upstream
@@ -58,7 +58,7 @@
         for name in self.engines:
             catalogue._take_upstream(upstream(name))
         catalogue._versions[ask().model, AdapterId('new')] = 2
-        self.places = UnownedPlaces(
+        self.places = FallbackPlacement(
             catalogue, lambda one: self.engines[one.id], lambda: VMS
         )
 
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -56,7 +56,7 @@
         engine.note_load_begun(held)
         self.assertLess(held.ready_at - self.moment, 0.1)
         self.advance(0.03)
-        engine.note_not_there(AdapterId('a'))
+        engine.note_adapter_missing(AdapterId('a'))
         self.assertGreater(held.ready_at - self.moment, 0.2)
 
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -14,15 +14,15 @@
 
     def setUp(self) -> None:
         """Open a pipe."""
-        self.reading, writing = os.pipe()
-        self.addCleanup(os.close, self.reading)
+        self.prefill, writing = os.pipe()
+        self.addCleanup(os.close, self.prefill)
         self.addCleanup(os.close, writing)
         self.writer = LineWriter(writing)
 
     def read_lines(self):
         """Read what is in the pipe."""
-        os.set_blocking(self.reading, False)
-        return os.read(self.reading, 1 << 20).decode().splitlines()
+        os.set_blocking(self.prefill, False)
+        return os.read(self.prefill, 1 << 20).decode().splitlines()
 
     def test_line_is_written(self):
         self.writer.write('one\n')
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -119,7 +119,7 @@
             await self.tend()
             await curio.sleep(0)
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-1']
-            await engine._look()
+            await engine._poll_report()
             self.assertGreater(engine.ledger.fence, claimed)
             self.assertEqual(engine.ledger.fence >> 24, 90)
             await self.owned.close()
@@ -138,9 +138,9 @@
             self.advance(10)
             await self.tend()
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
-            await engine._look()
+            await engine._poll_report()
             self.advance(10)
-            await engine._look()
+            await engine._poll_report()
             self.assertFalse(engine.ledger.may_order())
             await self.owned.close()
 
@@ -162,7 +162,7 @@
             self.advance(10)
             await self.tend()
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
-            await engine._look()
+            await engine._poll_report()
             self.assertTrue(engine.ledger.may_order())
             self.assertGreater(engine.ledger.fence >> 24, 99)
             await self.owned.close()
@@ -187,7 +187,7 @@
             self.revision = 300
             self.advance(1)
             await self.owned.find(GROUP).fences.found_after(self.moment - 1)
-            await self.owned.tell_raised(tell)
+            await self.owned.announce_raised_epochs(tell)
             self.assertEqual(told[-1], 300)
             self.assertEqual(self.claims.by_group[GROUP].epoch, 300)
             await self.owned.close()
@@ -231,13 +231,13 @@
             self.advance(10)
             await self.tend()
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
-            await engine._look()
+            await engine._poll_report()
             self.advance(10)
-            await engine._look()
+            await engine._poll_report()
             self.assertFalse(engine.ledger.may_order())
             self.revision = 90
             self.advance(1)
-            await engine._look()
+            await engine._poll_report()
             self.assertTrue(engine.ledger.may_order())
             await self.owned.close()
 
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -10,9 +10,9 @@
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import dispatch, shards
 from flamingovalve.gateway.catalogue import Catalogue
+from flamingovalve.gateway.place_finder import PlaceFinder
 from flamingovalve.gateway.places import OwnerSilent
 from flamingovalve.gateway.popularity import Popularity
-from flamingovalve.gateway.seeking import PlaceSeeker
 from flamingovalve.generated.ids import GroupId, ServiceId, VmId
 from tests.rig.engines import ask, hold, ledger, upstream
 from tests.rig.timeline import TimedTestCase
@@ -182,12 +182,12 @@
 
     def seek(self, claims=None):
         """Give the group where the request got its place."""
-        seeker = self.seeker(claims or FakeClaims())
-        return curio.run(seeker.take, FakeRequest(), ask('a'))
+        finder = self.finder(claims or FakeClaims())
+        return curio.run(finder.take, FakeRequest(), ask('a'))
 
-    def seeker(self, claims):
+    def finder(self, claims):
         """Give a VM's way to its places; silent owners are noted."""
-        return PlaceSeeker(
+        return PlaceFinder(
             claims, self.places, self.shards, self._probe, NoPlaces()
         )
 
@@ -224,10 +224,10 @@
         membership had found out.
         """
         self.places.silent = {VmId(f'owner of {self.order[0]}')}
-        seeker = self.seeker(FakeClaims())
-        curio.run(seeker.take, FakeRequest(), ask('a'))
+        finder = self.finder(FakeClaims())
+        curio.run(finder.take, FakeRequest(), ask('a'))
         self.places.asked.clear()
-        curio.run(seeker.take, FakeRequest(), ask('a'))
+        curio.run(finder.take, FakeRequest(), ask('a'))
         self.assertEqual(self.places.asked, [(self.order[1], True)])
         self.assertEqual(self.probed, [f'owner of {self.order[0]}'])
 
