Refused callers are told a finite time, spread, that fits what is awaited

Since a store that does not answer stays away for seconds, they are now told 1.5 s and more, spread by request.

Also mended: a model that no engine holds gave Retry-After: inf. Such a time is an error of the type now. The spread of returns is one function for all refusals.

--- a/flamingovalve/errors.py
+++ b/flamingovalve/errors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 from typing import Final
 
@@ -86,7 +87,10 @@
         :param message: what happened and what the reader can do about it
         :param ran: whether an upstream may have run the request
         :param retry_after: seconds after which a new try makes sense
+        :raises ValueError: when that is no finite time to come
         """
+        if retry_after is not None and not 0 <= retry_after < math.inf:
+            raise ValueError(f'cannot come back in {retry_after} s: {message}')
         super().__init__(message)
         self.kind = kind
         self.message = message
--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.errors import ErrorKind, ServingError
-from flamingovalve.gateway import dispatch
+from flamingovalve.gateway import dispatch, return_times
 from flamingovalve.gateway.learning import MeanSeconds, Turnover
-from flamingovalve.util import clock, hashing
+from flamingovalve.util import clock
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.ledger import EngineLedger
@@ -27,8 +28,8 @@
 _NO_ENGINE_RETRY_SECONDS: Final = 0.5
 _FIRST_HOLD_SECONDS: Final = 1.0
 _FIRST_EVENT_SECONDS: Final = 0.1
-# Callers that are refused together come back over this share of their wait.
-_SPREAD_SHARE: Final = 0.3
+# A base model takes about this long to load.
+_NO_MODEL_RETRY_SECONDS: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,12 @@
             )
         for_place = self._until_place(ask, waiting, engines)
         for_event = dispatch.soonest(ask, engines)
+        if math.isinf(for_event):
+            return _refusal(
+                ask,
+                f'no engine of this group holds model {ask.model}',
+                _NO_MODEL_RETRY_SECONDS,
+            )
         if for_event > ask.patience:
             return _refusal(
                 ask,
@@ -156,13 +163,8 @@
 
 
 def _refusal(ask: PlaceAsk, reason: str, retry_after: float) -> ServingError:
-    """Give a refusal that spreads the returns of those refused together.
-
-    Told the same moment, they would come back as the same burst.
-    """
-    own = hashing.uniform('return', ask.request_id)
     pause = max(retry_after, _SHORTEST_RETRY_SECONDS)
-    pause *= 1 + _SPREAD_SHARE * own
+    pause = return_times.spread(pause, ask.request_id)
     return ServingError(
         ErrorKind.OVERLOADED,
         f'{reason}; come back in {pause:.1f} s',
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -200,6 +200,7 @@
             self.catalogue,
             self.server,
             self.metrics,
+            self.follower.until_configured,
         )
         self.http = HttpServer(self.network, self.front.answer, limits)
         self.http.error_response = self.platform.error_response
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -45,6 +45,8 @@
 # billed, and leaves three quarters of the two seconds in which a leaving
 # upstream or a new configuration has to be obeyed.
 _GATHER_SECONDS: Final = 0.5
+_FIRST_READING_SECONDS: Final = 0.5
+_STORE_AWAY_SECONDS: Final = 1.5
 _FIRST_PAUSE_SECONDS: Final = 0.2
 _LONGEST_PAUSE_SECONDS: Final = 1.0
 # A configuration of 1,000 routes is 300 KB, half a second on a link of 5
@@ -164,6 +166,16 @@
         else:
             await self._lost(failed)
 
+    def until_configured(self) -> float:
+        """Give how long the first reading should still take, in seconds.
+
+        A store that does not answer stays away for seconds. Callers that
+        come back sooner are refused once more, and most ask no third time.
+        """
+        if self.reachable:
+            return _FIRST_READING_SECONDS
+        return _STORE_AWAY_SECONDS
+
     async def hear(self, rumour: CatalogueRumour) -> News:
         """Learn that another VM holds newer documents."""
         newer = rumour.revision > self._catalogue.news_revision
--- a/flamingovalve/gateway/front.py
+++ b/flamingovalve/gateway/front.py
@@ -8,11 +8,14 @@
 import curio
 
 from flamingovalve.errors import ConnectionLost, ErrorKind, ServingError
+from flamingovalve.gateway import return_times
 from flamingovalve.http.messages import Response
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingovalve.gateway.adapter import PlatformAdapter
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.daemon import GatewayDaemon
@@ -25,8 +28,6 @@
 logger = get_logger(__name__)
 
 _TEXT: Final = [('content-type', 'text/plain; version=0.0.4; charset=utf-8')]
-# A first reading of the store takes a few of its 4 ms; slow, a few of 0.25 s.
-_NO_CONFIGURATION_SECONDS: Final = 0.5
 
 
 class Front:
@@ -38,8 +39,14 @@
         catalogue: Catalogue,
         server: RequestServer,
         metrics: GatewayMetrics,
+        until_configured: Callable[[], float],
     ) -> None:
-        """Serve by ``server`` what ``platform`` decodes."""
+        """Serve by ``server`` what ``platform`` decodes.
+
+        :param until_configured: tells how many seconds the first reading of
+            the configuration should still take
+        """
+        self._until_configured = until_configured
         self.in_progress = 0
         self._platform = platform
         self._catalogue = catalogue
@@ -80,11 +87,7 @@
 
     async def _serve(self, request: Request, responder: Responder) -> None:
         if not self._catalogue.is_ready:
-            raise ServingError(
-                ErrorKind.NOT_READY,
-                'this VM has no configuration yet; try another one',
-                retry_after=_NO_CONFIGURATION_SECONDS,
-            )
+            raise self._not_ready(request)
         host = self._platform.host_of(request)
         route = self._catalogue.configuration.find(host, request.path)
         if route is None:
@@ -97,6 +100,16 @@
         async with responder.watch_caller():
             await self._server.serve(inbound, responder)
 
+    def _not_ready(self, request: Request) -> ServingError:
+        return ServingError(
+            ErrorKind.NOT_READY,
+            'this VM has no configuration yet; try another one',
+            retry_after=return_times.spread(
+                self._until_configured(),
+                self._platform.request_id(request),
+            ),
+        )
+
 
 class SideAnswers:
     """Answers who asks for addresses, readiness, metrics or the state."""
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -36,6 +36,8 @@
 
 _OWNER_CHANGE_SECONDS: Final = 0.2
 _REFUSED_LOAD_SECONDS: Final = 1.0
+# Said of a group none of whose engines can serve a request.
+_LONGEST_WAIT_SECONDS: Final = 60.0
 
 
 class GroupOwner:
@@ -166,6 +168,7 @@
             ahead = Line(waiting, is_waited_in=waiting > 0)
             engines = self.engines.candidates(ask)
             wait = self._queue.admission.expected_wait(ask, ahead, engines)
+            wait = min(wait, _LONGEST_WAIT_SECONDS)
         else:
             wait = choice.wait
         note(
--- a/flamingovalve/gateway/quarantine.py
+++ b/flamingovalve/gateway/quarantine.py
@@ -87,7 +87,7 @@
             ErrorKind.QUARANTINED,
             'this request crashed several upstreams; change it before it is '
             'sent again',
-            retry_after=left,
+            retry_after=max(left, 0),
         )
 
     async def note(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -40,6 +40,12 @@
         refusal = Admission().judge(ask('new'), Line(0), [])
         self.assertGreater(refusal.retry_after, 0)
 
+    def test_model_that_no_engine_holds(self):
+        """Guards against a caller that is told to come back in inf seconds."""
+        self.engine.models.clear()
+        refusal = self.judge(ask('new'))
+        self.assertTrue(0 < refusal.retry_after < 10, refusal)
+
     def test_owner_that_may_not_load_yet_says_when(self):
         """All processes ended, and the new owner orders nothing for a lease.
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -61,3 +61,33 @@
             print(
                 f'\ndark {dark} s: held {held:.2f} s, new {new:.2f} s', end=''
             )
+
+    def test_callers_of_a_site_without_its_store_come_back_spread(self):
+        """Guards against a return before the store can have come back."""
+        site = Site.started(2, engines=1)
+        self.addCleanup(site.close)
+        for vm_id in site.vms_by_id:
+            site.kill(vm_id)
+        site.store.refusal = 503
+        for vm_id in site.vms_by_id:
+            site.start(vm_id)
+        site.world.advance(0.5)
+        answers = [site.send('vm-1', site.chat('a')) for _caller in range(8)]
+        waits = [float(one.header('retry-after')) for one in answers]
+        self.assertEqual({one.status for one in answers}, {503})
+        self.assertGreater(min(waits), 1)
+        self.assertGreater(max(waits) - min(waits), 0.1)
+        self.assertLess(max(waits), 3)
+
+    def test_first_requests_after_a_start_are_served(self):
+        """Guards against a refusal a moment before the first reading."""
+        site = Site.started(2, engines=1)
+        self.addCleanup(site.close)
+        site.send('vm-0', site.call('/reads/1'))
+        for vm_id in site.vms_by_id:
+            site.kill(vm_id)
+        for vm_id in site.vms_by_id:
+            site.start(vm_id)
+        site.world.advance(0.001)
+        answer = site.send('vm-1', site.call('/reads/1'))
+        self.assertEqual(answer.status, OK)
