A known pause of loads is no slow queue

From 37.5 s on nearly everybody whose adapter was not held was refused, those of 38.3 s and later too, who could have waited: nobody had got a place since the first of them came, and that time was multiplied by the length of the queue. Those refused had mostly been refused before by a VM without a configuration, and ask no third time.

The pause is known, so it is added, and the turnover is measured from its end.

--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -150,12 +150,17 @@
         if not slots:
             return float('inf')
         turnover = self.late if waiting.is_late else self.in_time
+        until_loads = dispatch.until_loads(ask, engines)
+        if until_loads > 0:
+            # A known pause says nothing of how fast places come free after
+            # it. Taken for a slow queue, it had everybody refused who could
+            # have waited for its end.
+            turnover.restart()
         each = turnover.seconds_each(
             self.holds.mean / slots,
             is_waited_for=waiting.is_waited_in,
         )
-        for_slot = (waiting.ahead + 1) * each
-        return max(for_slot, dispatch.until_loads(ask, engines))
+        return until_loads + (waiting.ahead + 1) * each
 
 
 def _slots(engines: list[EngineLedger]) -> int:
--- a/flamingovalve/gateway/learning.py
+++ b/flamingovalve/gateway/learning.py
@@ -64,8 +64,12 @@
         self._interval: float | None = None
         self._since = clock.now()
 
-    def note_first(self) -> None:
-        """Note that somebody begins to wait where nobody did."""
+    def restart(self) -> None:
+        """Measure the next interval from now on.
+
+        For when somebody begins to wait where nobody did, and while no place
+        can come free.
+        """
         self._since = clock.now()
 
     def note_place(self) -> None:
--- a/flamingovalve/gateway/place_queue.py
+++ b/flamingovalve/gateway/place_queue.py
@@ -72,9 +72,9 @@
             self._engines.candidates(ask),
         )
         if not waiting.in_time_count():
-            self.admission.in_time.note_first()
+            self.admission.in_time.restart()
         if not waiting.late_count:
-            self.admission.late.note_first()
+            self.admission.late.restart()
         waiting.add(waiter)
 
     async def serve_waiting(self) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -67,3 +67,17 @@
         waiter.age()
         self.assertAlmostEqual(waiter.ask.patience, 0.1)
         self.assertIsNotNone(self.judge(waiter.ask))
+
+    def test_pause_of_loads_is_no_slow_queue(self):
+        """Guards against refusing who could wait until loads begin again."""
+        admission = Admission()
+        engines = [self.engine]
+        self.engine.chain.stands_down_until = self.moment + 1
+        for _look in range(9):
+            self.advance(0.1)
+            line = Line(2, is_late=True)
+            refusal = admission.judge(ask('new', patience=2), line, engines)
+            self.assertIsNone(refusal)
+        self.advance(0.15)
+        line = Line(2, is_late=True)
+        self.assertIsNone(admission.judge(ask('new'), line, engines))
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -107,7 +107,7 @@
             turnover.note_place()
         self.advance(30)
         self.assertLess(turnover.seconds_each(1, is_waited_for=False), 0.1)
-        turnover.note_first()
+        turnover.restart()
         self.assertLess(turnover.seconds_each(1, is_waited_for=True), 0.1)
 
 
