--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -28,7 +28,7 @@
 # seconds after which a leaving upstream gets nothing new.
 _LAPSE_SECONDS: Final = 1.5
 # A store that was away this recently may have let entries of living
-# upstreams lapse: three heartbeats of 1.2 s, and its return.
+# upstreams lapse: some heartbeats, and its return.
 _RECENTLY_AWAY_SECONDS: Final = 6.0
 
 
--- a/flamingovalve/gateway/directory.py
+++ b/flamingovalve/gateway/directory.py
@@ -24,9 +24,8 @@
     """Names VMs that answer and are not leaving, near ones first.
 
     Of many in a failure domain it names a few, large ones more often. Each
-    VM keeps connections of its own to the upstreams: when all 140 of a fleet
-    were named before 74 upstreams, three requests in five needed a new one,
-    and the smallest VMs had as many callers as the largest.
+    VM keeps connections of its own to the upstreams, so the fewer VMs serve
+    callers, the more requests find an open one.
     """
 
     def __init__(self, members: MemberTable, most_near: int) -> None:
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -27,10 +27,9 @@
 _WAIT_SHARE: Final = 0.06
 _CROWD_SHARE: Final = 0.0015
 _OTHER_DOMAIN_SHARE: Final = 0.001
-# An adapter that is asked for once a second is fetched again within a second.
+# Lost by evicting an adapter that is asked for once a second.
 _MISSED_SHARE: Final = 0.05
-# The weight store serves eight adapters at once at full speed and fetching
-# is billed at about a quarter of a request's worth.
+# Lost by others through a fetch, which takes capacity of the weight store.
 _FETCH_SHARE: Final = 0.15
 # A first event that is expected later than this share of its caller's
 # patience often comes when the caller has left, and reading the prompt delays
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -26,7 +26,7 @@
 
 logger = get_logger(__name__)
 
-# Reports are billed; one every 0.7 s notices a restart within its lag, and
+# Frequent enough to notice a restart within the lag of a report;
 # orders are counted by ourselves.
 _REPORT_SECONDS: Final = 0.7
 _EAGER_REPORT_SECONDS: Final = 0.3
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -35,22 +35,18 @@
 logger = get_logger(__name__)
 
 # Longest silence of a watch. A connection that went silent for good shows
-# only by this, and if those of all watchers do, nobody has news meanwhile:
-# with two seconds a leaving upstream got a request 2.1 s after it said so.
+# only by this, and if those of all watchers do, nobody has news meanwhile.
 _WATCH_SECONDS: Final = 0.7
 # How often a VM that does not watch looks whether it is its turn.
 _TURN_SECONDS: Final = 0.2
-# Entries change with each load of an adapter, four times a second over five
-# engines. Waiting this long takes several in one call of those that are
-# billed, and leaves three quarters of the two seconds in which a leaving
-# upstream or a new configuration has to be obeyed.
+# Entries change often. Waiting after each batch of changes takes several in
+# one call, and leaves time to obey a new configuration.
 _GATHER_SECONDS: Final = 0.5
 _FIRST_READING_SECONDS: Final = 0.5
 _STORE_AWAY_SECONDS: Final = 1.5
 _FIRST_PAUSE_SECONDS: Final = 0.2
 _LONGEST_PAUSE_SECONDS: Final = 1.0
-# A configuration of 1,000 routes is 300 KB, half a second on a link of 5
-# Mbit/s that carries others besides.
+# Allows for a large configuration on a slow link that is shared.
 _ASK_SECONDS: Final = 2.0
 # A VM that has not answered by then may be gone; the next is asked as well.
 _SECOND_ASK_SECONDS: Final = 0.4
--- a/flamingovalve/gateway/place_finder.py
+++ b/flamingovalve/gateway/place_finder.py
@@ -30,11 +30,10 @@
 # Beyond this a caller had better come back than wait for an owner.
 _OWNER_PATIENCE_SECONDS: Final = 0.8
 _NO_OWNER_RETRY_SECONDS: Final = 0.5
-# Each owner that is asked costs an exchange of 2 to 6 ms. Four of eight
-# groups that all have no good place say enough of the rest.
+# Each owner that is asked costs an exchange, and some groups without a good
+# place say enough of the rest.
 _MOST_GROUPS_ASKED: Final = 4
-# An owner that was silent is asked last until membership has found out, about
-# 1.3 s with the users' settings. Each ask in vain takes half a second.
+# An owner that was silent is asked last until membership has found out.
 _SILENT_SECONDS: Final = 1.5
 # Meanwhile one request in this time asks it all the same.
 _SILENT_PAUSE_SECONDS: Final = 0.3
--- a/flamingovalve/gateway/place_queue.py
+++ b/flamingovalve/gateway/place_queue.py
@@ -167,6 +167,7 @@
 
     async def refuse(self, waiter: Waiter, refusal: ServingError) -> None:
         """Refuse a request, whether it waits or its load has failed."""
+        ahead = self._waiting.ahead_of(waiter)
         self._waiting.remove(waiter)
         self._engines.counts.refused += 1
         note(
@@ -175,6 +176,10 @@
             id=waiter.ask.request_id,
             adapter=waiter.ask.adapter,
             reason=refusal.message,
+            ahead=ahead,
+            late=waiter.turn.is_late,
+            waiting=len(self),
+            patience=round(waiter.ask.patience, 3),
             waited=round(clock.now() - waiter.asked_at, 3),
         )
         waiter.refusal = refusal
--- a/flamingovalve/gateway/popularity.py
+++ b/flamingovalve/gateway/popularity.py
@@ -9,11 +9,9 @@
 if TYPE_CHECKING:
     from flamingovalve.generated.ids import AdapterId
 
-# Popularity moves on every few seconds on the users' deployments; a shorter
-# memory forgets the Zipf head between two of its calls.
+# A shorter memory forgets popular adapters between two of their requests.
 _RATE_HALF_LIFE_SECONDS: Final = 15.0
-# Callers name adapters as they like; 100 bytes for each that was asked for
-# lately, and 40 times as many as five engines hold.
+# Callers name adapters as they like, so their number is bounded.
 _RATED_ADAPTERS: Final = 2000
 
 
--- a/flamingovalve/membership/gossip.py
+++ b/flamingovalve/membership/gossip.py
@@ -49,8 +49,7 @@
 _RUMOURS_PER_DATAGRAM = 8
 _RUMOURS_PER_WELCOME = 24
 _DATAGRAM_BYTES = 65536
-# Members that each probe names. Two make 140 known to each other again
-# within about 40 s at two probes a second, by arithmetic.
+# Members that each probe names, so that lost news of one comes again.
 _STANDING_MEMBERS = 2
 # VMs that tell a newcomer who else there is; one may be gone and one slow.
 _WELCOMING_VMS = 3
--- a/flamingovalve/platform/store.py
+++ b/flamingovalve/platform/store.py
@@ -24,11 +24,11 @@
 _GONE: Final = 410
 _MS_PER_SECOND: Final = 1000
 
-# One read takes 4 ms as published and up to 60 times that when slow.
+# Allows for a store that is slow.
 _READ_SECONDS: Final = 0.8
-# Beyond the watch itself; slow, the store takes 0.24 s to answer.
+# Beyond the watch itself.
 _WATCH_MARGIN_SECONDS: Final = 0.5
-# A claim waits for this; slow, the store takes 0.24 s.
+# A claim waits for this.
 _REVISION_SECONDS: Final = 0.4
 # Names no item, so that the answer holds the revision and nothing else.
 _NO_ITEMS: Final = '!'
