Gossip handlers, side answers and metrics need no daemon

The circle daemon, front, metrics goes: metrics and side answers get just what they need, and rumours are handed on by singledispatch in a module of its own. No change of behaviour.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -17,7 +17,8 @@
 from flamingovalve.gateway.directory import AddressDirectory
 from flamingovalve.gateway.fallback_placement import FallbackPlacement
 from flamingovalve.gateway.follower import CatalogueFollower
-from flamingovalve.gateway.front import Front, SideAnswers
+from flamingovalve.gateway.front import Front
+from flamingovalve.gateway.gossip_handlers import GossipHandlers
 from flamingovalve.gateway.metrics import GatewayMetrics
 from flamingovalve.gateway.owned import OwnedGroups
 from flamingovalve.gateway.ownership import GroupClaims
@@ -28,13 +29,14 @@
 from flamingovalve.gateway.retries import FleetRetryBudget
 from flamingovalve.gateway.serving import RequestServer
 from flamingovalve.gateway.shards import Shards
+from flamingovalve.gateway.side_answers import SideAnswers
 from flamingovalve.gateway.watchers import Watchers
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
 from flamingovalve.generated.settings import LimitSettings, PublishedVm
 from flamingovalve.http.client import ConnectionPool
 from flamingovalve.http.server import HttpServer
-from flamingovalve.membership.gossip import Gossip, News
+from flamingovalve.membership.gossip import Gossip
 from flamingovalve.membership.members import MemberTable
 from flamingovalve.peer.client import PeerPool
 from flamingovalve.peer.server import PeerServer
@@ -194,7 +196,7 @@
     def _build_servers(self) -> None:
         settings = self.settings
         limits = settings.limits
-        self.metrics = GatewayMetrics(self)
+        self.metrics = GatewayMetrics(self.all_counts, self.gauges)
         self.front = Front(
             self.platform,
             self.catalogue,
@@ -204,7 +206,14 @@
         )
         self.http = HttpServer(self.network, self.front.answer, limits)
         self.http.error_response = self.platform.error_response
-        side = SideAnswers(self)
+        side = SideAnswers(
+            self.platform,
+            self.directory,
+            settings.gateway.address_seconds,
+            self.metrics,
+            self.state_dump,
+            lambda: self.is_ready,
+        )
         self.side = HttpServer(self.network, side.answer, LimitSettings())
         self.peer_server = PeerServer(self.network, settings, self.incarnation)
         place_server = PlaceServer(self.owned.find)
@@ -212,7 +221,14 @@
         on_session(messages.PlaceAsk, place_server.serve)
         on_session(messages.PlaceHold, place_server.serve_hold)
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
-        self.gossip.rumour_listener = self._hear
+        handlers = GossipHandlers(
+            self.follower,
+            self.quarantine,
+            self.claims,
+            self.places,
+            self.background,
+        )
+        self.gossip.rumour_listener = handlers.hear
         self.gossip.standing_rumours = self._standing_rumours
         self.gossip.late_listeners.append(self.owned.note_late_wakeup)
         self.follower.listeners.append(self._published)
@@ -377,28 +393,6 @@
             *self.chance.sample(claims, count),
         ]
 
-    async def _hear(self, rumour: Any) -> News:
-        if isinstance(rumour, messages.CatalogueRumour):
-            return await self.follower.hear(rumour)
-        if isinstance(rumour, messages.WatchRumour):
-            return await self.follower.hear_watch(rumour)
-        if isinstance(rumour, messages.PoisonRumour):
-            return self.quarantine.hear(rumour)
-        if isinstance(rumour, messages.OwnerRumour):
-            return await self._hear_owner(rumour)
-        return News.NONE
-
-    async def _hear_owner(self, rumour: messages.OwnerRumour) -> News:
-        before = self.claims.owner(rumour.group)
-        news = self.claims.hear(rumour)
-        if news is not News.NONE and before != rumour.vm:
-            await self.background.spawn(
-                self.places.notify_new_owner,
-                rumour.group,
-                rumour.vm,
-            )
-        return news
-
     # -- What others may see
 
     def all_counts(self) -> dict[str, Any]:
--- a/flamingovalve/gateway/front.py
+++ b/flamingovalve/gateway/front.py
@@ -1,15 +1,13 @@
-"""Answers callers, the platform, and whoever looks at metrics and state."""
+"""Answers the requests of callers."""
 
 from __future__ import annotations
 
-from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import curio
 
 from flamingovalve.errors import ConnectionLost, ErrorKind, ServingError
 from flamingovalve.gateway import return_times
-from flamingovalve.http.messages import Response
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
 
@@ -18,17 +16,13 @@
 
     from flamingovalve.gateway.adapter import PlatformAdapter
     from flamingovalve.gateway.catalogue import Catalogue
-    from flamingovalve.gateway.daemon import GatewayDaemon
     from flamingovalve.gateway.metrics import GatewayMetrics
     from flamingovalve.gateway.serving import RequestServer
-    from flamingovalve.generated.ids import DomainId
     from flamingovalve.http.messages import Request
     from flamingovalve.http.server import Responder
 
 logger = get_logger(__name__)
 
-_TEXT: Final = [('content-type', 'text/plain; version=0.0.4; charset=utf-8')]
-
 
 class Front:
     """Serves the requests of published routes and notes how each ended."""
@@ -109,37 +103,3 @@
                 self._platform.request_id(request),
             ),
         )
-
-
-class SideAnswers:
-    """Answers who asks for addresses, readiness, metrics or the state."""
-
-    def __init__(self, daemon: GatewayDaemon) -> None:
-        """Answer for ``daemon``."""
-        self._daemon = daemon
-
-    async def answer(self, request: Request, responder: Responder) -> None:
-        """Answer one question."""
-        domain = self._daemon.platform.asked_domain(request)
-        if domain is not None:
-            response = self._addresses(domain)
-        elif request.path == '/metrics':
-            body = self._daemon.metrics.exposition()
-            response = Response(HTTPStatus.OK, _TEXT, body)
-        elif request.path == '/state':
-            response = Response.from_json(self._daemon.state_dump())
-        else:
-            response = Response(self._readiness())
-        await responder.send(response)
-
-    def _readiness(self) -> HTTPStatus:
-        if self._daemon.is_ready:
-            return HTTPStatus.OK
-        return HTTPStatus.SERVICE_UNAVAILABLE
-
-    def _addresses(self, domain: DomainId) -> Response:
-        daemon = self._daemon
-        return daemon.platform.addresses_response(
-            daemon.directory.addresses(domain),
-            daemon.settings.gateway.address_seconds,
-        )
