A group keeps a cold adapter whose wait no other group would shorten

A review of 9,000 tokens takes 0.3 s to read and 0.25 s to load for, more than 0.6 of its target on an idle engine, so each group in turn declined it, and it was loaded where the wait was shortest at that moment instead of where its adapter is at home and kept.

Changed: an owner declines for the time spent behind others, not for a load and a prompt that take as long anywhere.

--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -37,6 +37,8 @@
 _USEFUL_SHARE: Final = 0.55
 # Leaves room for what was guessed wrong, and for the ask of another group.
 _GOOD_SHARE: Final = 0.6
+# A queue this short, against the target, is no reason to ask another group.
+_SHORT_QUEUE_SHARE: Final = 0.1
 # Weighs a model that no engine holds before any that one does.
 _NO_HOLDER: Final = 0.01
 _LARGEST_EXPONENT: Final = 30.0
@@ -49,6 +51,7 @@
     """An engine for a request.
 
     :ivar wait: seconds until the first event, as expected
+    :ivar queued: how many of them are due to other requests
     :ivar load: whether the adapter has to be loaded first
     :ivar victim: adapter that makes room for it
     :ivar held: the adapter, where the engine holds it or is about to
@@ -56,6 +59,7 @@
 
     engine: EngineLedger
     wait: float
+    queued: float = 0
     load: bool = False
     victim: HeldAdapter | None = None
     held: HeldAdapter | None = None
@@ -99,7 +103,7 @@
     if engine.is_full() or ask.model not in engine.models:
         return None
     if not ask.adapter:
-        return Choice(engine, _wait(ask, engine, 0))
+        return _choice(ask, engine, 0)
     held = engine.held.get(ask.adapter)
     if held is None:
         return _with_load(ask, engine, popularity)
@@ -110,7 +114,9 @@
     if held.version < wanted_version:
         return _with_replacement(ask, engine, held)
     loading = max(0, held.ready_at - clock.now())
-    return Choice(engine, _wait(ask, engine, loading), held=held)
+    choice = _choice(ask, engine, loading)
+    choice.held = held
+    return choice
 
 
 def _with_replacement(
@@ -121,8 +127,9 @@
     """Load another version in the place of the one that is there."""
     if held.uses or not engine.may_load():
         return None
-    wait = _wait(ask, engine, engine.load_seconds(ask.adapter))
-    return Choice(engine, wait, load=True)
+    choice = _choice(ask, engine, engine.load_seconds(ask.adapter))
+    choice.load = True
+    return choice
 
 
 def _with_load(
@@ -132,19 +139,20 @@
 ) -> Choice | None:
     if not engine.may_load():
         return None
-    wait = _wait(ask, engine, engine.load_seconds(ask.adapter))
+    choice = _choice(ask, engine, engine.load_seconds(ask.adapter))
+    choice.load = True
     if engine.free_slots() > 0:
-        return Choice(engine, wait, load=True)
-    victim = engine.least_valuable(popularity)
-    if victim is None:
-        return None
-    return Choice(engine, wait, load=True, victim=victim)
+        return choice
+    choice.victim = engine.least_valuable(popularity)
+    return None if choice.victim is None else choice
 
 
-def _wait(ask: PlaceAsk, engine: EngineLedger, loading: float) -> float:
-    """Give the seconds until the first event; loading overlaps the queue."""
-    backlog = engine.prefill.ahead()
-    return max(backlog, loading) + engine.prefill_seconds(ask)
+def _choice(ask: PlaceAsk, engine: EngineLedger, loading: float) -> Choice:
+    """Expect a first event; loading overlaps the prompts ahead."""
+    queued = max(0, engine.prefill.ahead() - loading)
+    return Choice(
+        engine, loading + queued + engine.prefill_seconds(ask), queued
+    )
 
 
 def is_good(ask: PlaceAsk, choice: Choice) -> bool:
@@ -152,8 +160,12 @@
 
     Answers adapters that are asked for more often than one group of engines
     can serve: whoever would be late here is better off in another group,
-    also at the price of one more load.
+    also at the price of one more load. A load and a long prompt take as long
+    anywhere else, so a wait for these alone is no reason to decline: adapters
+    would be loaded all over the fleet and kept nowhere.
     """
+    if choice.queued <= ask.target * _SHORT_QUEUE_SHARE:
+        return True
     return choice.wait <= ask.target * _GOOD_SHARE
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -43,6 +43,21 @@
         choice = self.choose(ask('a'), other, before)
         self.assertIs(choice.engine, before)
 
+    def test_long_prompt_of_a_cold_adapter_stays_in_its_group(self):
+        """Guards against adapters that are loaded in every group in turn."""
+        request = ask('a', prompt_tokens=9000)
+        engine = ledger()
+        request.target = engine.prefill_seconds(request)
+        self.assertTrue(dispatch.is_good(request, self.choose(request, engine)))
+
+    def test_queue_of_others_is_a_reason_to_decline(self):
+        """Guards against waiting behind others beside an idle group."""
+        request = ask('a')
+        engine = ledger('engine-0', 'a')
+        engine.prefill.add(0, 0.8 * request.target)
+        choice = self.choose(request, engine)
+        self.assertFalse(dispatch.is_good(request, choice))
+
     def test_rarest_idle_adapter_makes_room(self):
         engine = ledger('engine-0', *(f'a{n}' for n in range(SLOTS)))
         engine.held[AdapterId('a0')].uses = 1
