--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -232,8 +232,8 @@
         self.gossip.standing_rumours = self._standing_rumours
         self.gossip.late_listeners.append(self.owned.note_late_wakeup)
         self.follower.listeners.append(self._published)
-        self.follower.tell = self.gossip.push
-        self.quarantine.tell = self.gossip.push
+        self.follower.publish = self.gossip.push
+        self.quarantine.publish = self.gossip.push
 
     # -- Life
 
@@ -286,7 +286,7 @@
         await spawn(self.gossip.receive_forever)
         await spawn(self.gossip.probe_forever)
         await spawn(self.follower.follow_forever)
-        await spawn(self.owned.tend_forever, self._announce_claim)
+        await spawn(self.owned.reconcile_forever, self._announce_claim)
         await self._accept_callers()
 
     async def begin_leaving(self) -> None:
@@ -374,7 +374,7 @@
         own.header_bytes = limits.header_bytes
         own.body_bytes = limits.body_bytes
         own.idle_seconds = limits.idle_seconds
-        await self.owned.tend(self._announce_claim)
+        await self.owned.reconcile(self._announce_claim)
         await self.gossip.push(self.follower.own_rumour())
 
     async def _refuses(self, address: str) -> bool:
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -100,7 +100,9 @@
         chance: random.Random,
     ) -> None:
         """Keep ``catalogue`` up to date."""
-        self.tell: Callable[[WatchRumour], Awaitable[None]] = _tell_nobody
+        self.publish: Callable[[WatchRumour], Awaitable[None]] = (
+            _publish_nowhere
+        )
         self.listeners: list[Callable[[], Awaitable[None]]] = []
         self.store_revision = 0
         self.reachable = True
@@ -225,7 +227,7 @@
         self._must_read = False
         self.store_revision = reading.revision
         if self._catalogue.replace_all(reading.documents, reading.revision):
-            await self._tell()
+            await self._notify_listeners()
 
     async def _watch(self) -> None:
         # All up to the newest news is known here, by whichever way it came.
@@ -242,11 +244,11 @@
             await curio.sleep(_GATHER_SECONDS)
 
     async def _note_news(self, news: Iterable[bool]) -> None:
-        """Tell the listeners once, when all documents have been taken."""
+        """Notify the listeners once, when all documents have been taken."""
         if any(list(news)):
-            await self._tell()
+            await self._notify_listeners()
 
-    async def _tell(self) -> None:
+    async def _notify_listeners(self) -> None:
         for listener in self.listeners:
             await listener()
 
@@ -280,7 +282,7 @@
         # Told again when it is this VM's turn once more, in vain.
         if clock.now() > self._lost_told_at + LOSS_SECONDS:
             self._lost_told_at = clock.now()
-            await self.tell(self._watchers.own_change(lost=True))
+            await self.publish(self._watchers.own_change(lost=True))
 
     async def _regained(self) -> None:
         if self.reachable:
@@ -288,8 +290,8 @@
         self.reachable = True
         self._lost_told_at = float('-inf')
         logger.info('the store answers again')
-        await self.tell(self._watchers.own_change(lost=False))
+        await self.publish(self._watchers.own_change(lost=False))
 
 
-async def _tell_nobody(_rumour: WatchRumour) -> None:
-    """Tell nobody: this VM is alone."""
+async def _publish_nowhere(_rumour: WatchRumour) -> None:
+    """Drop a rumour: this VM is alone."""
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -30,7 +30,7 @@
     from flamingovalve.generated.settings import GatewaySettings
     from flamingovalve.membership.members import MemberTable
 
-    Tell = Callable[[OwnerRumour], Awaitable[None]]
+    Announce = Callable[[OwnerRumour], Awaitable[None]]
 
 _TICK_SECONDS: Final = 0.25
 # Several times what a store that is well takes to answer.
@@ -69,7 +69,7 @@
         self._owners: dict[GroupId, GroupOwner] = {}
         self._is_sure_by_group: dict[GroupId, bool] = {}
         self._given_up = OwnerCounts()
-        self._tending = curio.Lock()
+        self._reconciling = curio.Lock()
         self._probe = probe
         # A process that has just started does not know whether the one
         # before it on this VM ordered a moment ago: taking turns with
@@ -81,43 +81,45 @@
         """Give the owner of a group, if that is this VM."""
         return self._owners.get(group)
 
-    async def tend_forever(self, tell: Tell) -> None:
+    async def reconcile_forever(self, announce: Announce) -> None:
         """Look at all groups again and again."""
         while True:
-            await self.tend(tell)
+            await self.reconcile(announce)
             await curio.sleep(_TICK_SECONDS)
 
-    async def tend(self, tell: Tell) -> None:
+    async def reconcile(self, announce: Announce) -> None:
         """Claim, take up and give up groups as claims and services say."""
-        async with self._tending:
+        async with self._reconciling:
             wanted: set[GroupId] = set()
             services = self._catalogue.configuration.services_by_name
             for service in services.values():
                 if service.engine is not None:
                     wanted.update(self._shards.groups(service.name))
-                    await self._tend_service(service, service.engine, tell)
+                    await self._reconcile_service(
+                        service, service.engine, announce
+                    )
             for group in set(self._owners) - wanted:
-                await self._give_up(group)
-            await self.announce_raised_epochs(tell)
+                await self._release(group)
+            await self.announce_raised_epochs(announce)
 
-    async def _tend_service(
+    async def _reconcile_service(
         self,
         service: UpstreamService,
         traits: EngineTraits,
-        tell: Tell,
+        announce: Announce,
     ) -> None:
         by_group = self._shards.engines(service.name)
         for group, upstreams in by_group.items():
-            owner = await self._tend_group(group, tell)
+            owner = await self._reconcile_group(group, announce)
             if owner is not None:
                 await owner.replace_engines(upstreams, traits)
 
     async def close(self) -> None:
         """Give up every group."""
         for group in list(self._owners):
-            await self._give_up(group)
+            await self._release(group)
 
-    async def _give_up(self, group: GroupId) -> None:
+    async def _release(self, group: GroupId) -> None:
         """Stop ordering, and begin no more within a lease.
 
         Whoever follows may order at once. If this VM came back meanwhile,
@@ -156,10 +158,10 @@
             group: owner.state_dump() for group, owner in self._owners.items()
         }
 
-    async def _tend_group(
+    async def _reconcile_group(
         self,
         group: GroupId,
-        tell: Tell,
+        announce: Announce,
     ) -> GroupOwner | None:
         """Claim, take up or give up one group; give its owner if we are it."""
         ended = self._claims.predecessor_ended(group)
@@ -174,21 +176,21 @@
         is_ours = owner_vm == self._members.own_id
         owner = self._owners.get(group)
         if owner is None and is_ours:
-            owner = await self._take_up(group, predecessor_ended=ended)
+            owner = await self._acquire(group, predecessor_ended=ended)
         elif owner is not None and not is_ours:
-            await self._give_up(group)
+            await self._release(group)
             owner = None
         if claim is not None:
             # Told only now, so that places can be held here at once.
-            await tell(claim)
+            await announce(claim)
         return owner
 
-    async def announce_raised_epochs(self, tell: Tell) -> None:
+    async def announce_raised_epochs(self, announce: Announce) -> None:
         """Tell of fencing numbers that were found since they were claimed."""
         for group, owner in list(self._owners.items()):
             raised = self._claims.raise_epoch(group, owner.fences.epoch)
             if raised is not None:
-                await tell(raised)
+                await announce(raised)
 
     async def _revision_now(self, *, in_haste: bool) -> int | None:
         """Ask the store for its revision; in haste not for long.
@@ -228,7 +230,7 @@
             owner.fences.renew(claim.epoch)
         return claim
 
-    async def _take_up(
+    async def _acquire(
         self,
         group: GroupId,
         *,
--- a/flamingovalve/gateway/quarantine.py
+++ b/flamingovalve/gateway/quarantine.py
@@ -66,7 +66,7 @@
         :param refuses: tells whether nothing listens at an address
         """
         self.counts = CrashCounts()
-        self.tell: Tell = _tell_nobody
+        self.publish: Tell = _publish_nowhere
         self._seconds = seconds
         self._refuses = refuses
         self._suspects: dict[Fingerprint, _Suspect] = {}
@@ -139,7 +139,7 @@
             crashes=crashes,
             convicted=crashes >= _CONVICTION,
         )
-        await self.tell(PoisonRumour(fingerprint, crashes, self._seconds))
+        await self.publish(PoisonRumour(fingerprint, crashes, self._seconds))
 
     def _suspect(
         self,
@@ -178,5 +178,5 @@
     )
 
 
-async def _tell_nobody(_rumour: PoisonRumour) -> None:
-    """Tell nobody: this VM is alone."""
+async def _publish_nowhere(_rumour: PoisonRumour) -> None:
+    """Drop a rumour: this VM is alone."""
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -69,9 +69,9 @@
         self.advance(2)
         return next(one for one in every if one.should_claim(GROUP))
 
-    async def tend(self):
+    async def reconcile(self):
         """Let the VM look at its groups."""
-        await self.owned.tend(self._tell)
+        await self.owned.reconcile(self._tell)
 
     async def _tell(self, _rumour):
         """Tell nobody."""
@@ -89,15 +89,15 @@
 
         async def scenario():
             self.advance(10)
-            await self.tend()
+            await self.reconcile()
             self.assertLessEqual(self.orders_after(), 0)
             other = next(v for v in VMS if v != self.claims.members.own_id)
             self.claims.hear(OwnerRumour(GROUP, other, 1, 99))
-            await self.tend()
+            await self.reconcile()
             self.assertIsNone(self.owned.find(GROUP))
             self.advance(0.5)
             self.claims.members.by_id[other].note_end(1)
-            await self.tend()
+            await self.reconcile()
             self.assertGreater(self.orders_after(), LEASE - 0.5)
             await self.owned.close()
 
@@ -112,11 +112,11 @@
 
         async def scenario():
             self.advance(10)
-            await self.tend()
+            await self.reconcile()
             claimed = self.owned.find(GROUP).fences.claimed
             self.catalogue._take_upstream(upstream('engine-1'))
             self.revision = 90
-            await self.tend()
+            await self.reconcile()
             await curio.sleep(0)
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-1']
             await engine._poll_report()
@@ -136,7 +136,7 @@
         async def scenario():
             self.revision = None
             self.advance(10)
-            await self.tend()
+            await self.reconcile()
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
             await engine._poll_report()
             self.advance(10)
@@ -160,7 +160,7 @@
             self.claims.members.apply(rumour_of(other, MemberState.LEAVING))
             self.revision = None
             self.advance(10)
-            await self.tend()
+            await self.reconcile()
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
             await engine._poll_report()
             self.assertTrue(engine.ledger.may_order())
@@ -183,7 +183,7 @@
                 told.append(rumour.epoch)
 
             self.advance(10)
-            await self.owned.tend(tell)
+            await self.owned.reconcile(tell)
             self.revision = 300
             self.advance(1)
             await self.owned.find(GROUP).fences.found_after(self.moment - 1)
@@ -210,7 +210,7 @@
 
             self.owned._fresh_revision = hear_a_claim
             self.advance(10)
-            await self.tend()
+            await self.reconcile()
             self.assertEqual(self.claims.owner(GROUP), other)
             self.assertIsNone(self.owned.find(GROUP))
 
@@ -229,7 +229,7 @@
                     members.apply(rumour_of(vm, MemberState.DEAD))
             self.revision = None
             self.advance(10)
-            await self.tend()
+            await self.reconcile()
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
             await engine._poll_report()
             self.advance(10)
@@ -246,7 +246,7 @@
     def test_state_shows_what_was_learnt(self):
         async def scenario():
             self.advance(10)
-            await self.tend()
+            await self.reconcile()
             state = self.owned.state_dump()[GROUP]
             self.assertEqual(state['learnt']['load_seconds'], 0.25)
             self.assertIn('adapters_kept', state['engines']['engine-0'])
@@ -258,10 +258,10 @@
     def test_groups_of_an_older_division_are_given_up(self):
         async def scenario():
             self.advance(10)
-            await self.tend()
+            await self.reconcile()
             self.owned._owners[GroupId('engines/7')] = self.owned.find(GROUP)
             del self.owned._owners[GROUP]
-            await self.tend()
+            await self.reconcile()
             self.assertIsNone(self.owned.find(GroupId('engines/7')))
             await self.owned.close()
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -41,13 +41,13 @@
         self.has_ended = True
         self.vms = [CrashQuarantine(SECONDS, self._refuses) for _vm in range(2)]
         for vm in self.vms:
-            vm.tell = self._tell
+            vm.publish = self._publish
 
     async def _refuses(self, _address):
         """Tell whether the upstream ended."""
         return self.has_ended
 
-    async def _tell(self, rumour):
+    async def _publish(self, rumour):
         """Let both VMs hear."""
         for vm in self.vms:
             vm.hear(rumour)
