A VM takes its turn at watching once it knows the others

A VM that has just started reads what is published and leaves watching to others for the time in which a fleet finds itself; claims of groups wait as long already.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -106,7 +106,11 @@
             platform.store(self.pool),
             self.members,
             self.peers,
-            Watchers(self.members, settings.platform.watchers_per_domain),
+            Watchers(
+                self.members,
+                settings.platform.watchers_per_domain,
+                clock.now(),
+            ),
             chance,
         )
         self._build_serving()
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -8,7 +8,7 @@
 from flamingovalve.generated.ids import VmId
 from flamingovalve.generated.messages import MemberState, OwnerRumour
 from flamingovalve.membership.gossip import News
-from flamingovalve.membership.members import largest
+from flamingovalve.membership.members import SETTLE_SECONDS, largest
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger, note
 
@@ -18,9 +18,6 @@
 
 logger = get_logger(__name__)
 
-# By then VMs that started together have found each other; whoever claims
-# before that would claim beside others.
-_SETTLE_SECONDS: Final = 0.7
 # Views of who lives can differ for seconds. A claim holds this long unless
 # its process has provably ended, so two VMs that each miss the other cannot
 # take an engine from each other within a lease of three seconds.
@@ -64,7 +61,7 @@
 
     def should_claim(self, group: GroupId) -> bool:
         """Tell whether this VM is the one to claim ``group`` now."""
-        if clock.now() < self.started_at + _SETTLE_SECONDS:
+        if clock.now() < self.started_at + SETTLE_SECONDS:
             return False
         if self.members.own_state is not MemberState.ALIVE:
             return False
--- a/flamingovalve/gateway/watchers.py
+++ b/flamingovalve/gateway/watchers.py
@@ -1,9 +1,8 @@
 """Which VMs watch the store of published documents for the others.
 
-Answers fleets whose store is small and bills every call: 140 watches cost
-2.3 of a day's worth in a trial, and its published rate grows more slowly
-than fleets do. A few VMs of each failure domain watch; what they read
-reaches the others by rumours, and others step in where it does not.
+Answers fleets whose store is small: its rate grows more slowly than they do.
+A few VMs of each failure domain watch; what they read reaches the others by
+rumours, and others step in where it does not.
 """
 
 from __future__ import annotations
@@ -13,7 +12,7 @@
 
 from flamingovalve.generated.messages import WatchRumour
 from flamingovalve.membership.gossip import News
-from flamingovalve.membership.members import largest
+from flamingovalve.membership.members import SETTLE_SECONDS, largest
 from flamingovalve.util import clock, hashing
 
 if TYPE_CHECKING:
@@ -41,9 +40,19 @@
     says so, and the next in rank takes its turn.
     """
 
-    def __init__(self, members: MemberTable, per_domain: int) -> None:
-        """Let ``per_domain`` VMs of each failure domain watch."""
+    def __init__(
+        self,
+        members: MemberTable,
+        per_domain: int,
+        started_at: float,
+    ) -> None:
+        """Let ``per_domain`` VMs of each failure domain watch.
+
+        :param started_at: when this VM began to look for the others, on our
+            clock
+        """
         self._members = members
+        self._started_at = started_at
         self._per_domain = per_domain
         self._heard_by_vm: dict[VmId, _Heard] = {}
         self._sequence = 0
@@ -70,6 +79,10 @@
 
     def should_watch(self) -> bool:
         """Tell whether this VM is to watch the store now."""
+        if clock.now() < self._started_at + SETTLE_SECONDS:
+            # In a fleet that starts together nearly every VM would take its
+            # turn, as it knows hardly any of the others.
+            return False
         own_id = self._members.own_id
         if not self._members.is_present(own_id):
             # We take no part in the fleet, as while leaving; what is still
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
 from flamingovalve.generated.messages import MemberRumour
@@ -19,6 +19,9 @@
 
 logger = get_logger(__name__)
 
+# By then VMs that started together have found each other. Whoever ranks
+# itself among the others before that ranks itself among few.
+SETTLE_SECONDS: Final = 0.7
 # A VM that keeps dying and coming back would move ownership at each turn.
 # Each return within the memory below doubles the wait before it counts again.
 _FLAP_MEMORY_SECONDS = 120
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -322,6 +322,16 @@
 class TestStart(unittest.TestCase):
     """A VM that knows nothing yet."""
 
+    def test_fleet_that_starts_together_leaves_the_store_alone(self):
+        """Guards against a watch by each VM that knows no other yet."""
+        vms = 12
+        site = Site(vms)
+        self.addCleanup(site.close)
+        for vm_id in site.vms_by_id:
+            site.start(vm_id)
+        site.world.advance(0.5)
+        self.assertLessEqual(site.store.calls, vms)
+
     def test_no_configuration_yet(self):
         site = Site()
         self.addCleanup(site.close)
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -26,7 +26,8 @@
 )
 from flamingovalve.generated.settings import PublishedVm
 from flamingovalve.membership.gossip import News
-from flamingovalve.membership.members import MemberTable
+from flamingovalve.membership.members import SETTLE_SECONDS, MemberTable
+from flamingovalve.util import clock
 from tests.rig.timeline import TimedTestCase
 
 DOMAINS = ('east', 'west', 'north', 'south')
@@ -38,7 +39,10 @@
         (VmId(f'10.0.{n}.1:7000'), DomainId(DOMAINS[n % domains]))
         for n in range(count)
     ]
-    return [Watchers(_table_of(vm, named), 1) for vm, _domain in named]
+    started_at = clock.now() - SETTLE_SECONDS
+    return [
+        Watchers(_table_of(vm, named), 1, started_at) for vm, _domain in named
+    ]
 
 
 def _table_of(
