An owner corrects a count of orders that its engine never reaches

Loads then take several times as long as expected, so an adapter counted as there was still on its way when it was unloaded to make room.

Changed: a count that a report still does not show a second after our last order is corrected to the report's; an adapter gives up its slot only once a report or a request has shown it.

Ruled out: another owner. One VM claimed the group, and no order of others was seen.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -301,6 +301,7 @@
             ledger.restart(report.born)
         ledger.born = report.born
         foreign = ledger.chain.foreign
+        counted = ledger.chain.sequence or 0
         if ledger.chain.note_report(report):
             self._context.counts.foreign += 1
             logger.warning(
@@ -308,6 +309,14 @@
                 ledger.upstream.id,
                 report.sequence,
             )
+        if (ledger.chain.sequence or 0) < counted:
+            note(
+                logger,
+                'order count corrected',
+                upstream=ledger.upstream.id,
+                counted=counted,
+                reported=report.sequence,
+            )
         if ledger.chain.foreign != foreign:
             ledger.fence = NO_FENCE
         await self._find_fence()
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -63,6 +63,7 @@
         answer; no report can show it before
     :ivar load: what was expected of its load, until a request shows whether
         it was there
+    :ivar is_seen: whether a report or a request has shown it on the engine
     """
 
     name: AdapterId
@@ -74,10 +75,17 @@
     replaces: HeldAdapter | None = None
     is_ordered: bool = True
     load: ExpectedLoad | None = None
+    is_seen: bool = True
 
     def is_idle(self) -> bool:
-        """Tell whether it could give up its slot."""
-        return self.state is Holding.RESIDENT and not self.uses
+        """Tell whether it could give up its slot.
+
+        One that should be there by now may still be on its way, and an
+        engine has nothing to unload then.
+        """
+        if self.state is not Holding.RESIDENT or not self.is_seen:
+            return False
+        return not self.uses
 
 
 @dataclass(slots=True)
@@ -274,7 +282,10 @@
     def note_adapter_present(self, name: AdapterId) -> None:
         """Note that a request found its adapter loaded."""
         held = self.held.get(name)
-        if held is None or held.load is None:
+        if held is None:
+            return
+        held.is_seen = True
+        if held.load is None:
             return
         self.loads.note_hit(held.load)
         if held.load.is_kept:
@@ -322,6 +333,7 @@
             # A report that is older than the load of this version.
             return
         known.version = version
+        known.is_seen = True
         if known.state is Holding.COMING:
             known.state = Holding.RESIDENT
 
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -18,8 +18,8 @@
     from flamingovalve.generated.ids import AdapterId, ModelId
 
 
-# By then a report shows whatever an owner ordered before it ended.
-_LAST_ORDERS_SECONDS: Final = 1.0
+# By then a report shows every order that an engine has accepted.
+_SHOWN_SECONDS: Final = 1.0
 
 
 class Action(Enum):
@@ -98,6 +98,7 @@
     :ivar foreign: how often the count had changed by others
     :ivar stands_down_until: no order before this moment, on our clock
     :ivar began_at: when we began to follow the engine, on our clock
+    :ivar accepted_at: when it accepted our last order, on our clock
     """
 
     lease_seconds: float
@@ -110,6 +111,7 @@
     quiet_since: float = 0
     foreign: int = 0
     began_at: float = field(default_factory=clock.now)
+    accepted_at: float = float('-inf')
 
     def may_order(self) -> bool:
         """Tell whether an order could not make two VMs take turns.
@@ -132,6 +134,7 @@
         if self.sequence is not None:
             self.sequence += 1
         self.ordered = True
+        self.accepted_at = clock.now()
 
     def note_unanswered(self) -> None:
         """Order nothing until a report shows whether the order was taken."""
@@ -151,6 +154,9 @@
         :returns: whether it shows an order that is not ours
         """
         known = self.sequence
+        if known is not None and self._has_counted_too_many(report):
+            self.sequence = report.sequence
+            return False
         self.sequence = max(report.sequence, known or 0)
         if known is None:
             self.quiet_since = clock.now()
@@ -162,6 +168,17 @@
             return False
         return self._note_foreign()
 
+    def _has_counted_too_many(self, report: EngineReport) -> bool:
+        """Tell whether an order that we count was none to the engine.
+
+        An engine that has nothing to do for an order answers like one that
+        carries it out. It would refuse every later one, which names a count
+        that it never reaches.
+        """
+        if self.sequence is None or report.sequence >= self.sequence:
+            return False
+        return clock.now() > self.accepted_at + _SHOWN_SECONDS
+
     def restart(self) -> None:
         """Begin anew with an engine that has forgotten all orders."""
         self.sequence = None
@@ -194,7 +211,7 @@
         """
         if self.ordered or not self.predecessor_ended:
             return False
-        return clock.now() < self.began_at + _LAST_ORDERS_SECONDS
+        return clock.now() < self.began_at + _SHOWN_SECONDS
 
     def _pause(self, seconds: float) -> None:
         until = clock.now() + seconds
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -328,6 +328,7 @@
             ready_at=clock.now() + owned.ledger.load_seconds(ask.adapter),
             replaces=owned.ledger.held.get(ask.adapter),
             is_ordered=False,
+            is_seen=False,
         )
         owned.ledger.held[ask.adapter] = held
         await self._tasks.spawn(owned.load, held, victim)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -66,6 +66,15 @@
         choice = self.choose(ask('new'), engine)
         self.assertEqual(choice.victim.name, 'a1')
 
+    def test_adapter_that_nobody_has_seen_yet_stays(self):
+        """Guards against the unload of an adapter that is on its way."""
+        engine = ledger('engine-0', *(f'a{n}' for n in range(SLOTS)))
+        for held in engine.held.values():
+            held.is_seen = False
+        self.assertIsNone(self.choose(ask('new'), engine))
+        engine.note_adapter_present(AdapterId('a3'))
+        self.assertEqual(self.choose(ask('new'), engine).victim.name, 'a3')
+
     def test_adapter_in_use_stays(self):
         engine = ledger('engine-0')
         for number in range(SLOTS):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -57,6 +57,30 @@
         self.chain.note_report(report(8))
         self.assertFalse(self.chain.may_order())
 
+    def test_order_that_was_none_to_the_engine(self):
+        """Guards against an owner that is refused every order for good."""
+        self.chain.note_report(report(7))
+        self.advance(LEASE + LAG + 0.1)
+        self.chain.note_accepted()
+        self.chain.note_accepted()
+        self.chain.note_conflict()
+        self.advance(2)
+        self.assertFalse(self.chain.note_report(report(8)))
+        self.assertEqual(self.chain.sequence, 8)
+        self.assertTrue(self.chain.may_order())
+        self.assertFalse(self.chain.note_report(report(8)))
+
+    def test_late_report_does_not_correct_the_count(self):
+        """Guards against our own last order taken for another owner's."""
+        self.chain.note_report(report(7))
+        self.advance(LEASE + LAG + 0.1)
+        self.chain.note_accepted()
+        self.advance(0.2)
+        self.chain.note_report(report(7))
+        self.assertEqual(self.chain.sequence, 8)
+        self.assertFalse(self.chain.note_report(report(8)))
+        self.assertTrue(self.chain.ordered)
+
     def test_own_orders_are_counted(self):
         self.chain.note_report(report(0))
         self.chain.note_accepted()
