--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -152,9 +152,8 @@
         turnover = self.late if waiting.is_late else self.in_time
         until_loads = dispatch.until_loads(ask, engines)
         if until_loads > 0:
-            # A known pause says nothing of how fast places come free after
-            # it. Taken for a slow queue, it had everybody refused who could
-            # have waited for its end.
+            # Nobody gets a place before, which says nothing of how fast
+            # places come free after it.
             turnover.restart()
         each = turnover.seconds_each(
             self.holds.mean / slots,
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -63,8 +63,8 @@
 _CLOSE_SECONDS: Final = 0.3
 _TICK_SECONDS: Final = 0.1
 # Callers queue for this long at most before the first configuration is known.
-_FIRST_READING_SECONDS: Final = 0.2
-_FIRST_READING_TICK_SECONDS: Final = 0.01
+_ACCEPT_WITHIN_SECONDS: Final = 0.2
+_ACCEPT_TICK_SECONDS: Final = 0.01
 # Claims that are repeated in each probe, for VMs that missed them.
 _STANDING_CLAIMS: Final = 2
 
@@ -271,9 +271,9 @@
         first configuration has been read, their requests would be refused,
         and callers would be told of no VM but this one.
         """
-        async with curio.ignore_after(_FIRST_READING_SECONDS):
+        async with curio.ignore_after(_ACCEPT_WITHIN_SECONDS):
             while not self._knows_fleet():
-                await curio.sleep(_FIRST_READING_TICK_SECONDS)
+                await curio.sleep(_ACCEPT_TICK_SECONDS)
         spawn = self.background.spawn
         self._accepting = await spawn(self.http.serve, self._front_socket)
         for opened in self._side_sockets:
