--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -154,7 +154,7 @@
         :returns: whether it shows an order that is not ours
         """
         known = self.sequence
-        if known is not None and self._has_counted_too_many(report):
+        if self._has_counted_too_many(report):
             self.sequence = report.sequence
             return False
         self.sequence = max(report.sequence, known or 0)
