Add workspace API keys and bound their revocation on partitioned VMs

Cause: the gateway had no notion of a workspace.

Where workspaces are configured, a route that is not public needs a key. Keys are looked up by digest; an unknown or missing key gets 401, two keys get 400. The upstream receives the name of the key's workspace and never the key, also on public routes. The workspace's priority overrides the route's.

A VM serves keys only while it knows that its configuration was the newest at most 0.7 of revoke_seconds ago (0, the default, disables the bound). That age is measured from the start of the confirming read, on a clock that includes suspensions. VMs that watch the store confirm by their watches and pass confirmations to the other VMs in their answers to DocumentsAsk. A VM asks up to three of them in turn when a request arrives while its confirmation is older than a fifth of revoke_seconds, and asks the store only where none of them answers. A VM without requests asks nobody.

Token counts that are negative or do not fit 32 bits get 400; error messages quote at most 80 characters of a header. The generator writes defaults of floats that are infinite.

Alternatives ruled out: - Polling the store from every VM: one call a second for each serving VM. - Carrying confirmations by gossip alone: a probe reaches a watcher about once in twenty, so ages grow by rounds beyond the bound. - Reading only op/config for a confirmation: the newest revision would then move past entries of upstreams that were not read.

--- a/flamingovalve/gateway/adapter.py
+++ b/flamingovalve/gateway/adapter.py
@@ -35,6 +35,9 @@
     def request_id(self, request: Request) -> str:
         """Give the caller's name for a request."""
 
+    def key_of(self, request: Request) -> bytes:
+        """Give the API key of a request, empty if absent."""
+
     def inbound(self, request: Request, route: Route) -> InboundRequest:
         """Decode a request that takes ``route``."""
 
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -113,7 +113,7 @@
     ) -> Sending:
         return Sending(
             request.remaining(),
-            request.route.priority,
+            request.priority,
             lease.grant.version,
             sink.last_event,
         )
@@ -140,6 +140,6 @@
             prompt_tokens=completion.prompt_tokens,
             output_tokens=completion.output_tokens,
             parts=completion.parts,
-            priority=request.route.priority,
+            priority=request.priority,
             domain=self._domain,
         )
--- /dev/null
+++ b/flamingovalve/gateway/confirmation.py
@@ -0,0 +1,30 @@
+"""Tracks when the local configuration was last known to be current."""
+
+from __future__ import annotations
+
+from flamingovalve.util import clock
+
+
+class Confirmation:
+    """The latest time at which the local configuration was current.
+
+    Uses a clock that includes suspensions, so that a resumed VM does not
+    treat its configuration as fresh.
+    """
+
+    def __init__(self) -> None:
+        """Start unconfirmed."""
+        self._as_of = float('-inf')
+
+    def note(self, asked_at: float, age: float = 0) -> None:
+        """Record a response after which the local configuration is current.
+
+        :param asked_at: when the request was sent, by :func:`clock.boot`; the
+            time of receipt would understate the age
+        :param age: age in seconds of the responder's own confirmation
+        """
+        self._as_of = max(self._as_of, asked_at - age)
+
+    def age(self) -> float:
+        """Give the seconds since the confirmation, infinite if there is none."""
+        return clock.boot() - self._as_of
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from flamingovalve.gateway.access import AccessControl
 from flamingovalve.gateway.attempts import Attempts
 from flamingovalve.gateway.balancer import Balancer
 from flamingovalve.gateway.calls import CallServer
@@ -27,6 +28,7 @@
 from flamingovalve.gateway.quarantine import CrashQuarantine
 from flamingovalve.gateway.relay import UpstreamRelay
 from flamingovalve.gateway.retries import FleetRetryBudget
+from flamingovalve.gateway.revocation import RevocationGuard
 from flamingovalve.gateway.serving import RequestServer
 from flamingovalve.gateway.shards import Shards
 from flamingovalve.gateway.side_answers import SideAnswers
@@ -201,9 +203,16 @@
         settings = self.settings
         limits = settings.limits
         self.metrics = GatewayMetrics(self.all_counts, self.gauges)
+        self.guard = RevocationGuard(
+            self.follower.confirmation,
+            self.follower.renew_confirmation,
+            settings.gateway.revoke_seconds,
+        )
+        self.access = AccessControl(self.platform, self.catalogue, self.guard)
         self.front = Front(
             self.platform,
             self.catalogue,
+            self.access,
             self.server,
             self.metrics,
             self.follower.until_configured,
@@ -407,6 +416,8 @@
             'peer': self.peers.counts,
             'peer_server': self.peer_server.counts,
             'catalogue': self.catalogue.counts,
+            'access': self.access.counts,
+            'revocation': self.guard.counts,
             'owner': self.owned.total_counts(),
             'quarantine': self.quarantine.counts,
         }
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -8,6 +8,7 @@
 import curio
 
 from flamingovalve.errors import ConnectionLost, HistoryGone, StoreUnavailable
+from flamingovalve.gateway.confirmation import Confirmation
 from flamingovalve.gateway.packing import packed, unpacked
 from flamingovalve.gateway.watchers import LOSS_SECONDS
 from flamingovalve.generated.messages import (
@@ -23,7 +24,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Awaitable, Callable, Iterable
+    from collections.abc import Awaitable, Callable
 
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.watchers import Watchers
@@ -48,6 +49,12 @@
 _LONGEST_PAUSE_SECONDS: Final = 1.0
 # Allows for a large configuration on a slow link that is shared.
 _ASK_SECONDS: Final = 2.0
+# Shorter than _ASK_SECONDS, as a confirmation carries few documents.
+_CONFIRM_SECONDS: Final = 0.5
+# Watchers that are asked in turn for one confirmation.
+_MOST_CONFIRMERS: Final = 3
+# Makes a watch return at once, with the changes that are pending.
+_CATCH_UP_SECONDS: Final = 0.001
 # A VM that has not answered by then may be gone; the next is asked as well.
 _SECOND_ASK_SECONDS: Final = 0.4
 
@@ -104,6 +111,7 @@
             _publish_nowhere
         )
         self.listeners: list[Callable[[], Awaitable[None]]] = []
+        self.confirmation = Confirmation()
         self.store_revision = 0
         self.reachable = True
         self._catalogue = catalogue
@@ -125,7 +133,8 @@
                 await curio.sleep(jittered(self._chance, _TURN_SECONDS))
                 continue
             try:
-                await self._follow()
+                if await self._follow(jittered(self._chance, _WATCH_SECONDS)):
+                    await curio.sleep(_GATHER_SECONDS)
             except (HistoryGone, StoreUnavailable) as failed:
                 await self._note_failure(failed)
                 await curio.sleep(jittered(self._chance, pause))
@@ -147,12 +156,16 @@
             )
         return watches
 
-    async def _follow(self) -> None:
-        """Make one call of the store and take what it gives."""
+    async def _follow(self, seconds: float) -> bool:
+        """Read or watch the store once and apply the result.
+
+        :param seconds: longest wait of a watch for changes
+        :returns: whether a watch returned changes
+        """
         if self._must_read:
             await self._read_all()
-        else:
-            await self._watch()
+            return False
+        return await self._watch(seconds)
 
     async def _note_failure(
         self,
@@ -219,33 +232,64 @@
     ) -> DocumentsReply:
         """Give another VM what it lacks."""
         newer = self._catalogue.after(ask.revision)
-        return DocumentsReply([packed(document) for document in newer])
+        return DocumentsReply(
+            [packed(document) for document in newer],
+            self.confirmation.age(),
+        )
+
+    async def renew_confirmation(self, target_age: float) -> None:
+        """Confirm that the local configuration is current.
+
+        Asks the other watchers in turn, and the store only if none of them
+        answers.
+
+        :param target_age: age in seconds that a confirmation should reach; up
+            to ``_CONFIRM_SECONDS`` more is accepted
+        """
+        has_answered = False
+        for vm in self._watchers.other_watchers()[:_MOST_CONFIRMERS]:
+            has_answered |= await self._ask_member(vm, _CONFIRM_SECONDS)
+            if self.confirmation.age() <= target_age + _CONFIRM_SECONDS:
+                return
+        if has_answered:
+            return
+        try:
+            await self._follow(_CATCH_UP_SECONDS)
+        except (HistoryGone, StoreUnavailable) as failed:
+            logger.info('store did not confirm the configuration: {}', failed)
 
     async def _read_all(self) -> None:
+        asked_at = clock.boot()
         reading = await self._store.read_all('')
         await self._regained()
         self._must_read = False
         self.store_revision = reading.revision
-        if self._catalogue.replace_all(reading.documents, reading.revision):
+        changed = self._catalogue.replace_all(
+            reading.documents,
+            reading.revision,
+        )
+        self.confirmation.note(asked_at)
+        if changed:
             await self._notify_listeners()
 
-    async def _watch(self) -> None:
+    async def _watch(self, seconds: float) -> bool:
         # All up to the newest news is known here, by whichever way it came.
         known = max(self.store_revision, self._catalogue.news_revision)
-        seconds = jittered(self._chance, _WATCH_SECONDS)
+        asked_at = clock.boot()
         reading = await self._store.watch('', known, seconds)
         await self._regained()
         self.store_revision = max(self.store_revision, reading.revision)
-        await self._note_news(
+        news = [
             self._catalogue.read(document, in_sequence=True)
             for document in reading.documents
-        )
-        if reading.documents:
-            await curio.sleep(_GATHER_SECONDS)
+        ]
+        self.confirmation.note(asked_at)
+        await self._note_news(news)
+        return bool(reading.documents)
 
-    async def _note_news(self, news: Iterable[bool]) -> None:
+    async def _note_news(self, news: list[bool]) -> None:
         """Notify the listeners once, when all documents have been taken."""
-        if any(list(news)):
+        if any(news):
             await self._notify_listeners()
 
     async def _notify_listeners(self) -> None:
@@ -254,25 +298,30 @@
 
     async def _ask(self, vm: VmId) -> None:
         try:
-            await self._ask_member(vm)
+            await self._ask_member(vm, _ASK_SECONDS)
         finally:
             self._asking.pop(vm, None)
 
-    async def _ask_member(self, vm: VmId) -> None:
+    async def _ask_member(self, vm: VmId, seconds: float) -> bool:
+        """Fetch newer documents from a VM; tell whether it answered."""
         member = self._members.by_id.get(vm)
         if member is None:
-            return
+            return False
         ask = DocumentsAsk(self._catalogue.news_revision)
         address = member.vm.peer_address
+        asked_at = clock.boot()
         try:
-            _from, reply = await self._peers.ask(address, vm, ask, _ASK_SECONDS)
+            _from, reply = await self._peers.ask(address, vm, ask, seconds)
         except (PeerUnreachable, ConnectionLost) as failed:
             logger.info('no documents from {}: {}', vm, failed)
-            return
-        await self._note_news(
+            return False
+        news = [
             self._catalogue.apply(unpacked(document))
             for document in reply.documents
-        )
+        ]
+        self.confirmation.note(asked_at, reply.confirmed_age)
+        await self._note_news(news)
+        return True
 
     async def _lost(self, failed: StoreUnavailable) -> None:
         self._catalogue.note_store_away()
--- a/flamingovalve/gateway/front.py
+++ b/flamingovalve/gateway/front.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from flamingovalve.gateway.access import AccessControl
     from flamingovalve.gateway.adapter import PlatformAdapter
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.metrics import GatewayMetrics
@@ -31,11 +32,12 @@
         self,
         platform: PlatformAdapter,
         catalogue: Catalogue,
+        access: AccessControl,
         server: RequestServer,
         metrics: GatewayMetrics,
         until_configured: Callable[[], float],
     ) -> None:
-        """Serve by ``server`` what ``platform`` decodes.
+        """Serve with ``server`` the requests that ``access`` admits.
 
         :param until_configured: tells how many seconds the first reading of
             the configuration should still take
@@ -44,6 +46,7 @@
         self.in_progress = 0
         self._platform = platform
         self._catalogue = catalogue
+        self._access = access
         self._server = server
         self._metrics = metrics
 
@@ -82,14 +85,7 @@
     async def _serve(self, request: Request, responder: Responder) -> None:
         if not self._catalogue.is_ready:
             raise self._not_ready(request)
-        host = self._platform.host_of(request)
-        route = self._catalogue.configuration.find(host, request.path)
-        if route is None:
-            raise ServingError(
-                ErrorKind.UNKNOWN_PATH,
-                f'no route of host {host!r} begins {request.path!r}',
-            )
-        inbound = self._platform.inbound(request, route)
+        inbound = await self._access.admit(request)
         inbound.has_caller_left = responder.has_caller_left
         async with responder.watch_caller():
             await self._server.serve(inbound, responder)
--- a/flamingovalve/gateway/inbound.py
+++ b/flamingovalve/gateway/inbound.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from flamingovalve.gateway.model import NO_WORKSPACE, WorkspaceId
 from flamingovalve.generated.ids import ServiceId
 from flamingovalve.util import clock
 
@@ -53,6 +54,8 @@
     :ivar received_at: when it was read, on our clock
     :ivar deadline: when its caller or its route stops waiting, on our clock
     :ivar patience: seconds that the caller was ready to wait
+    :ivar priority: 0 is the most urgent
+    :ivar workspace: the owner of its API key; empty if its route needs no key
     :ivar service: the one of the route's services that it goes to
     :ivar tried: upstreams that it was sent to and that may have run it
     :ivar refused_by: upstreams that did not run it
@@ -68,6 +71,8 @@
     received_at: float
     deadline: float
     patience: float
+    priority: int = 0
+    workspace: WorkspaceId = NO_WORKSPACE
     service: ServiceId = ServiceId('')
     completion: Completion | None = None
     tried: list[str] = field(default_factory=list)
--- a/flamingovalve/gateway/model.py
+++ b/flamingovalve/gateway/model.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NewType
+
+WorkspaceId = NewType('WorkspaceId', str)
+NO_WORKSPACE: Final = WorkspaceId('')
 
 if TYPE_CHECKING:
     from flamingovalve.generated.ids import (
@@ -16,6 +20,9 @@
     )
 
 
+_DIGEST_BYTES: Final = 16
+
+
 class Repeat(Enum):
     """How often one request of a route may run.
 
@@ -55,6 +62,7 @@
     :ivar streams: whether the answer is a series of events
     :ivar longest_pause: longest pause between two events that is in time,
         seconds
+    :ivar is_public: whether requests are served without an API key
     """
 
     name: str
@@ -68,6 +76,7 @@
     most_upstreams: int
     streams: bool
     longest_pause: float = 0
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +113,17 @@
     engine: EngineTraits | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A tenant whose callers share API keys and a priority.
+
+    :ivar priority: overrides the priority of the route unless none
+    """
+
+    name: WorkspaceId
+    priority: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Bounds on what callers may send, and on how long they may take."""
@@ -118,6 +138,8 @@
     """One whole published configuration.
 
     :ivar routes_by_host: routes of each host, longest prefix first
+    :ivar workspaces_by_key: workspaces by the digests of their API keys; none
+        if the configuration defines no workspaces
     """
 
     version: int = 0
@@ -126,6 +148,15 @@
         default_factory=dict,
     )
     limits: CallerLimits = CallerLimits()
+    workspaces_by_key: dict[bytes, Workspace] | None = None
+
+    def needs_key(self, route: Route) -> bool:
+        """Tell whether requests of a route need an API key."""
+        return self.workspaces_by_key is not None and not route.is_public
+
+    def workspace_of(self, key: bytes) -> Workspace | None:
+        """Give the workspace that owns an API key."""
+        return (self.workspaces_by_key or {}).get(key_digest(key))
 
     def find(self, host: str, path: str) -> Route | None:
         """Give the route with the longest prefix that begins ``path``."""
@@ -156,4 +187,12 @@
     version: int
 
 
+def key_digest(key: bytes) -> bytes:
+    """Give the digest by which an API key is looked up.
+
+    Lookup by digest keeps its timing from revealing a partly correct key.
+    """
+    return hashlib.blake2b(key, digest_size=_DIGEST_BYTES).digest()
+
+
 EMPTY: Final = Configuration()
--- a/flamingovalve/gateway/watchers.py
+++ b/flamingovalve/gateway/watchers.py
@@ -95,8 +95,31 @@
         chosen = self._chosen(domain, by_domain[domain], count)
         return own_id in {member.vm.id for member in chosen}
 
+    def other_watchers(self) -> list[VmId]:
+        """Give the other VMs that should watch the store now.
+
+        Those that report no loss of the store come first, and among these
+        the VMs of our own failure domain.
+        """
+        by_domain = self._by_domain()
+        count = self._count(len(by_domain))
+        own_id = self._members.own_id
+        own = self._members.by_id[own_id].vm
+        own_domain = own.failure_domain
+        domains = sorted(by_domain, key=lambda name: name != own_domain)
+        chosen = [
+            member.vm.id
+            for domain in domains
+            for member in self._chosen(domain, by_domain[domain], count)
+            if member.vm.id != own_id
+        ]
+        return sorted(chosen, key=self._has_lost)
+
     def _count(self, domains: int) -> int:
-        return max(self._per_domain, -(-_FEWEST_WATCHERS // domains))
+        return max(
+            self._per_domain,
+            -(-_FEWEST_WATCHERS // max(domains, 1)),
+        )
 
     def _chosen(
         self,
--- a/flamingovalve/platform/adapter.py
+++ b/flamingovalve/platform/adapter.py
@@ -62,6 +62,10 @@
         """Give the caller's name for a request."""
         return ingress.request_id(request)
 
+    def key_of(self, request: Request) -> bytes:
+        """Give the API key of a request, empty if absent."""
+        return ingress.key_of(request)
+
     def inbound(self, request: Request, route: Route) -> InboundRequest:
         """Decode a request that takes ``route``."""
         return ingress.inbound(request, route)
--- a/flamingovalve/platform/decode.py
+++ b/flamingovalve/platform/decode.py
@@ -99,6 +99,7 @@
         },
         {service.name: service for service in services},
         _limits(raw.get('Limits', {})),
+        _workspaces(raw.get('Tenants')),
     )
 
 
@@ -131,6 +132,7 @@
         most_upstreams=max(1, _whole(raw.get('MaxAttempts', 1))),
         streams=kind == 'streaming',
         longest_pause=_seconds(raw.get('GapTargetMs') or 0),
+        is_public=raw.get('Public') is True,
     )
 
 
@@ -170,6 +172,24 @@
     )
 
 
+def _workspaces(raw: Any) -> dict[bytes, model.Workspace] | None:
+    if raw is None:
+        return None
+    return {
+        model.key_digest(_text(key).encode()): _workspace(entry)
+        for entry in raw
+        for key in entry['ApiKeys']
+    }
+
+
+def _workspace(raw: dict[str, Any]) -> model.Workspace:
+    priority = raw.get('Priority')
+    return model.Workspace(
+        model.WorkspaceId(_text(raw['Name'])),
+        None if priority is None else _whole(priority),
+    )
+
+
 def _upstream(name: str, raw: dict[str, Any]) -> model.Upstream:
     return model.Upstream(
         id=UpstreamId(name),
--- a/flamingovalve/platform/ingress.py
+++ b/flamingovalve/platform/ingress.py
@@ -21,12 +21,20 @@
 _MODEL: Final = 'model'
 _TOKENS: Final = 'token-counts'
 _PREFIX: Final = 'prompt-prefix'
+_KEY: Final = 'api-key'
+# Width of token counts in messages between VMs.
+_COUNT_BITS: Final = 32
+_MOST_TOKENS: Final = 2**_COUNT_BITS - 1
 _MS_PER_SECOND: Final = 1000.0
+# Bounds the part of a header that an error message quotes.
+_QUOTED_CHARACTERS: Final = 80
 
-# A caller could reserve memory, jump the queue or reach another request's
-# memory by these; they are set by this system only.
+# A caller could reserve memory, jump the queue, reach another request's
+# memory or impersonate another workspace by these; they are set by this system
+# only. API keys are not forwarded to upstreams.
 _OWN_HEADERS: Final = frozenset(
     (
+        _KEY,
         'expect-instance',
         'expect-version',
         'hold',
@@ -35,6 +43,7 @@
         'kv-from',
         'pin-ms',
         'request-priority',
+        'tenant',
         'time-budget-ms',
     ),
 )
@@ -50,6 +59,21 @@
     return request.headers.get(_ID, '')
 
 
+def key_of(request: Request) -> bytes:
+    """Give the API key of a request, empty if absent.
+
+    :raises ServingError: when the header is repeated, as another component
+        could read a different one of the keys
+    """
+    keys = [text for name, text in request.header_lines if name.lower() == _KEY]
+    if len(keys) > 1:
+        raise ServingError(
+            ErrorKind.MALFORMED_REQUEST,
+            f'header {_KEY} comes {len(keys)} times; send one',
+        )
+    return keys[0].encode('latin-1') if keys else b''
+
+
 def inbound(request: Request, route: Route) -> InboundRequest:
     """Decode a request that takes ``route``.
 
@@ -67,6 +91,7 @@
         received_at=moment,
         deadline=moment + min(budget, route.timeout),
         patience=budget,
+        priority=route.priority,
         completion=_completion(request) if route.streams else None,
     )
 
@@ -132,6 +157,8 @@
         prompt, output = (int(part) for part in text.split(','))
     except ValueError as bad:
         raise _malformed(_TOKENS, text) from bad
+    if not all(0 <= count <= _MOST_TOKENS for count in (prompt, output)):
+        raise _malformed(_TOKENS, text)
     return prompt, output
 
 
@@ -144,7 +171,8 @@
 
 
 def _malformed(name: str, text: str) -> ServingError:
+    quoted = text[:_QUOTED_CHARACTERS]
     return ServingError(
         ErrorKind.MALFORMED_REQUEST,
-        f'header {name} holds {text!r}, which cannot be read; correct it',
+        f'header {name} holds {quoted!r}, which cannot be read; correct it',
     )
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -51,6 +51,8 @@
             ('Time-Budget-Ms', str(budget)),
             ('Expect-Instance', upstream.id),
         ]
+        if request.workspace:
+            headers.append(('Tenant', request.workspace))
         if sending.priority is not None:
             urgency = min(sending.priority, _MOST_PRIORITY)
             headers.append(('Request-Priority', str(urgency)))
--- a/flamingovalve/schema/generate.py
+++ b/flamingovalve/schema/generate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
@@ -167,8 +168,8 @@
         if which == 'enum':
             name = self.type_name(proto.slot.type)
             return f'{name}.{self.enum_labels(name)[raw].upper()}'
-        if which == 'float64' and raw == int(raw):
-            return f'{float(raw)}'
+        if which == 'float64':
+            return repr(raw) if math.isfinite(raw) else f"float('{raw}')"
         source = repr(bytes(raw) if which == 'data' else raw)
         ident = self.annotations.of(proto).get('ident')
         return f'{ident}({source})' if ident else source
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -260,6 +260,7 @@
 
 struct DocumentsReply $doc("Published documents, oldest first.") {
   documents @0 :List(Document);
+  confirmedAge @1 :Float64 = inf $unit("seconds") $doc("Time since the sender's documents were last known to be current; infinite if never.");
 }
 
 struct PromptPart $doc("A part of a prompt that other prompts may share.") {
--- a/flamingovalve/util/clock.py
+++ b/flamingovalve/util/clock.py
@@ -13,6 +13,10 @@
     from collections.abc import Callable
 
 
+def _boot_time() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class _Sources:
     """The functions that are read for the time."""
 
@@ -20,6 +24,7 @@
         """Read the clocks of the operating system."""
         self.monotonic: Callable[[], float] = time.monotonic
         self.wall: Callable[[], float] = time.time
+        self.boot: Callable[[], float] = _boot_time
 
 
 _SOURCES = _Sources()
@@ -35,15 +40,25 @@
     return _SOURCES.wall()
 
 
+def boot() -> float:
+    """Give the seconds since the VM booted, including suspensions."""
+    return _SOURCES.boot()
+
+
 def replace_source(
     monotonic: Callable[[], float],
     wall_time: Callable[[], float],
+    boot_time: Callable[[], float] | None = None,
 ) -> None:
-    """Read both clocks from other sources from now on (tests only)."""
+    """Read the clocks from other sources from now on (tests only).
+
+    :param boot_time: defaults to ``monotonic``
+    """
     _SOURCES.monotonic = monotonic
     _SOURCES.wall = wall_time
+    _SOURCES.boot = boot_time or monotonic
 
 
 def restore_source() -> None:
     """Read the clocks of the operating system again."""
-    replace_source(time.monotonic, time.time)
+    replace_source(time.monotonic, time.time, _boot_time)
--- a/tests/rig/site.py
+++ b/tests/rig/site.py
@@ -27,6 +27,7 @@
     from flamingovalve.http.messages import Response
 
 HOST = 'site.example'
+REVOKE_SECONDS = 5.0
 _MICROSECONDS = 1_000_000
 _DOMAINS = ('east', 'west')
 
@@ -278,4 +279,5 @@
         settings.fleet.ack_seconds = 0.15
         settings.fleet.suspicion_seconds = 0.8
         settings.relay.connect_seconds = 0.4
+        settings.gateway.revoke_seconds = REVOKE_SECONDS
         return settings
