Update a seed's size and failure domain when its process is already known

Cause: the first datagram of a process makes its incarnation known before the rumours in the same datagram are read. The VM's own rumour is then not news, and its size, failure domain and address were dropped. For a seed, which is known by its address alone, they stayed missing (size 0), so VMs ranked it differently: the seed considered itself a candidate and the others did not.

Rumours of the same process now fill in what is missing or differs, and then count as news. Test: test_joining, which fails without the change.

--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -198,12 +198,9 @@
         if member is None:
             self._remember(rumour)
             return False
+        has_new_details = self._update_details(member, rumour)
         if not _is_newer(member, rumour):
-            return False
-        if rumour.domain and not member.vm.failure_domain:
-            member.vm.failure_domain = rumour.domain
-            member.vm.http_address = rumour.http_address
-        member.cores = rumour.cores or member.cores
+            return has_new_details
         if rumour.incarnation != member.incarnation:
             self._replaced(member)
             member.process_since = clock.now()
@@ -212,6 +209,28 @@
         self.change(member, rumour.state)
         return True
 
+    def _update_details(self, member: Member, rumour: MemberRumour) -> bool:
+        """Update the size, failure domain and address of a VM from a rumour.
+
+        The first datagram of a seed's process can make its incarnation known
+        before these details. VMs that miss the size rank the seed differently.
+
+        :returns: whether any of them was news
+        """
+        if rumour.incarnation < member.incarnation:
+            return False
+        is_new = False
+        if rumour.domain and not member.vm.failure_domain:
+            member.vm.failure_domain = rumour.domain
+            member.vm.http_address = rumour.http_address
+            is_new = True
+        if rumour.cores and rumour.cores != member.cores:
+            member.cores = rumour.cores
+            is_new = True
+        if is_new:
+            self._touch()
+        return is_new
+
     def change(self, member: Member, state: State) -> None:
         """Move a member to ``state``."""
         if member.state is state:
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -54,6 +54,22 @@
         """Note who is told of whom."""
         self.told.extend((target.vm.id, entry.vm) for entry in more)
 
+    def test_details_of_a_seed_that_was_heard_directly_first(self):
+        """VMs that miss the size or failure domain of a seed rank it differently."""
+        self.members.apply(rumour(OTHER, 7, domain='', http_address=''))
+        complete = rumour(OTHER, 7, cores=2.0)
+        self.assertTrue(self.members.apply(complete))
+        self.assertFalse(self.members.apply(complete))
+        seed = self.members.by_id[OTHER]
+        self.assertEqual(seed.cores, 2)
+        self.assertEqual(seed.vm.failure_domain, 'east')
+        self.assertEqual(seed.vm.http_address, f'{OTHER}-front')
+
+    def test_details_of_an_earlier_process_are_not_taken(self):
+        self.members.apply(rumour(OTHER, 7, cores=2.0))
+        self.assertFalse(self.members.apply(rumour(OTHER, 6, cores=1.0)))
+        self.assertEqual(self.members.by_id[OTHER].cores, 2)
+
     def hear(self, *rumours: MemberRumour) -> None:
         """Let the VM hear rumours."""
 
