Enforce workspace quotas with one keeper VM each, without a coordinator

The keeper of a workspace's quota is the first in the rendezvous order of the large VMs that answer. A request takes its credit there (CreditAsk, one exchange) before it is sent. Credit of requests that did not run is given back: later requests of the same VM use it, or the next ask returns it, within half a second. A request is admitted if the balance covers it; one larger than the burst overdraws a full bucket. In a partitioned fleet, the keeper that sees a majority of the VMs grants the whole rate. Any other keeper grants a part of the overage that the deployment allows (quota_overage), in proportion to its share of the VMs. A new keeper caps its balance by the last replies that the asking VMs received; a newly started process accrues credit only from its start. If no keeper answers, a VM grants credit from its own share of the quota, without overdraft, and refuses the rest with 503. Requests over the quota are refused with 429 and the time until the credit for them and for those refused before them is available again.

Removing the handover, the share of a partition or the return of unused credit each failed a test.

--- a/flamingovalve/errors.py
+++ b/flamingovalve/errors.py
@@ -31,6 +31,7 @@
     UNKNOWN_KEY = ('unknown_key', 401)
     APPLICATION_NOT_ALLOWED = ('application_not_allowed', 403)
     RATE_LIMITED = ('rate_limited', 429)
+    QUOTA_UNAVAILABLE = ('quota_unavailable', 503)
     OVERLOADED = ('overloaded', 503)
     DEADLINE_TOO_SHORT = ('deadline_too_short', 503)
     DEADLINE_PASSED = ('deadline_passed', 504)
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -26,6 +26,8 @@
 from flamingovalve.gateway.place_finder import PlaceFinder
 from flamingovalve.gateway.places import PlaceClient, PlaceServer
 from flamingovalve.gateway.quarantine import CrashQuarantine
+from flamingovalve.gateway.quota_keeper import QuotaKeeper
+from flamingovalve.gateway.quotas import QuotaClient
 from flamingovalve.gateway.relay import UpstreamRelay
 from flamingovalve.gateway.retries import FleetRetryBudget
 from flamingovalve.gateway.revocation import RevocationGuard
@@ -209,10 +211,24 @@
             settings.gateway.revoke_seconds,
         )
         self.access = AccessControl(self.platform, self.catalogue, self.guard)
+        self.quota_keeper = QuotaKeeper(
+            self.catalogue,
+            self.members,
+            self.started_at,
+            settings.gateway.quota_overage,
+        )
+        self.quotas = QuotaClient(
+            self.catalogue,
+            self.members,
+            self.peers,
+            self.quota_keeper,
+            self.gossip.probe_now,
+        )
         self.front = Front(
             self.platform,
             self.catalogue,
             self.access,
+            self.quotas,
             self.server,
             self.metrics,
             self.follower.until_configured,
@@ -234,6 +250,7 @@
         on_session(messages.PlaceAsk, place_server.serve)
         on_session(messages.PlaceHold, place_server.serve_hold)
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
+        self.peer_server.on_ask(messages.CreditAsk, self.quota_keeper.answer)
         handlers = GossipHandlers(
             self.follower,
             self.quarantine,
@@ -418,6 +435,7 @@
             'catalogue': self.catalogue.counts,
             'access': self.access.counts,
             'revocation': self.guard.counts,
+            'quota': self.quotas.counts,
             'owner': self.owned.total_counts(),
             'quarantine': self.quarantine.counts,
         }
@@ -451,6 +469,7 @@
                 group: claim.vm for group, claim in self.claims.by_group.items()
             },
             'owned': self.owned.state_dump(),
+            'credit': self.quota_keeper.state_dump(),
             'catalogue': asdict(self.catalogue.counts),
         }
 
--- a/flamingovalve/gateway/front.py
+++ b/flamingovalve/gateway/front.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from flamingovalve.errors import ConnectionLost, ErrorKind, ServingError
+from flamingovalve.errors import ConnectionLost, ErrorKind, Ran, ServingError
 from flamingovalve.gateway import return_times
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
@@ -17,7 +17,9 @@
     from flamingovalve.gateway.access import AccessControl
     from flamingovalve.gateway.adapter import PlatformAdapter
     from flamingovalve.gateway.catalogue import Catalogue
+    from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.metrics import GatewayMetrics
+    from flamingovalve.gateway.quotas import QuotaClient
     from flamingovalve.gateway.serving import RequestServer
     from flamingovalve.http.messages import Request
     from flamingovalve.http.server import Responder
@@ -33,6 +35,7 @@
         platform: PlatformAdapter,
         catalogue: Catalogue,
         access: AccessControl,
+        quotas: QuotaClient,
         server: RequestServer,
         metrics: GatewayMetrics,
         until_configured: Callable[[], float],
@@ -47,6 +50,7 @@
         self._platform = platform
         self._catalogue = catalogue
         self._access = access
+        self._quotas = quotas
         self._server = server
         self._metrics = metrics
 
@@ -88,7 +92,20 @@
         inbound = await self._access.admit(request)
         inbound.has_caller_left = responder.has_caller_left
         async with responder.watch_caller():
+            await self._serve_within_quota(inbound, responder)
+
+    async def _serve_within_quota(
+        self,
+        inbound: InboundRequest,
+        responder: Responder,
+    ) -> None:
+        await self._quotas.take(inbound)
+        try:
             await self._server.serve(inbound, responder)
+        except ServingError as failed:
+            if failed.ran is Ran.NOT and not inbound.tried:
+                self._quotas.give_back(inbound)
+            raise
 
     def _not_ready(self, request: Request) -> ServingError:
         return ServingError(
--- a/flamingovalve/gateway/inbound.py
+++ b/flamingovalve/gateway/inbound.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from flamingovalve.gateway.model import NO_WORKSPACE, WorkspaceId
-from flamingovalve.generated.ids import ServiceId
+from flamingovalve.gateway.model import NO_WORKSPACE
+from flamingovalve.generated.ids import ServiceId, WorkspaceId
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -56,6 +56,8 @@
     :ivar patience: seconds that the caller was ready to wait
     :ivar priority: 0 is the most urgent
     :ivar workspace: the owner of its API key; empty if its route needs no key
+    :ivar tokens: prompt and output tokens as counted by the caller; none if
+        it sent no counts
     :ivar service: the one of the route's services that it goes to
     :ivar tried: upstreams that it was sent to and that may have run it
     :ivar refused_by: upstreams that did not run it
@@ -73,6 +75,7 @@
     patience: float
     priority: int = 0
     workspace: WorkspaceId = NO_WORKSPACE
+    tokens: int | None = None
     service: ServiceId = ServiceId('')
     completion: Completion | None = None
     tried: list[str] = field(default_factory=list)
--- a/flamingovalve/gateway/model.py
+++ b/flamingovalve/gateway/model.py
@@ -5,9 +5,10 @@
 import hashlib
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING, Final, NewType
+from typing import TYPE_CHECKING, Final
+
+from flamingovalve.generated.ids import WorkspaceId
 
-WorkspaceId = NewType('WorkspaceId', str)
 NO_WORKSPACE: Final = WorkspaceId('')
 
 if TYPE_CHECKING:
@@ -113,15 +114,48 @@
     engine: EngineTraits | None = None
 
 
+class QuotaUnit(Enum):
+    """Unit in which a quota is measured."""
+
+    REQUESTS = 'requests'
+    TOKENS = 'tokens'
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """Rate limit of a workspace over all VMs.
+
+    :ivar rate: units a second
+    :ivar burst: most units that can accumulate
+    :ivar default_tokens: cost of a request without token counts
+    """
+
+    rate: float
+    burst: float
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    default_tokens: int = 0
+
+    def cost_of(self, tokens: int | None) -> float:
+        """Give the cost of a request in units of the quota.
+
+        :param tokens: prompt and output tokens; none if not counted
+        """
+        if self.unit is QuotaUnit.REQUESTS:
+            return 1
+        return self.default_tokens if tokens is None else tokens
+
+
 @dataclass(frozen=True, slots=True)
 class Workspace:
     """A tenant whose callers share API keys and a priority.
 
     :ivar priority: overrides the priority of the route unless none
+    :ivar quota: none for no limit
     """
 
     name: WorkspaceId
     priority: int | None = None
+    quota: Quota | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +183,9 @@
     )
     limits: CallerLimits = CallerLimits()
     workspaces_by_key: dict[bytes, Workspace] | None = None
+    workspaces_by_name: dict[WorkspaceId, Workspace] = field(
+        default_factory=dict,
+    )
 
     def needs_key(self, route: Route) -> bool:
         """Tell whether requests of a route need an API key."""
@@ -158,6 +195,11 @@
         """Give the workspace that owns an API key."""
         return (self.workspaces_by_key or {}).get(key_digest(key))
 
+    def quota_of(self, name: WorkspaceId) -> Quota | None:
+        """Give the quota of a workspace; none for no limit."""
+        workspace = self.workspaces_by_name.get(name)
+        return workspace.quota if workspace else None
+
     def find(self, host: str, path: str) -> Route | None:
         """Give the route with the longest prefix that begins ``path``."""
         for route in self.routes_by_host.get(host, ()):
--- /dev/null
+++ b/flamingovalve/gateway/quota_keeper.py
@@ -0,0 +1,112 @@
+"""Grants credit for the workspaces whose quota this VM keeps."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from flamingovalve.gateway.credit import CreditBucket
+from flamingovalve.generated.messages import CreditReply
+from flamingovalve.util import clock
+
+if TYPE_CHECKING:
+    from flamingovalve.gateway.catalogue import Catalogue
+    from flamingovalve.gateway.model import Quota
+    from flamingovalve.generated.ids import WorkspaceId
+    from flamingovalve.generated.messages import CreditAsk, Hello
+    from flamingovalve.membership.members import MemberTable
+
+# After this long without asks, another VM may have been the keeper.
+_IDLE_SECONDS: Final = 2.0
+# For this long after an idle period, asks cap the balance by ``most_left``.
+_HANDOVER_SECONDS: Final = 1.0
+
+
+@dataclass(slots=True)
+class _KeptBucket:
+    """A bucket and the times of requests for its credit.
+
+    :ivar active_since: first ask after the last idle period
+    :ivar last_asked_at: most recent ask
+    """
+
+    bucket: CreditBucket
+    active_since: float
+    last_asked_at: float
+
+
+class QuotaKeeper:
+    """Holds the credit bucket of each workspace whose quota this VM keeps.
+
+    In a partitioned fleet, each partition has its own keeper. The one that
+    sees a majority of the VMs grants the whole rate, and the others only a
+    part of the allowed overage.
+    """
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        members: MemberTable,
+        started_at: float,
+        overage: float,
+    ) -> None:
+        """Grant credit by the quotas in ``catalogue``.
+
+        :param started_at: when this process started, on our clock; credit
+            accrues from then on, as earlier grants are unknown
+        :param overage: fraction by which a partitioned fleet may exceed a
+            quota
+        """
+        self._catalogue = catalogue
+        self._members = members
+        self._started_at = started_at
+        self._overage = overage
+        self._kept_by_workspace: dict[WorkspaceId, _KeptBucket] = {}
+
+    async def answer(self, ask: CreditAsk, _remote: Hello) -> CreditReply:
+        """Answer another VM."""
+        return self.take(ask)
+
+    def take(self, ask: CreditAsk) -> CreditReply:
+        """Grant credit or a wait, which is infinite if the quota is unknown."""
+        quota = self._catalogue.configuration.quota_of(ask.workspace)
+        if quota is None:
+            return CreditReply(float('inf'), 0)
+        bucket = self._refreshed_bucket(ask, quota)
+        wait = bucket.take(ask.wanted, self._share())
+        return CreditReply(wait, bucket.balance)
+
+    def _share(self) -> float:
+        """Give the fraction of a quota's rate that this VM may grant.
+
+        Partitions without a majority hold at most half of the VMs, so
+        together they grant at most half of the overage. The rest covers the
+        time until a partition is noticed.
+        """
+        if self._members.has_quorum():
+            return 1
+        return self._members.visible_share() * self._overage
+
+    def state_dump(self) -> dict[str, float]:
+        """Give the balance of each workspace."""
+        return {
+            name: round(kept.bucket.balance)
+            for name, kept in self._kept_by_workspace.items()
+        }
+
+    def _refreshed_bucket(self, ask: CreditAsk, quota: Quota) -> CreditBucket:
+        moment = clock.now()
+        kept = self._kept_by_workspace.get(ask.workspace)
+        if kept is None:
+            bucket = CreditBucket(quota, self._started_at)
+            kept = _KeptBucket(bucket, moment, moment)
+            self._kept_by_workspace[ask.workspace] = kept
+        if moment > kept.last_asked_at + _IDLE_SECONDS:
+            kept.active_since = moment
+        kept.last_asked_at = moment
+        bucket = kept.bucket
+        bucket.update_quota(quota)
+        bucket.give_back(ask.unused)
+        if moment <= kept.active_since + _HANDOVER_SECONDS:
+            bucket.cap(ask.most_left)
+        return bucket
--- /dev/null
+++ b/flamingovalve/gateway/quotas.py
@@ -0,0 +1,279 @@
+"""Obtains credit for requests from the VM that keeps the quota."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import curio
+
+from flamingovalve.errors import ConnectionLost, ErrorKind, ServingError
+from flamingovalve.gateway import return_times
+from flamingovalve.gateway.credit import CreditBucket
+from flamingovalve.generated.messages import CreditAsk, CreditReply, MemberState
+from flamingovalve.membership.members import largest
+from flamingovalve.peer.client import PeerUnreachable
+from flamingovalve.util import clock, hashing
+from flamingovalve.util.logs import get_logger, note
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from flamingovalve.gateway.catalogue import Catalogue
+    from flamingovalve.gateway.inbound import InboundRequest
+    from flamingovalve.gateway.model import Quota
+    from flamingovalve.gateway.quota_keeper import QuotaKeeper
+    from flamingovalve.generated.ids import VmId, WorkspaceId
+    from flamingovalve.membership.members import Member, MemberTable
+    from flamingovalve.peer.client import PeerPool
+
+logger = get_logger(__name__)
+
+_ASK_SECONDS: Final = 0.25
+# Keepers that are asked before the local share is used.
+_MOST_KEEPERS_ASKED: Final = 2
+# A keeper that did not answer is skipped for this long.
+_SKIP_SECONDS: Final = 1.0
+# Unused credit expires after this long.
+_UNUSED_LIFETIME_SECONDS: Final = 0.5
+_SHORTEST_RETRY_SECONDS: Final = 0.1
+_NO_KEEPER_RETRY_SECONDS: Final = 0.3
+
+
+@dataclass(slots=True)
+class QuotaCounts:
+    """Requests subject to a quota, by outcome."""
+
+    granted: int = 0
+    refused: int = 0
+    given_back: int = 0
+    unanswered: int = 0
+
+
+@dataclass(slots=True)
+class _WorkspaceCredit:
+    """Credit state of a workspace on this VM.
+
+    :ivar unused: credit granted for requests that did not run
+    :ivar unused_at: when credit was last given back
+    :ivar keeper_balance: balance in the last reply of a keeper
+    :ivar keeper_balance_at: when that reply arrived
+    :ivar local_bucket: this VM's share of the quota, for when no keeper
+        answers
+    """
+
+    unused: float = 0
+    unused_at: float = 0
+    keeper_balance: float = float('inf')
+    keeper_balance_at: float = 0
+    local_bucket: CreditBucket | None = None
+
+
+class QuotaClient:
+    """Admits requests within the quota of their workspace.
+
+    The keeper of a quota is the first of the large reachable VMs in
+    rendezvous order. If no keeper answers, for example before a failure is
+    detected, a VM grants credit from its own share of the quota.
+    """
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        members: MemberTable,
+        peers: PeerPool,
+        keeper: QuotaKeeper,
+        probe: Callable[[VmId | None], Awaitable[None]],
+    ) -> None:
+        """Ask remote keepers through ``peers`` and the local one directly.
+
+        :param probe: checks at once whether a VM still answers
+        """
+        self.counts = QuotaCounts()
+        self._catalogue = catalogue
+        self._members = members
+        self._peers = peers
+        self._keeper = keeper
+        self._probe = probe
+        self._credit_by_workspace: dict[WorkspaceId, _WorkspaceCredit] = {}
+        self._skipped_until: dict[VmId, float] = {}
+
+    async def take(self, request: InboundRequest) -> None:
+        """Take credit for a request.
+
+        :raises ServingError: when the quota is exceeded, or no keeper answers
+            and the local share is used up
+        """
+        quota = self._catalogue.configuration.quota_of(request.workspace)
+        if quota is None:
+            return
+        credit = self._credit_of(request.workspace)
+        wait = await self._take_credit(request, quota, credit)
+        if wait > 0:
+            raise self._over_quota_error(request, quota, credit, wait)
+        self.counts.granted += 1
+
+    def give_back(self, request: InboundRequest) -> None:
+        """Give back the credit of a request that did not run."""
+        quota = self._catalogue.configuration.quota_of(request.workspace)
+        if quota is None:
+            return
+        credit = self._credit_of(request.workspace)
+        credit.unused = _reusable_credit(credit) + quota.cost_of(request.tokens)
+        credit.unused_at = clock.now()
+        self.counts.given_back += 1
+
+    def _credit_of(self, workspace: WorkspaceId) -> _WorkspaceCredit:
+        return self._credit_by_workspace.setdefault(
+            workspace, _WorkspaceCredit()
+        )
+
+    async def _take_credit(
+        self,
+        request: InboundRequest,
+        quota: Quota,
+        credit: _WorkspaceCredit,
+    ) -> float:
+        """Take credit; give the seconds to wait if it was refused."""
+        cost = quota.cost_of(request.tokens)
+        unused = _reusable_credit(credit)
+        if unused >= cost:
+            credit.unused = unused - cost
+            return 0
+        credit.unused = 0
+        ask = CreditAsk(
+            request.workspace,
+            cost,
+            unused,
+            _most_left(credit, quota),
+        )
+        for vm in self._keepers(request.workspace):
+            reply = await self._ask(vm, ask)
+            if reply is not None:
+                credit.keeper_balance = reply.left
+                credit.keeper_balance_at = clock.now()
+                return reply.wait_seconds
+        self.counts.unanswered += 1
+        if self._take_local_share(quota, credit, cost):
+            return 0
+        raise self._no_keeper_error(request)
+
+    async def _ask(self, vm: VmId, ask: CreditAsk) -> CreditReply | None:
+        if vm == self._members.own_id:
+            reply = self._keeper.take(ask)
+        else:
+            reply = await self._ask_peer(vm, ask)
+        if reply is None or reply.wait_seconds == float('inf'):
+            return None
+        return reply
+
+    async def _ask_peer(self, vm: VmId, ask: CreditAsk) -> CreditReply | None:
+        keeper = self._members.by_id[vm].vm
+        address = keeper.peer_address
+        try:
+            async with curio.timeout_after(_ASK_SECONDS):
+                _from, reply = await self._peers.ask(
+                    address,
+                    vm,
+                    ask,
+                    _ASK_SECONDS,
+                )
+        except (curio.TaskTimeout, PeerUnreachable, ConnectionLost) as failed:
+            logger.info('quota keeper {} did not answer: {!r}', vm, failed)
+            self._skipped_until[vm] = clock.now() + _SKIP_SECONDS
+            await self._probe(vm)
+            return None
+        return reply
+
+    def _keepers(self, workspace: WorkspaceId) -> list[VmId]:
+        reachable = [
+            member
+            for member in self._members.present()
+            if self._is_reachable(member)
+        ]
+        vm_ids = [member.vm.id for member in largest(reachable)]
+        return hashing.first(f'quota {workspace}', vm_ids, _MOST_KEEPERS_ASKED)
+
+    def _is_reachable(self, member: Member) -> bool:
+        if member.vm.id == self._members.own_id:
+            return True
+        if clock.now() < self._skipped_until.get(member.vm.id, 0):
+            return False
+        return member.direct and member.state is MemberState.ALIVE
+
+    def _take_local_share(
+        self,
+        quota: Quota,
+        credit: _WorkspaceCredit,
+        cost: float,
+    ) -> bool:
+        """Take credit from this VM's share of the quota.
+
+        Overdraft is not allowed: in a large fleet most requests exceed the
+        share of a VM, and the overdrafts would add up to more than the quota.
+        """
+        vms = max(len(self._members.present()), 1)
+        share = dataclasses.replace(
+            quota,
+            rate=quota.rate / vms,
+            burst=quota.burst / vms,
+        )
+        if credit.local_bucket is None:
+            credit.local_bucket = CreditBucket(share, clock.now())
+        credit.local_bucket.update_quota(share)
+        return credit.local_bucket.take(cost, may_overdraw=False) == 0
+
+    def _no_keeper_error(self, request: InboundRequest) -> ServingError:
+        self.counts.refused += 1
+        note(
+            logger,
+            'refused, no quota keeper answers',
+            id=request.id,
+            workspace=request.workspace,
+        )
+        return ServingError(
+            ErrorKind.QUOTA_UNAVAILABLE,
+            'no VM answers for the quota at the moment; use another address',
+            retry_after=return_times.spread(
+                _NO_KEEPER_RETRY_SECONDS, request.id
+            ),
+        )
+
+    def _over_quota_error(
+        self,
+        request: InboundRequest,
+        quota: Quota,
+        credit: _WorkspaceCredit,
+        wait: float,
+    ) -> ServingError:
+        self.counts.refused += 1
+        pause = max(wait, _SHORTEST_RETRY_SECONDS)
+        pause = return_times.spread(pause, request.id)
+        note(
+            logger,
+            'refused, the quota is exceeded',
+            id=request.id,
+            workspace=request.workspace,
+            cost=quota.cost_of(request.tokens),
+            left=round(credit.keeper_balance),
+            age=round(clock.now() - credit.keeper_balance_at, 3),
+            rate=quota.rate,
+            version=self._catalogue.configuration.version,
+        )
+        return ServingError(
+            ErrorKind.RATE_LIMITED,
+            f'the quota of workspace {request.workspace} is used up; '
+            f'come back in {pause:.1f} s',
+            retry_after=pause,
+        )
+
+
+def _reusable_credit(credit: _WorkspaceCredit) -> float:
+    is_recent = clock.now() <= credit.unused_at + _UNUSED_LIFETIME_SECONDS
+    return credit.unused if is_recent else 0
+
+
+def _most_left(credit: _WorkspaceCredit, quota: Quota) -> float:
+    accrued = (clock.now() - credit.keeper_balance_at) * quota.rate
+    return min(credit.keeper_balance + accrued, quota.burst)
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -182,6 +182,19 @@
             return min(possible, default='') in seen
         return 2 * len(seen) > len(possible)
 
+    def visible_share(self) -> float:
+        """Give the share of the possibly live VMs that we see.
+
+        The shares of disjoint partitions add up to at most one.
+        """
+        possible = [
+            vm_id
+            for vm_id, member in self.by_id.items()
+            if not member.is_known_to_have_ended()
+        ]
+        seen = set(self.present_ids()).intersection(possible)
+        return len(seen) / max(len(possible), 1)
+
     def is_present(self, vm_id: VmId) -> bool:
         """Tell whether a VM shares the work."""
         member = self.by_id.get(vm_id)
--- a/flamingovalve/platform/decode.py
+++ b/flamingovalve/platform/decode.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 from flamingovalve.errors import Undecodable
@@ -13,6 +14,7 @@
     ModelId,
     ServiceId,
     UpstreamId,
+    WorkspaceId,
 )
 
 # What taking apart JSON of an unexpected shape raises.
@@ -28,6 +30,14 @@
 }
 
 
+_QUOTA_UNITS = {
+    '': model.QuotaUnit.REQUESTS,
+    'request': model.QuotaUnit.REQUESTS,
+    'requests': model.QuotaUnit.REQUESTS,
+    'token_count': model.QuotaUnit.TOKENS,
+}
+
+
 def json_object(content: bytes) -> dict[str, Any]:
     """Decode one JSON object.
 
@@ -99,7 +109,8 @@
         },
         {service.name: service for service in services},
         _limits(raw.get('Limits', {})),
-        _workspaces(raw.get('Tenants')),
+        _workspaces_by_key(raw.get('Tenants')),
+        _workspaces_by_name(raw.get('Tenants') or []),
     )
 
 
@@ -172,7 +183,7 @@
     )
 
 
-def _workspaces(raw: Any) -> dict[bytes, model.Workspace] | None:
+def _workspaces_by_key(raw: Any) -> dict[bytes, model.Workspace] | None:
     if raw is None:
         return None
     return {
@@ -182,11 +193,31 @@
     }
 
 
+def _workspaces_by_name(
+    raw: list[dict[str, Any]],
+) -> dict[WorkspaceId, model.Workspace]:
+    workspaces = [_workspace(entry) for entry in raw]
+    return {workspace.name: workspace for workspace in workspaces}
+
+
 def _workspace(raw: dict[str, Any]) -> model.Workspace:
     priority = raw.get('Priority')
     return model.Workspace(
-        model.WorkspaceId(_text(raw['Name'])),
+        WorkspaceId(_text(raw['Name'])),
         None if priority is None else _whole(priority),
+        _quota(raw),
+    )
+
+
+def _quota(raw: dict[str, Any]) -> model.Quota | None:
+    rate = _non_negative(raw.get('RatePerS', 0))
+    if not rate:
+        return None
+    return model.Quota(
+        rate,
+        _non_negative(raw.get('Burst', 0)),
+        _QUOTA_UNITS[raw.get('Unit', '')],
+        _whole(raw.get('PlainTokens', 0)),
     )
 
 
@@ -213,6 +244,14 @@
     return raw
 
 
+def _non_negative(raw: Any) -> float:
+    if isinstance(raw, bool) or not isinstance(raw, int | float):
+        raise TypeError(f'{raw!r} is no number')
+    if not 0 <= raw < math.inf:
+        raise ValueError(f'{raw!r} is negative or not finite')
+    return float(raw)
+
+
 def _seconds(raw: Any) -> float:
     """Turn the platform's milliseconds into the product's seconds."""
     if isinstance(raw, bool) or not isinstance(raw, int | float):
--- a/flamingovalve/platform/ingress.py
+++ b/flamingovalve/platform/ingress.py
@@ -92,6 +92,7 @@
         deadline=moment + min(budget, route.timeout),
         patience=budget,
         priority=route.priority,
+        tokens=_total_tokens(request),
         completion=_completion(request) if route.streams else None,
     )
 
@@ -162,6 +163,11 @@
     return prompt, output
 
 
+def _total_tokens(request: Request) -> int | None:
+    text = request.headers.get(_TOKENS)
+    return None if text is None else sum(_token_counts(text))
+
+
 def _parts(text: str) -> list[PromptPart]:
     try:
         pairs = [entry.split(':') for entry in text.split(',') if entry]
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -263,6 +263,18 @@
   confirmedAge @1 :Float64 = inf $unit("seconds") $doc("Time since the sender's documents were last known to be current; infinite if never.");
 }
 
+struct CreditAsk $doc("Asks the keeper of a workspace's quota for credit.") {
+  workspace @0 :Text $ident("WorkspaceId");
+  wanted @1 :Float64 $doc("Credit to take, in units of the quota.");
+  unused @2 :Float64 $doc("Credit granted earlier that was not used and is given back.");
+  mostLeft @3 :Float64 = inf $doc("Upper bound of the balance, from the last reply to the asking VM; infinite if there was none.");
+}
+
+struct CreditReply $doc("Grants credit or gives the time to wait.") {
+  waitSeconds @0 :Float64 $unit("seconds") $doc("Estimated time until a retry can succeed; 0 if credit was granted.");
+  left @1 :Float64 $doc("Remaining balance; negative while overdrawn.");
+}
+
 struct PromptPart $doc("A part of a prompt that other prompts may share.") {
   id @0 :Text;
   tokens @1 :UInt32;
@@ -333,5 +345,7 @@
     placeGrant @19 :PlaceGrant;
     placeEnd @20 :PlaceEnd;
     placeHold @21 :PlaceHold;
+    creditAsk @22 :CreditAsk;
+    creditReply @23 :CreditReply;
   }
 }
--- a/flamingovalve/schema/settings.capnp
+++ b/flamingovalve/schema/settings.capnp
@@ -50,6 +50,7 @@
   addressesPerDomain @9 :UInt32 = 6 $unit("VMs") $low(1) $high(64) $doc("VMs of one failure domain that callers are told of; each keeps its own connections to upstreams.");
   addressSeconds @8 :Float64 = 2 $unit("seconds") $low(0.1) $high(60) $doc("Time to live of an answer to which address to use.");
   revokeSeconds @10 :Float64 = 0 $unit("seconds") $low(0) $high(600) $doc("Time within which every VM, even a partitioned one, rejects a revoked API key; 0 for no bound.");
+  quotaOverage @11 :Float64 = 0 $unit("share") $low(0) $high(1) $doc("Share by which a partitioned fleet may exceed the quota of a workspace.");
 }
 
 struct OperatorSettings $section("operators") $doc("What operators may do over HTTP.") {
--- a/tests/rig/site.py
+++ b/tests/rig/site.py
@@ -28,6 +28,7 @@
 
 HOST = 'site.example'
 REVOKE_SECONDS = 5.0
+QUOTA_OVERAGE = 0.25
 _MICROSECONDS = 1_000_000
 _DOMAINS = ('east', 'west')
 
@@ -280,4 +281,5 @@
         settings.fleet.suspicion_seconds = 0.8
         settings.relay.connect_seconds = 0.4
         settings.gateway.revoke_seconds = REVOKE_SECONDS
+        settings.gateway.quota_overage = QUOTA_OVERAGE
         return settings
