Move the gateway daemon's counts, gauges and state dump to their own module

The function names follow state_of of flamingovalve/state. Measured: nothing, as nothing that serves requests changed.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -4,7 +4,6 @@
 
 import functools
 import random
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any, Final, Self
 
 import curio
@@ -34,6 +33,7 @@
 from flamingovalve.gateway.serving import RequestServer
 from flamingovalve.gateway.shards import Shards
 from flamingovalve.gateway.side_answers import SideAnswers
+from flamingovalve.gateway.state import counts_of, gauges_of, state_of
 from flamingovalve.gateway.watchers import Watchers
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
@@ -204,7 +204,10 @@
     def _build_servers(self) -> None:
         settings = self.settings
         limits = settings.limits
-        self.metrics = GatewayMetrics(self.all_counts, self.gauges)
+        self.metrics = GatewayMetrics(
+            functools.partial(counts_of, self),
+            functools.partial(gauges_of, self),
+        )
         self.guard = RevocationGuard(
             self.follower.confirmation,
             self.follower.renew_confirmation,
@@ -240,7 +243,7 @@
             self.directory,
             settings.gateway.address_seconds,
             self.metrics,
-            self.state_dump,
+            functools.partial(state_of, self),
             lambda: self.is_ready,
         )
         self.side = HttpServer(self.network, side.answer, LimitSettings())
@@ -423,56 +426,6 @@
             *self.chance.sample(claims, count),
         ]
 
-    # -- What others may see
-
-    def all_counts(self) -> dict[str, Any]:
-        """Give the counts of every part by its name."""
-        return {
-            'http': self.http.counts,
-            'gossip': self.gossip.counts,
-            'peer': self.peers.counts,
-            'peer_server': self.peer_server.counts,
-            'catalogue': self.catalogue.counts,
-            'access': self.access.counts,
-            'revocation': self.guard.counts,
-            'quota': self.quotas.counts,
-            'owner': self.owned.total_counts(),
-            'quarantine': self.quarantine.counts,
-        }
-
-    def gauges(self) -> dict[str, float]:
-        """Give the gauges by their name."""
-        return {
-            'ready': self.is_ready,
-            'leaving': self.is_leaving,
-            'requests_in_progress': self.front.in_progress,
-            'configuration_version': self.catalogue.configuration.version,
-            'catalogue_revision': self.catalogue.revision,
-            'store_reachable': self.follower.reachable,
-            'members_present': len(self.members.present()),
-            'engines_owned': self.owned.engine_count(),
-        }
-
-    def state_dump(self) -> dict[str, Any]:
-        """Give the state of this process as JSON values."""
-        return {
-            'vm': self.settings.vm.id,
-            'leaving': self.is_leaving,
-            'configuration': self.catalogue.configuration.version,
-            'revision': self.catalogue.revision,
-            'in_progress': self.front.in_progress,
-            'members': {
-                name: member.state.value
-                for name, member in self.members.by_id.items()
-            },
-            'owners': {
-                group: claim.vm for group, claim in self.claims.by_group.items()
-            },
-            'owned': self.owned.state_dump(),
-            'credit': self.quota_keeper.state_dump(),
-            'catalogue': asdict(self.catalogue.counts),
-        }
-
 
 def _at_port(seed: str, port: int) -> str:
     host, own_port = split_address(seed)
