--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -172,12 +172,8 @@
         provably gone do not count; silent ones do. Of two equal halves, the
         one with the first VM of the list in it wins.
         """
-        possible = [
-            vm_id
-            for vm_id, member in self.by_id.items()
-            if not member.is_known_to_have_ended()
-        ]
-        seen = set(self.present_ids()).intersection(possible)
+        possible = self._possibly_alive_ids()
+        seen = possible.intersection(self.present_ids())
         if 2 * len(seen) == len(possible):
             return min(possible, default='') in seen
         return 2 * len(seen) > len(possible)
@@ -187,13 +183,16 @@
 
         The shares of disjoint partitions add up to at most one.
         """
-        possible = [
+        possible = self._possibly_alive_ids()
+        seen = possible.intersection(self.present_ids())
+        return len(seen) / max(len(possible), 1)
+
+    def _possibly_alive_ids(self) -> set[VmId]:
+        return {
             vm_id
             for vm_id, member in self.by_id.items()
             if not member.is_known_to_have_ended()
-        ]
-        seen = set(self.present_ids()).intersection(possible)
-        return len(seen) / max(len(possible), 1)
+        }
 
     def is_present(self, vm_id: VmId) -> bool:
         """Tell whether a VM shares the work."""
--- a/tests/rig/site_faults.py
+++ b/tests/rig/site_faults.py
@@ -10,6 +10,8 @@
 from tests.rig.site import Site
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import curio
 
     from standins.platform_runner import PlatformEngineStandIn
@@ -39,7 +41,19 @@
 
     def play(self, steps: int) -> None:
         """Let faults and requests come in any order, then settle."""
-        faults = [
+        faults = self.faults()
+        for _step in range(steps):
+            for _request in range(self.chance.randrange(5)):
+                self.ask()
+            fault = self.chance.choice(faults)
+            self.steps[fault.__name__] += 1
+            fault()
+            self.advance(self.chance.uniform(0, _LONGEST_STEP_SECONDS))
+        self.settle()
+
+    def faults(self) -> list[Callable[[], None]]:
+        """Return the faults that :meth:`play` chooses from."""
+        return [
             self.cut_vms,
             self.cut_store,
             self.heal,
@@ -50,14 +64,6 @@
             self.lose_orders,
             self.slow_orders,
         ]
-        for _step in range(steps):
-            for _request in range(self.chance.randrange(5)):
-                self.ask()
-            fault = self.chance.choice(faults)
-            self.steps[fault.__name__] += 1
-            fault()
-            self.advance(self.chance.uniform(0, _LONGEST_STEP_SECONDS))
-        self.settle()
 
     def advance(self, seconds: float) -> None:
         """Let time pass while upstreams write their entries."""
