Refuse published numbers that do not fit a float instead of failing

Cause: a configuration whose rate has 400 digits raised OverflowError, which no decoder of published documents expected, in the task that follows the store. Found by reading the change against the list of bad input; no run showed it. Now such a document is refused whole, like any other that cannot be decoded. The new cases of test_access failed with OverflowError before.

--- a/flamingovalve/platform/decode.py
+++ b/flamingovalve/platform/decode.py
@@ -18,7 +18,13 @@
 )
 
 # What taking apart JSON of an unexpected shape raises.
-WRONG_SHAPE = (KeyError, TypeError, ValueError, AttributeError)
+WRONG_SHAPE = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 _MS_PER_SECOND = 1000.0
 
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -233,6 +233,14 @@
             [{'Name': 'w', 'ApiKeys': [7]}],
             [{'Name': 7, 'ApiKeys': ['k']}],
             [{'Name': 'w', 'ApiKeys': ['k'], 'Priority': 'x'}],
+            [{**OURS, 'RatePerS': -1}],
+            [{**OURS, 'RatePerS': '5'}],
+            [{**OURS, 'RatePerS': True}],
+            [{**OURS, 'RatePerS': 10**400}],
+            [{**OURS, 'RatePerS': 5, 'Burst': float('nan')}],
+            [{**OURS, 'RatePerS': 5, 'Burst': float('inf')}],
+            [{**OURS, 'RatePerS': 5, 'Unit': 'acres'}],
+            [{**OURS, 'RatePerS': 5, 'PlainTokens': 0.5}],
         ):
             with self.assertRaises(Undecodable):
                 self.configuration(bad)
