Close connections after the response in progress during shutdown

Responses started while the server is closing carry `Connection: close`, but a response started before that does not. When a long stream ended, the server kept reading from its connection.

Close the connection after that response. The new test failed before the fix (two requests answered, one expected).

--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -301,6 +301,10 @@
         done = all(state is h11.DONE for state in states.values())
         if not responder.ended or not done:
             return False
+        if self._server.is_closing:
+            # The response may have started before shutdown began, without
+            # `Connection: close`, so the caller may send another request.
+            return False
         self._protocol.start_next_cycle()
         return True
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,7 @@
 
 from flamingovalve.errors import ConnectionLost
 from flamingovalve.generated.settings import LimitSettings
-from flamingovalve.http.server import HttpServer, Responder
+from flamingovalve.http.server import HttpServer, Responder, ServerConnection
 from flamingovalve.util.network import Network
 
 REQUEST = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
@@ -50,3 +50,30 @@
 
         curio.run(scenario)
         self.assertEqual(self.server.counts.stalled_callers, 1)
+
+
+class TestClosingServer(unittest.TestCase):
+    """Connection reuse after the server starts closing."""
+
+    def test_no_request_is_read_after_the_response_in_progress(self):
+        """A request accepted late would be cut off when shutdown ends."""
+        requests = []
+
+        async def answer(request, responder):
+            requests.append(request)
+            await responder.start(200, [])
+            server.is_closing = True
+            await responder.chunk(b'x')
+            await responder.end()
+
+        async def scenario():
+            ours, theirs = socket.socketpair()
+            await theirs.sendall(REQUEST + REQUEST)
+            async with curio.timeout_after(5):
+                await ServerConnection(server, ours).run(full=False)
+            await ours.close()
+            await theirs.close()
+
+        server = HttpServer(Network(), answer, LimitSettings())
+        curio.run(scenario)
+        self.assertEqual(len(requests), 1)
