Log what upstreams announce, and count requests to them by purpose

Neither a log line nor a metric said that an upstream had announced a limit, that it was leaving, or what it asked for when it rejected a request; and reports of engines were counted nowhere.

Change: UpstreamClient is the one place through which completions, calls, reports and orders pass to an upstream. The names of the headers stand in platform/ only. No request is sent, delayed or refused differently.

--- a/flamingovalve/gateway/adapter.py
+++ b/flamingovalve/gateway/adapter.py
@@ -12,6 +12,7 @@
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Route, Upstream
     from flamingovalve.gateway.relay import Wire
+    from flamingovalve.gateway.upstream_client import UpstreamClient
     from flamingovalve.generated.ids import DomainId
     from flamingovalve.http.client import ConnectionPool
     from flamingovalve.http.messages import Request, Response
@@ -26,7 +27,7 @@
     def store(self, pool: ConnectionPool) -> Store:
         """Create a client of the platform's store."""
 
-    def engine(self, pool: ConnectionPool, upstream: Upstream) -> EngineLink:
+    def engine(self, client: UpstreamClient, upstream: Upstream) -> EngineLink:
         """Create a link to an engine."""
 
     def host_of(self, request: Request) -> str:
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -9,6 +9,7 @@
 import curio
 
 from flamingovalve.gateway.access import AccessControl
+from flamingovalve.gateway.announcements import UpstreamStatuses
 from flamingovalve.gateway.attempts import Attempts
 from flamingovalve.gateway.balancer import Balancer
 from flamingovalve.gateway.calls import CallServer
@@ -34,6 +35,7 @@
 from flamingovalve.gateway.shards import Shards
 from flamingovalve.gateway.side_answers import AuxiliaryEndpoints
 from flamingovalve.gateway.state import counts_of, gauges_of, state_of
+from flamingovalve.gateway.upstream_client import UpstreamClient
 from flamingovalve.gateway.watchers import Watchers
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
@@ -146,7 +148,13 @@
     def _build_serving(self) -> None:
         settings = self.settings
         domain = DomainId(settings.vm.failure_domain)
-        link_to = functools.partial(self.platform.engine, self.pool)
+        self.upstream_statuses = UpstreamStatuses()
+        client = UpstreamClient(
+            self.pool,
+            self.platform.wire.announcement,
+            self.upstream_statuses,
+        )
+        link_to = functools.partial(self.platform.engine, client)
         self.claims = GroupClaims(self.members, clock.now())
         self.shards = Shards(self.catalogue)
         self.owned = OwnedGroups(
@@ -185,7 +193,7 @@
             self._refuses_connections,
         )
         attempts = Attempts(retry_budget, self.quarantine)
-        relay = UpstreamRelay(self.pool, self.platform.wire)
+        relay = UpstreamRelay(client, self.platform.wire)
         balancer = Balancer(domain, self.rng)
         calls = CallServer(self.catalogue, balancer, relay, attempts)
         self.completions = CompletionServer(
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 from flamingovalve.errors import ConnectionLost, ErrorKind, Ran, ServingError
+from flamingovalve.gateway.announcements import Purpose
 from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.http.messages import Response, end_to_end
 from flamingovalve.util import clock
@@ -15,10 +16,11 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from flamingovalve.gateway.announcements import Announcement
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
+    from flamingovalve.gateway.upstream_client import UpstreamClient
     from flamingovalve.http.client import (
-        ConnectionPool,
         ResponseHead,
         UpstreamCall,
         UpstreamConnection,
@@ -101,6 +103,9 @@
     def verdict(self, head: ResponseHead, request: InboundRequest) -> Verdict:
         """Classify the head of a response to a request."""
 
+    def announcement(self, head: ResponseHead) -> Announcement:
+        """Decode what a response announces about its upstream."""
+
     def keep_alive_seconds(self, head: ResponseHead) -> float | None:
         """Return the announced keep-alive timeout in seconds, if any."""
 
@@ -108,9 +113,9 @@
 class UpstreamRelay:
     """Sends requests to upstreams over pooled connections."""
 
-    def __init__(self, pool: ConnectionPool, wire: Wire) -> None:
-        """Send over connections of ``pool`` in the format of ``wire``."""
-        self._pool = pool
+    def __init__(self, client: UpstreamClient, wire: Wire) -> None:
+        """Send through ``client`` in the format of ``wire``."""
+        self._client = client
         self._wire = wire
 
     async def exchange(
@@ -163,9 +168,9 @@
         if seconds <= 0:
             return None
         try:
-            return await self._pool.acquire(upstream.address)
+            return await self._client.acquire(upstream)
         except OSError:
-            await self._pool.drop(upstream.address)
+            await self._client.drop(upstream)
             return None
 
     async def _dispose(
@@ -176,7 +181,7 @@
         if sent.outcome in _CONNECTION_UNUSABLE_AFTER:
             await connection.close()
         else:
-            await self._pool.release(connection)
+            await self._client.release(connection)
 
     async def _exchange_head(
         self,
@@ -186,14 +191,24 @@
         options: SendOptions,
     ) -> ResponseHead:
         call = self._wire.call_of(request, upstream, options)
-        await connection.send(call, request.remaining_timeout())
-        head = await connection.head(request.remaining_timeout())
+        sent = await self._client.send(
+            connection,
+            upstream,
+            Purpose.SERVE,
+            call,
+            request.remaining_timeout(),
+        )
+        head = await self._client.head(
+            connection, sent, request.remaining_timeout()
+        )
         while self._wire.verdict(head, request) is Verdict.OTHER_REQUEST:
             # Skips a duplicate response to an earlier call on this connection;
             # the response to this request follows.
             await connection.body(request.remaining_timeout())
             connection.expect_extra_response()
-            head = await connection.head(request.remaining_timeout())
+            head = await self._client.head(
+                connection, sent, request.remaining_timeout()
+            )
         keep_alive = self._wire.keep_alive_seconds(head)
         if keep_alive is not None:
             connection.keep_alive_seconds = keep_alive * _KEEP_ALIVE_SHARE
--- /dev/null
+++ b/flamingovalve/gateway/upstream_client.py
@@ -0,0 +1,121 @@
+"""Sends all requests of this VM to upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from flamingovalve.gateway.announcements import SentRequest
+from flamingovalve.http.messages import Response
+from flamingovalve.util import clock
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from flamingovalve.gateway.announcements import (
+        Announcement,
+        Purpose,
+        UpstreamStatuses,
+    )
+    from flamingovalve.gateway.model import Upstream
+    from flamingovalve.http.client import (
+        ConnectionPool,
+        ResponseHead,
+        UpstreamCall,
+        UpstreamConnection,
+    )
+
+
+class UpstreamClient:
+    """Sends requests to upstreams and reads what they announce.
+
+    Completions, calls, reports and orders all pass through here, so that no
+    path can miss an announcement.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        announcement_of: Callable[[ResponseHead], Announcement],
+        statuses: UpstreamStatuses,
+    ) -> None:
+        """Send over connections of ``pool``.
+
+        :param announcement_of: decodes the announcement of a response
+        :param statuses: records requests and announcements
+        """
+        self._pool = pool
+        self._announcement_of = announcement_of
+        self._statuses = statuses
+
+    async def acquire(self, upstream: Upstream) -> UpstreamConnection:
+        """Return a connection to an upstream.
+
+        :raises OSError: if it cannot be reached in time
+        """
+        return await self._pool.acquire(upstream.address)
+
+    async def release(self, connection: UpstreamConnection) -> None:
+        """Return a connection to the pool after its request."""
+        await self._pool.release(connection)
+
+    async def drop(self, upstream: Upstream) -> None:
+        """Close the idle connections to an upstream."""
+        await self._pool.drop(upstream.address)
+
+    async def send(
+        self,
+        connection: UpstreamConnection,
+        upstream: Upstream,
+        purpose: Purpose,
+        call: UpstreamCall,
+        seconds: float,
+    ) -> SentRequest:
+        """Send a request over a connection.
+
+        :raises ConnectionLost: if the connection broke
+        :raises TimeoutError: if sending took longer than ``seconds``
+        """
+        sent = SentRequest(upstream.id, purpose, clock.now())
+        self._statuses.record_sent(sent)
+        await connection.send(call, seconds)
+        return sent
+
+    async def head(
+        self,
+        connection: UpstreamConnection,
+        sent: SentRequest,
+        seconds: float,
+    ) -> ResponseHead:
+        """Wait for the head of the response to ``sent``.
+
+        :raises ConnectionLost: if the connection broke
+        :raises TimeoutError: if nothing was received for ``seconds``
+        """
+        head = await connection.head(seconds)
+        self._statuses.record(sent, self._announcement_of(head))
+        return head
+
+    async def exchange(
+        self,
+        upstream: Upstream,
+        purpose: Purpose,
+        call: UpstreamCall,
+        seconds: float,
+    ) -> Response:
+        """Send a request and return the complete response.
+
+        :param seconds: time limit of each wait
+        :raises OSError: if the upstream cannot be reached in time
+        :raises ConnectionLost: if the connection broke
+        :raises TimeoutError: if one of the waits exceeded ``seconds``
+        """
+        connection = await self.acquire(upstream)
+        try:
+            sent = await self.send(connection, upstream, purpose, call, seconds)
+            head = await self.head(connection, sent, seconds)
+            body = await connection.body(seconds)
+        except BaseException:
+            await connection.close()
+            raise
+        await self.release(connection)
+        return Response(head.status, list(head.headers.items()), body)
--- a/flamingovalve/platform/adapter.py
+++ b/flamingovalve/platform/adapter.py
@@ -13,6 +13,7 @@
     from flamingovalve.errors import ServingError
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Route, Upstream
+    from flamingovalve.gateway.upstream_client import UpstreamClient
     from flamingovalve.generated.messages import Document
     from flamingovalve.http.client import ConnectionPool
     from flamingovalve.http.messages import Request, Response
@@ -48,11 +49,11 @@
 
     def engine(
         self,
-        pool: ConnectionPool,
+        client: UpstreamClient,
         upstream: Upstream,
     ) -> PlatformEngine:
         """Return a client of an engine."""
-        return PlatformEngine(pool, upstream)
+        return PlatformEngine(client, upstream)
 
     def host_of(self, request: Request) -> str:
         """Return the host that a request addresses."""
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any, Final
 
 from flamingovalve.errors import ConnectionLost, Undecodable
+from flamingovalve.gateway.announcements import Announcement, Purpose
 from flamingovalve.gateway.orders import EngineReport, OrderOutcome
 from flamingovalve.gateway.relay import Verdict
 from flamingovalve.generated.ids import AdapterId, ModelId
@@ -19,7 +21,8 @@
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.orders import Order
     from flamingovalve.gateway.relay import SendOptions
-    from flamingovalve.http.client import ConnectionPool, ResponseHead
+    from flamingovalve.gateway.upstream_client import UpstreamClient
+    from flamingovalve.http.client import ResponseHead
 
 logger = get_logger(__name__)
 
@@ -32,6 +35,8 @@
 _FIRST_SUCCESS: Final = 200
 _LAST_SUCCESS: Final = 299
 _STATUS_MISDIRECTED: Final = 421
+_STATUS_UNAVAILABLE: Final = 503
+_DECIMAL: Final = re.compile(r'\d{1,9}(\.\d{1,9})?')
 _RESUME_HEADER: Final = 'last-event-id'
 
 
@@ -87,6 +92,17 @@
             return Verdict.SUCCESS
         return Verdict.FAILURE
 
+    def announcement(self, head: ResponseHead) -> Announcement:
+        """Decode what a response announces about its upstream."""
+        rest = None
+        if head.status == _STATUS_UNAVAILABLE:
+            rest = _decimal(head.headers.get('retry-after', ''))
+        return Announcement(
+            _decimal(head.headers.get('server-limit', '')),
+            head.headers.get('server-leaving', '').strip() == '1',
+            rest or 0,
+        )
+
     def keep_alive_seconds(self, head: ResponseHead) -> float | None:
         """Return the keep-alive timeout of the upstream, if it sends one."""
         text = head.headers.get('keep-alive', '')
@@ -100,17 +116,18 @@
 class PlatformEngine:
     """Sends orders to one engine and reads its reports."""
 
-    def __init__(self, pool: ConnectionPool, upstream: Upstream) -> None:
-        """Use the engine at ``upstream``."""
-        self._pool = pool
+    def __init__(self, client: UpstreamClient, upstream: Upstream) -> None:
+        """Use the engine ``upstream`` through ``client``."""
+        self._client = client
         self._upstream = upstream
 
     async def report(self) -> EngineReport | None:
         """Read the report of the engine; ``None`` without a valid one."""
         call = UpstreamCall('GET', '/report', [])
         try:
-            response = await self._pool.exchange(
-                self._upstream.address,
+            response = await self._client.exchange(
+                self._upstream,
+                Purpose.REPORT,
                 call,
                 _REPORT_SECONDS,
             )
@@ -131,8 +148,9 @@
         call = UpstreamCall.from_json('POST', '/order', _order_body(order))
         call.headers.append(('Expect-Instance', self._upstream.id))
         try:
-            response = await self._pool.exchange(
-                self._upstream.address,
+            response = await self._client.exchange(
+                self._upstream,
+                Purpose.ORDER,
                 call,
                 _ORDER_SECONDS,
             )
@@ -152,6 +170,12 @@
 }
 
 
+def _decimal(text: str) -> float | None:
+    """Return the decimal number in a header; None if there is none."""
+    text = text.strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def _order_body(order: Order) -> dict[str, Any]:
     body: dict[str, Any] = {
         'Op': order.action.value,
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -5,9 +5,11 @@
 import curio
 
 from flamingovalve.errors import ConnectionLost
+from flamingovalve.gateway.announcements import UpstreamStatuses
 from flamingovalve.gateway.inbound import InboundRequest
 from flamingovalve.gateway.model import RepeatPolicy, Route
 from flamingovalve.gateway.relay import Outcome, SendOptions, UpstreamRelay
+from flamingovalve.gateway.upstream_client import UpstreamClient
 from flamingovalve.generated.ids import RequestId
 from tests.rig.engines import upstream
 from tests.rig.timeline import TimedTestCase
@@ -82,7 +84,10 @@
 
     def send(self, request, seconds):
         """Send a request over a connection that takes ``seconds`` to open."""
-        relay = UpstreamRelay(SlowPool(self, seconds), EmptyWire())
+        client = UpstreamClient(
+            SlowPool(self, seconds), lambda _head: None, UpstreamStatuses()
+        )
+        relay = UpstreamRelay(client, EmptyWire())
         return curio.run(
             relay.exchange,
             request,
