--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -103,6 +103,14 @@
         """Return, without waiting, whether the caller has disconnected."""
         return is_closed_by_peer(self._socket)
 
+    def remote_address(self) -> tuple[str, int]:
+        """Return the host and port of the caller.
+
+        :raises OSError: if the connection is closed
+        """
+        host, port = self._socket.getpeername()
+        return host, port
+
     def watch_caller(self) -> CallerWatch:
         """Return a context that cancels the current task on disconnection.
 
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -11,6 +11,7 @@
 from flamingovalve.errors import ConnectionLost
 from flamingovalve.http.messages import Request, Response
 from flamingovalve.util import clock
+from standins.announcing import AnnouncingResponder, History
 from standins.base import StandIn
 
 if TYPE_CHECKING:
@@ -42,6 +43,8 @@
     :ivar lose_answers: number of next requests that run, but whose
         connection is dropped before the response
     :ivar full: whether to refuse every request as not executed
+    :ivar history: requests that arrived and what their responses announced;
+        its ``announced`` is added to each response
     """
 
     def __init__(self, network: Network, address: str, name: str) -> None:
@@ -54,6 +57,13 @@
         self.failures = 0
         self.lose_answers = 0
         self.full = False
+        self.history = History()
+
+    async def respond(self, request: Request, responder: Responder) -> None:
+        """Record the arrival of a request and announce in the response."""
+        arrival = self.history.record_arrival(request, responder)
+        announcing = AnnouncingResponder(responder, self.history, arrival)
+        await super().respond(request, announcing)
 
     async def answer(self, request: Request, responder: Responder) -> None:
         """Run one request, unless it expects another instance."""
@@ -61,7 +71,7 @@
         if expected_instance != self.name:
             headers = [('Instance', self.name)]
             await responder.send(Response(421, headers))
-        elif self.full:
+        elif self.full or self.history.announced.rest_seconds:
             await responder.send(Response(503, [('Not-Executed', '1')]))
         else:
             await self.run_request(request, responder)
--- a/tests/rig/site.py
+++ b/tests/rig/site.py
@@ -260,9 +260,14 @@
         node = self.world.add(name, network)
         name_args = () if kind is PlatformStoreStandIn else (name,)
         stand_in = kind(network, free_address(), *name_args, *extra_args)
+        if name_args:
+            stand_in.history.name_sender = self._name_of
         node.spawn(stand_in.run)
         return stand_in
 
+    def _name_of(self, address: tuple[str, int]) -> str:
+        return self.links.node_by_address.get(address, '')
+
     def _vm(self, index: int) -> SiteVm:
         domain = _DOMAINS[index % len(_DOMAINS)]
         front, directory = free_address(), free_address()
