--- a/benchmarks/owner_cost.py
+++ b/benchmarks/owner_cost.py
@@ -26,6 +26,7 @@
 )
 from flamingovalve.gateway.orders import Order, OrderOutcome
 from flamingovalve.gateway.owner import GroupOwner
+from flamingovalve.gateway.rate_limits import RateLimit
 from flamingovalve.generated.ids import (
     AdapterId,
     DomainId,
@@ -36,7 +37,12 @@
     UpstreamId,
     VmId,
 )
-from flamingovalve.generated.messages import PlaceAsk, PlaceOutcome, PromptPart
+from flamingovalve.generated.messages import (
+    PlaceAsk,
+    PlaceEnd,
+    PlaceOutcome,
+    PromptPart,
+)
 from flamingovalve.generated.settings import GatewaySettings
 
 _MODEL: Final = ModelId('base')
@@ -56,7 +62,9 @@
     The state of the engine is written to the ledger of the owner directly.
     """
 
-    async def report(self) -> None:
+    limit = RateLimit()
+
+    async def report(self, _patience: float) -> None:
         """Wait without receiving a report."""
         await curio.sleep(_UNLIMITED_SECONDS)
 
@@ -110,7 +118,7 @@
     for _round in range(_ROUNDS):
         ask = _build_ask(next(request_numbers), rng.choice(held))
         place = await owner.place(ask)
-        await owner.end(place, PlaceOutcome.FINISHED, 0)
+        await owner.end(place, PlaceEnd(PlaceOutcome.FINISHED))
     elapsed = time.process_time() - started_at
     return elapsed / _ROUNDS * 1e6
 
--- a/flamingovalve/errors.py
+++ b/flamingovalve/errors.py
@@ -134,6 +134,18 @@
     """A connection closed or failed before its exchange was complete."""
 
 
+class HeldBack(Exception):
+    """A request that an upstream does not accept now, and that was not sent.
+
+    :ivar seconds: time after which the upstream is expected to accept it
+    """
+
+    def __init__(self, message: str, seconds: float) -> None:
+        """Create the error with its reason."""
+        super().__init__(message)
+        self.seconds = seconds
+
+
 class WrongPeer(Exception):
     """A peer failed authentication or violated the protocol."""
 
--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -164,7 +164,10 @@
             self.holds.mean / slots,
             has_waiting_requests=waiting.has_waiters,
         )
-        return load_wait + (waiting.ahead + 1) * interval
+        place_wait = load_wait + (waiting.ahead + 1) * interval
+        return max(
+            place_wait, dispatch.limit_wait_seconds(waiting.ahead, engines)
+        )
 
 
 def _slots(engines: list[EngineLedger]) -> int:
--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -7,7 +7,9 @@
 import curio
 
 from flamingovalve.errors import ErrorKind, Ran, ServingError
+from flamingovalve.gateway import return_times
 from flamingovalve.gateway.relay import (
+    NOT_RUN_OUTCOMES,
     Outcome,
     error_for_outcome,
     may_send_again,
@@ -30,6 +32,7 @@
 
 # Mostly long enough for another upstream of the service to register.
 _NO_UPSTREAM_SECONDS: Final = 0.5
+_MIN_RETRY_SECONDS: Final = 0.1
 
 
 class Attempts:
@@ -52,7 +55,7 @@
             return False
         if request.remaining() <= 0:
             return False
-        if last.outcome is Outcome.UNREACHABLE:
+        if last.outcome in {Outcome.UNREACHABLE, Outcome.HELD_BACK}:
             return True
         return self._budget.take(request.service)
 
@@ -63,8 +66,12 @@
         sent: SendResult,
     ) -> None:
         """Record where a request was sent and whether it may have run."""
-        if sent.outcome in {Outcome.NOT_RUN, Outcome.UNREACHABLE}:
+        if sent.outcome in NOT_RUN_OUTCOMES:
             request.refused_by.append(upstream.id)
+            if sent.outcome is Outcome.HELD_BACK:
+                request.accepted_after = min(
+                    request.accepted_after, sent.retry_after
+                )
         else:
             request.tried.append(upstream.id)
         note(
@@ -76,6 +83,7 @@
             tried=len(request.tried),
             outcome=sent.outcome.value,
             first_event=round(sent.first_event, 3),
+            retry_after=round(sent.retry_after, 3),
             left=round(request.remaining(), 3),
         )
         # In its own task, as detecting a crashed upstream may take a while.
@@ -88,12 +96,16 @@
         )
 
 
-def final_error(request: InboundRequest, outcome: Outcome) -> ServingError:
-    """Return the error for a request whose last attempt had ``outcome``.
+def final_error(request: InboundRequest, sent: SendResult) -> ServingError:
+    """Return the error for a request whose last attempt is ``sent``.
 
     If an earlier attempt may have run the request, the error says so.
     """
-    error = error_for_outcome(outcome)
+    error = error_for_outcome(sent.outcome)
+    if sent.outcome is Outcome.HELD_BACK:
+        error.retry_after = return_times.add_jitter(
+            max(request.accepted_after, _MIN_RETRY_SECONDS), request.id
+        )
     if request.tried:
         error.ran = Ran.UNKNOWN
     return error
--- a/flamingovalve/gateway/balancer.py
+++ b/flamingovalve/gateway/balancer.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from flamingovalve.gateway.rate_limits import NO_LIMIT
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -17,6 +18,7 @@
     from collections.abc import Collection
 
     from flamingovalve.gateway.model import Upstream
+    from flamingovalve.gateway.upstream_status import UpstreamStatuses
     from flamingovalve.generated.ids import DomainId, UpstreamId
 
 # An upstream that normally fails one call in seven stays well below this. A
@@ -29,6 +31,8 @@
 # The unit of costs is one call in progress.
 _OTHER_DOMAIN_COST: Final = 0.2
 _FAILURE_COST: Final = 6.0
+_LIMITED_COST: Final = 3.0
+_WAIT_COST_PER_SECOND: Final = 50.0
 
 
 @dataclass(slots=True)
@@ -51,10 +55,19 @@
 class Balancer:
     """Distributes calls over the upstreams of a service."""
 
-    def __init__(self, domain: DomainId, rng: random.Random) -> None:
-        """Prefer upstreams of ``domain`` if the other costs are about equal."""
+    def __init__(
+        self,
+        domain: DomainId,
+        rng: random.Random,
+        statuses: UpstreamStatuses,
+    ) -> None:
+        """Prefer upstreams of ``domain`` if the other costs are about equal.
+
+        :param statuses: what upstreams announce
+        """
         self._domain = domain
         self._rng = rng
+        self._statuses = statuses
         self._stats_by_id: dict[UpstreamId, UpstreamStats] = {}
 
     def stats(self, upstream: UpstreamId) -> UpstreamStats:
@@ -120,4 +133,11 @@
         cost = stats.under_way + self._rng.random() * _OTHER_DOMAIN_COST
         if upstream.domain != self._domain:
             cost += _OTHER_DOMAIN_COST
+        cost += self._limit_cost(upstream)
         return cost + max(0, stats.failing - _FAILING_SHARE / 2) * _FAILURE_COST
+
+    def _limit_cost(self, upstream: Upstream) -> float:
+        limit = self._statuses.of(upstream.id).limit
+        if limit.rate() == NO_LIMIT:
+            return 0
+        return _LIMITED_COST + limit.wait_seconds() * _WAIT_COST_PER_SECOND
--- a/flamingovalve/gateway/calls.py
+++ b/flamingovalve/gateway/calls.py
@@ -46,7 +46,7 @@
         if sent is None:
             raise no_upstream(request.service)
         if sent.response is None:
-            raise final_error(request, sent.outcome)
+            raise final_error(request, sent)
         await responder.send(sent.response)
 
     async def _send_with_retries(
@@ -73,7 +73,9 @@
         request: InboundRequest,
         upstream: Upstream,
     ) -> SendResult:
-        options = SendOptions(request.remaining())
+        options = SendOptions(
+            request.remaining(), patience=request.send_patience()
+        )
         self._balancer.started(upstream.id)
         try:
             sent = await self._relay.exchange(request, upstream, options)
@@ -83,6 +85,8 @@
         await self._attempts.record(request, upstream, sent)
         if sent.outcome is Outcome.DONE:
             self._balancer.succeeded(upstream.id)
+        elif sent.outcome is Outcome.HELD_BACK:
+            self._balancer.abandoned(upstream.id)
         else:
             is_unresponsive = sent.outcome in {
                 Outcome.UNREACHABLE,
--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -214,6 +214,10 @@
             )
             listed.append(known.upstream)
 
+    def lists(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream is registered."""
+        return upstream in self._upstreams_by_id
+
     def takes_requests(self, upstream: Upstream) -> bool:
         """Return whether an upstream takes new requests."""
         known = self._upstreams_by_id.get(upstream.id)
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -8,7 +8,7 @@
 from flamingovalve.gateway.attempts import MAX_SENDS, final_error, no_upstream
 from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.relay import EventSink, Outcome, SendOptions
-from flamingovalve.generated.messages import PlaceAsk, PlaceOutcome
+from flamingovalve.generated.messages import PlaceAsk, PlaceEnd, PlaceOutcome
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.attempts import Attempts
@@ -26,6 +26,7 @@
     Outcome.NOT_RUN: PlaceOutcome.REFUSED,
     Outcome.LOST: PlaceOutcome.LOST,
     Outcome.UNREACHABLE: PlaceOutcome.LOST,
+    Outcome.HELD_BACK: PlaceOutcome.DEFERRED,
 }
 
 
@@ -70,7 +71,7 @@
         elif sink.started:
             raise ConnectionLost('the stream broke before its last event')
         elif sent.response is None:
-            raise final_error(request, sent.outcome)
+            raise final_error(request, sent)
         else:
             await responder.send(sent.response)
 
@@ -94,15 +95,18 @@
         sink: EventSink,
     ) -> SendResult:
         lease = await self._finder.take(request, place_ask)
-        outcome, first_event = PlaceOutcome.ABANDONED, 0.0
+        end = PlaceEnd(PlaceOutcome.ABANDONED)
         try:
             upstream = self._upstream_of(request, lease)
             options = self._options_of(request, lease, sink)
             sent = await self._relay.stream(request, upstream, options, sink)
-            outcome = _PLACE_OUTCOMES.get(sent.outcome, PlaceOutcome.FAILED)
-            first_event = sent.first_event
+            end = PlaceEnd(
+                _PLACE_OUTCOMES.get(sent.outcome, PlaceOutcome.FAILED),
+                sent.first_event,
+                sent.retry_after,
+            )
         finally:
-            await self._places.end(lease, outcome, first_event)
+            await self._places.end(lease, end)
         await self._attempts.record(request, upstream, sent)
         return sent
 
@@ -117,6 +121,7 @@
             request.priority,
             lease.grant.version,
             sink.last_event_id,
+            request.send_patience(),
         )
 
     def _upstream_of(
--- a/flamingovalve/gateway/credit.py
+++ b/flamingovalve/gateway/credit.py
@@ -15,6 +15,7 @@
 
 # Bounds the wait that is reported to a refused request.
 _MAX_WAIT_SECONDS: Final = 5.0
+_MAX_BOOKING_WAIT_SECONDS: Final = 60.0
 
 
 class CreditBucket:
@@ -71,6 +72,28 @@
             return _MAX_WAIT_SECONDS
         return shortfall / rate
 
+    def book(self, patience: float, share: float = 1) -> float:
+        """Take the credit of one unit, also in advance.
+
+        :param patience: longest wait in seconds for which to take it
+        :param share: fraction of the quota's rate at which credit accrues
+        :returns: seconds until the unit may be used; it was taken if they are
+            within ``patience``
+        """
+        wait = self.next_wait(share)
+        if wait <= patience:
+            self._balance -= 1
+        return wait
+
+    def next_wait(self, share: float = 1) -> float:
+        """Return the seconds until the credit of one unit is available."""
+        self._refill(share)
+        shortfall = max(0, 1 - self._balance)
+        rate = self._quota.rate * share
+        if shortfall >= rate * _MAX_BOOKING_WAIT_SECONDS:
+            return _MAX_BOOKING_WAIT_SECONDS
+        return shortfall / rate
+
     def give_back(self, unused: float) -> None:
         """Return unused credit, up to the burst."""
         self._balance = min(self._balance + unused, self._quota.burst)
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -9,7 +9,6 @@
 import curio
 
 from flamingovalve.gateway.access import AccessControl
-from flamingovalve.gateway.announcements import UpstreamStatuses
 from flamingovalve.gateway.attempts import Attempts
 from flamingovalve.gateway.balancer import Balancer
 from flamingovalve.gateway.calls import CallServer
@@ -20,6 +19,7 @@
 from flamingovalve.gateway.follower import CatalogueFollower
 from flamingovalve.gateway.front import Front
 from flamingovalve.gateway.gossip_handlers import GossipHandlers
+from flamingovalve.gateway.keepers import KeeperClient
 from flamingovalve.gateway.metrics import GatewayMetrics
 from flamingovalve.gateway.owned import OwnedGroups
 from flamingovalve.gateway.ownership import GroupClaims
@@ -35,7 +35,7 @@
 from flamingovalve.gateway.shards import Shards
 from flamingovalve.gateway.side_answers import AuxiliaryEndpoints
 from flamingovalve.gateway.state import counts_of, gauges_of, state_of
-from flamingovalve.gateway.upstream_client import UpstreamClient
+from flamingovalve.gateway.upstream_access import UpstreamAccess
 from flamingovalve.gateway.watchers import Watchers
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import DomainId, Incarnation, VmId
@@ -148,13 +148,17 @@
     def _build_serving(self) -> None:
         settings = self.settings
         domain = DomainId(settings.vm.failure_domain)
-        self.upstream_statuses = UpstreamStatuses()
-        client = UpstreamClient(
+        self.keepers = KeeperClient(
+            self.members, self.peers, self.gossip.probe_now
+        )
+        self.upstreams = UpstreamAccess(
             self.pool,
-            self.platform.wire.announcement,
-            self.upstream_statuses,
+            self.platform.wire,
+            self.members,
+            self.keepers,
+            self.background,
         )
-        link_to = functools.partial(self.platform.engine, client)
+        link_to = functools.partial(self.platform.engine, self.upstreams.client)
         self.claims = GroupClaims(self.members, clock.now())
         self.shards = Shards(self.catalogue)
         self.owned = OwnedGroups(
@@ -193,8 +197,8 @@
             self._refuses_connections,
         )
         attempts = Attempts(retry_budget, self.quarantine)
-        relay = UpstreamRelay(client, self.platform.wire)
-        balancer = Balancer(domain, self.rng)
+        relay = UpstreamRelay(self.upstreams.client, self.platform.wire)
+        balancer = Balancer(domain, self.rng, self.upstreams.statuses)
         calls = CallServer(self.catalogue, balancer, relay, attempts)
         self.completions = CompletionServer(
             domain,
@@ -233,11 +237,7 @@
             settings.gateway.quota_overage,
         )
         self.quotas = QuotaClient(
-            self.catalogue,
-            self.members,
-            self.peers,
-            self.quota_keeper,
-            self.gossip.probe_now,
+            self.catalogue, self.keepers, self.quota_keeper
         )
         self.front = Front(
             self.platform,
@@ -266,11 +266,13 @@
         on_session(messages.PlaceHold, place_server.serve_hold)
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
         self.peer_server.on_ask(messages.CreditAsk, self.quota_keeper.answer)
+        self.peer_server.on_ask(messages.SendAsk, self.upstreams.keeper.answer)
         handlers = GossipHandlers(
             self.follower,
             self.quarantine,
             self.claims,
             self.places,
+            self.upstreams.limits,
             self.background,
         )
         self.gossip.rumour_listener = handlers.apply_rumour
@@ -279,6 +281,7 @@
         self.follower.listeners.append(self._on_configuration_change)
         self.follower.publish = self.gossip.push
         self.quarantine.publish = self.gossip.push
+        self.upstreams.limits.publish = self.gossip.push
 
     # -- Lifecycle
 
@@ -427,6 +430,7 @@
         server_limits.header_bytes = limits.header_bytes
         server_limits.body_bytes = limits.body_bytes
         server_limits.idle_seconds = limits.idle_seconds
+        self.upstreams.statuses.forget_removed(self.catalogue.lists)
         await self.owned.reconcile(self._announce_claim)
         await self.gossip.push(self.follower.own_rumour())
 
@@ -444,6 +448,7 @@
         return [
             self.follower.own_rumour(),
             *self.rng.sample(claims, count),
+            *self.upstreams.limits.standing_rumours(self.rng),
         ]
 
 
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -30,6 +30,8 @@
 _OTHER_DOMAIN_COST: Final = 0.001
 # Cost of evicting an adapter that is requested once a second.
 _EVICTION_COST: Final = 0.05
+# Requests go to engines without a rate limit first.
+_LIMITED_COST: Final = 0.05
 # A fetch takes weight store capacity from other loads.
 _FETCH_COST: Final = 0.15
 # If the first event is expected later than this share of the caller's
@@ -157,7 +159,9 @@
 
     :param loading: seconds until the adapter is loaded
     """
-    queued = max(0, engine.prefill.wait_seconds() - loading)
+    send_wait = max(0, engine.sends.wait_seconds() - loading)
+    prefills = engine.prefill.wait_seconds() - loading - send_wait
+    queued = send_wait + max(0, prefills)
     return Choice(
         engine, loading + queued + engine.prefill_seconds(ask), queued
     )
@@ -206,6 +210,18 @@
     return min(waits, default=0.0)
 
 
+def limit_wait_seconds(ahead: int, engines: list[EngineLedger]) -> float:
+    """Return the seconds until an engine accepts a waiting request.
+
+    :param ahead: number of requests that are sent before it
+    :returns: 0 if an engine has no rate limit
+    """
+    if not engines or not all(engine.sends.is_limited() for engine in engines):
+        return 0
+    rate = sum(engine.sends.limit.rate() for engine in engines)
+    return min(engine.sends.wait_seconds() for engine in engines) + ahead / rate
+
+
 def model_in_demand(
     engines: list[EngineLedger],
     asked_by_model: dict[ModelId, int],
@@ -273,6 +289,8 @@
         + len(engine.places) * _BATCHED_REQUEST_COST
     )
     loss += engine.failing
+    if engine.sends.is_limited():
+        loss += _LIMITED_COST
     if engine.upstream.domain != ask.domain:
         loss += _OTHER_DOMAIN_COST
     if choice.victim is not None:
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.fencing import NO_FENCE
 from flamingovalve.gateway.ledger import AdapterState, HeldAdapter
 from flamingovalve.gateway.orders import Action, Order, OrderOutcome
@@ -21,6 +22,7 @@
     from flamingovalve.gateway.ledger import EngineLedger
     from flamingovalve.gateway.orders import EngineReport
     from flamingovalve.gateway.popularity import Popularity
+    from flamingovalve.gateway.rate_limits import RateLimit
     from flamingovalve.gateway.waiting import Waiter
     from flamingovalve.generated.ids import VmId
 
@@ -30,6 +32,10 @@
 # counts its own orders, so it needs no report for these.
 _REPORT_SECONDS: Final = 0.7
 _EAGER_REPORT_SECONDS: Final = 0.3
+# Share of the requests of an engine with a rate limit that are reports.
+_REPORT_SHARE: Final = 0.25
+# A report waits for its turn among the requests of callers.
+_REPORT_PATIENCE_SECONDS: Final = 1.5
 _LOAD_OUTCOMES: Final = frozenset((OrderOutcome.ACCEPTED, OrderOutcome.HOLDS))
 # An engine that reports no model after this time is ordered to load it again.
 _MODEL_LOAD_TIMEOUT_SECONDS: Final = 6.0
@@ -38,8 +44,14 @@
 class EngineLink(Protocol):
     """Requests reports from one engine and sends it orders."""
 
-    async def report(self) -> EngineReport | None:
-        """Return the engine's report, or ``None`` if it does not answer."""
+    limit: RateLimit
+
+    async def report(self, patience: float) -> EngineReport | None:
+        """Return the engine's report, or ``None`` if it does not answer.
+
+        :param patience: longest wait in seconds for an engine with a limit
+        :raises HeldBack: if it accepts no request within ``patience``
+        """
 
     async def order(self, order: Order) -> OrderOutcome:
         """Send one order and return its outcome."""
@@ -124,7 +136,10 @@
     async def follow(self) -> None:
         """Read reports until cancelled."""
         while True:
-            await self._poll_report()
+            try:
+                await self._poll_report()
+            except HeldBack as held:
+                logger.debug('no report: {}', held)
             chain = self.ledger.chain
             uncertain = chain.sequence is None or chain.unanswered
             uncertain = (
@@ -132,6 +147,7 @@
             )
             uncertain = uncertain or self.ledger.fence == NO_FENCE
             delay = _EAGER_REPORT_SECONDS if uncertain else _REPORT_SECONDS
+            delay = max(delay, self._limited_interval())
             pause = chain.paused_until - clock.now()
             if 0 < pause < delay:
                 delay = pause
@@ -139,6 +155,13 @@
                 await self.report_now.wait()
             self.report_now.clear()
 
+    def _limited_interval(self) -> float:
+        """Return the interval of reports that leaves most requests to callers.
+
+        :returns: seconds; 0 without a rate limit
+        """
+        return self.ledger.sends.limit.spacing() / _REPORT_SHARE
+
     async def load(self, held: HeldAdapter, victim: HeldAdapter | None) -> None:
         """Load an adapter, then resume the requests that wait for it.
 
@@ -296,8 +319,8 @@
             self.ledger.held[held.name] = held.replaces
 
     async def _poll_report(self) -> None:
-        report = await self._link.report()
         ledger = self.ledger
+        report = await self._link.report(_REPORT_PATIENCE_SECONDS)
         if report is None:
             # Otherwise an unreachable engine would be assigned requests until
             # its entry expires some four seconds later, and each would wait
--- a/flamingovalve/gateway/fallback_placement.py
+++ b/flamingovalve/gateway/fallback_placement.py
@@ -13,6 +13,7 @@
 
 import curio
 
+from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.places import PlaceLease
 from flamingovalve.generated.messages import PlaceGrant
 from flamingovalve.util import clock
@@ -106,7 +107,14 @@
             if self._holds(upstream, request, ask)
             and used.count(upstream.id) < limit
         ]
-        return min(candidates, key=lambda one: used.count(one.id), default=None)
+        return min(
+            candidates,
+            key=lambda one: (
+                self._link_to(one).limit.wait_seconds(),
+                used.count(one.id),
+            ),
+            default=None,
+        )
 
     def _max_places(self, traits: EngineTraits) -> int:
         share = traits.batch * _BATCH_SHARE / max(1, self._vm_count())
@@ -142,7 +150,10 @@
             self._refreshed_at = clock.now()
 
     async def _refresh_report(self, upstream: Upstream) -> None:
-        report = await self._link_to(upstream).report()
+        try:
+            report = await self._link_to(upstream).report(patience=0)
+        except HeldBack:
+            return
         if report is None:
             self._reports_by_id.pop(upstream.id, None)
         else:
--- a/flamingovalve/gateway/gossip_handlers.py
+++ b/flamingovalve/gateway/gossip_handlers.py
@@ -7,6 +7,7 @@
 
 from flamingovalve.generated.messages import (
     CatalogueRumour,
+    LimitRumour,
     OwnerRumour,
     PoisonRumour,
     WatchRumour,
@@ -18,6 +19,7 @@
     from flamingovalve.gateway.ownership import GroupClaims
     from flamingovalve.gateway.places import PlaceClient
     from flamingovalve.gateway.quarantine import CrashQuarantine
+    from flamingovalve.gateway.send_limits import SendLimits
     from flamingovalve.util.tasks import TaskSet
 
 
@@ -30,6 +32,7 @@
         quarantine: CrashQuarantine,
         claims: GroupClaims,
         places: PlaceClient,
+        limits: SendLimits,
         background: TaskSet,
     ) -> None:
         """Dispatch rumours to the given components.
@@ -40,6 +43,7 @@
         self._quarantine = quarantine
         self._claims = claims
         self._places = places
+        self._limits = limits
         self._background = background
 
     @singledispatchmethod
@@ -59,6 +63,10 @@
     async def _poison(self, rumour: PoisonRumour) -> Dissemination:
         return self._quarantine.apply_rumour(rumour)
 
+    @apply_rumour.register
+    async def _limit(self, rumour: LimitRumour) -> Dissemination:
+        return await self._limits.apply_rumour(rumour)
+
     @apply_rumour.register
     async def _owner(self, rumour: OwnerRumour) -> Dissemination:
         previous_owner = self._claims.owner(rumour.group)
--- a/flamingovalve/gateway/group.py
+++ b/flamingovalve/gateway/group.py
@@ -14,6 +14,7 @@
 from flamingovalve.gateway.ledger import EngineLedger
 from flamingovalve.gateway.orders import OrderChain
 from flamingovalve.gateway.popularity import Popularity
+from flamingovalve.gateway.send_plan import SendPlan
 from flamingovalve.generated.ids import ModelId
 from flamingovalve.util import clock
 
@@ -164,8 +165,14 @@
             self.orders_after,
             predecessor_ended=self.predecessor_ended,
         )
+        link = self._link_to(upstream)
         ledger = EngineLedger(
-            upstream, traits, settings, chain, loads=self.loads
+            upstream,
+            traits,
+            settings,
+            chain,
+            loads=self.loads,
+            sends=SendPlan(link.limit),
         )
         if self._is_initial:
             # The claim's fencing number exceeds those of previous owners.
@@ -178,7 +185,7 @@
             self._model_to_load,
             listener,
         )
-        engine = OwnedEngine(context, ledger, self._link_to(upstream))
+        engine = OwnedEngine(context, ledger, link)
         self.engines_by_id[upstream.id] = engine
         task = await self._tasks.spawn(engine.follow)
         self._followers[upstream.id] = task
--- a/flamingovalve/gateway/inbound.py
+++ b/flamingovalve/gateway/inbound.py
@@ -24,6 +24,9 @@
 _MIN_SILENCE_SECONDS: Final = 2.0
 _SILENCE_PER_TARGET_LATENCY: Final = 4
 _SILENCE_PER_EVENT_GAP: Final = 8
+_MAX_SEND_WAIT_SHARE: Final = 0.5
+# Below the patience of orders and reports, which would else never get a turn.
+_MAX_SEND_WAIT_SECONDS: Final = 1.0
 
 
 def _never_disconnected() -> bool:
@@ -65,6 +68,8 @@
     :ivar service: service of the route that was chosen for this request
     :ivar tried: upstreams that may have run it
     :ivar refused_by: upstreams that did not run it
+    :ivar accepted_after: seconds after which an upstream with a rate limit
+        accepts it; infinite if none was asked
     :ivar is_caller_disconnected: returns whether the caller has disconnected
     """
 
@@ -84,6 +89,7 @@
     completion: Completion | None = None
     tried: list[str] = field(default_factory=list)
     refused_by: list[str] = field(default_factory=list)
+    accepted_after: float = float('inf')
     is_caller_disconnected: Callable[[], bool] = _never_disconnected
 
     def remaining(self) -> float:
@@ -110,6 +116,16 @@
         elapsed = clock.now() - self.received_at
         return min(self.remaining(), patience - elapsed)
 
+    def send_patience(self) -> float:
+        """Return the longest wait in seconds for an upstream with a limit.
+
+        A request that would wait longer is better refused with the time
+        after which an upstream accepts it: a queue of late requests would
+        make those late that can still be in time.
+        """
+        patience = self.until_target_latency() * _MAX_SEND_WAIT_SHARE
+        return min(max(patience, 0), _MAX_SEND_WAIT_SECONDS)
+
     def until_target_latency(self) -> float:
         """Return the seconds until the target latency; negative once passed."""
         return self.received_at + self.route.target_latency - clock.now()
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -10,6 +10,7 @@
 from flamingovalve.gateway.learning import ExpectedLoad, KeptAdapters, LoadTimes
 from flamingovalve.gateway.prefill import PrefillBacklog
 from flamingovalve.gateway.prompts import CachedParts
+from flamingovalve.gateway.send_plan import SendPlan
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -22,6 +23,8 @@
 
 # Delay before a request retries an adapter that was not loaded yet.
 _LATE_LOAD_RETRY_SECONDS: Final = 0.03
+# A load needs a free slot, which an unload makes.
+_ORDERS_PER_LOAD: Final = 2
 # Concurrent adapter loads that an engine supports.
 _MAX_CONCURRENT_LOADS: Final = 4
 # Prefill time grows faster than the number of tokens, as the cost of attention
@@ -121,6 +124,7 @@
     :ivar fetches_model: whether the model being loaded comes from the weight
         store
     :ivar kept: adapters still in its memory after their unload
+    :ivar sends: when it accepts requests, if it announces a rate limit
     """
 
     upstream: Upstream
@@ -145,6 +149,7 @@
     reported_at: float = float('-inf')
     kept: KeptAdapters = field(default_factory=KeptAdapters)
     loads: LoadTimes = field(default_factory=LoadTimes)
+    sends: SendPlan = field(default_factory=SendPlan)
     _cached_victim: HeldAdapter | None = None
 
     def state_dump(self) -> dict[str, Any]:
@@ -205,6 +210,7 @@
         expected = self.prefill.wait_seconds() + seconds
         place = Place(ask, self, expected, clock.now())
         self.places[ask.request_id] = place
+        self.sends.add()
         self.prefill.add(ask.priority, seconds)
         self.parts.add(ask)
         adapter = self.held.get(ask.adapter)
@@ -258,7 +264,8 @@
     def load_seconds(self, name: AdapterId) -> float:
         """Return the expected seconds of a load that begins now."""
         load = self.loads.expected(is_kept=name in self.kept)
-        return load.ready_at - clock.now()
+        seconds = load.ready_at - clock.now()
+        return self.sends.seconds_of(_ORDERS_PER_LOAD) + seconds
 
     def record_load_accepted(self, held: HeldAdapter) -> None:
         """Record that the engine has accepted the load of an adapter."""
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -29,7 +29,7 @@
     from flamingovalve.gateway.ledger import Place
     from flamingovalve.gateway.model import EngineTraits, Upstream
     from flamingovalve.generated.ids import GroupId, VmId
-    from flamingovalve.generated.messages import PlaceAsk, PlaceHold
+    from flamingovalve.generated.messages import PlaceAsk, PlaceEnd, PlaceHold
     from flamingovalve.generated.settings import GatewaySettings
 
 logger = get_logger(__name__)
@@ -203,15 +203,17 @@
     async def end(
         self,
         place: Place,
-        outcome: PlaceOutcome,
-        first_event: float,
+        end: PlaceEnd,
     ) -> None:
         """Release a place and record how its request ended."""
+        outcome, first_event = end.outcome, end.first_event
         engine = place.engine
         was_full = engine.is_full()
         engine.give_back(place)
         if outcome is PlaceOutcome.REFUSED:
             await self._mark_adapter_missing(place)
+        elif outcome is PlaceOutcome.DEFERRED:
+            engine.sends.hold_back(end.retry_after)
         elif outcome is not PlaceOutcome.ABANDONED:
             failed = outcome is not PlaceOutcome.FINISHED
             engine.record_outcome(failed=failed)
--- a/flamingovalve/gateway/places.py
+++ b/flamingovalve/gateway/places.py
@@ -63,13 +63,13 @@
         self.is_ended = False
         self.holder: LocalHolder | RemoteHolder | None = None
 
-    async def end(self, outcome: PlaceOutcome, first_event: float) -> None:
+    async def end(self, end: PlaceEnd) -> None:
         """Release the place."""
         self.is_ended = True
         holder = self.holder
         self.holder = None
         if holder is not None:
-            await holder.end(outcome, first_event)
+            await holder.end(end)
 
 
 class LocalHolder:
@@ -80,9 +80,9 @@
         self._owner = owner
         self._place = place
 
-    async def end(self, outcome: PlaceOutcome, first_event: float) -> None:
+    async def end(self, end: PlaceEnd) -> None:
         """Release the place."""
-        await self._owner.end(self._place, outcome, first_event)
+        await self._owner.end(self._place, end)
 
 
 class RemoteHolder:
@@ -99,10 +99,10 @@
         self._connection = connection
         self._address = address
 
-    async def end(self, outcome: PlaceOutcome, first_event: float) -> None:
+    async def end(self, end: PlaceEnd) -> None:
         """Release the place and return the connection to the pool."""
         try:
-            await self._connection.send(PlaceEnd(outcome, first_event))
+            await self._connection.send(end)
         except ConnectionLost:
             # The owner is unreachable. PlaceClient.notify_new_owner reports
             # the place to its successor.
@@ -146,15 +146,10 @@
         self._open_leases.add(lease)
         return lease
 
-    async def end(
-        self,
-        lease: PlaceLease,
-        outcome: PlaceOutcome,
-        first_event: float,
-    ) -> None:
+    async def end(self, lease: PlaceLease, end: PlaceEnd) -> None:
         """Release a place."""
         self._open_leases.discard(lease)
-        await lease.end(outcome, first_event)
+        await lease.end(end)
 
     def record_open_lease(self, lease: PlaceLease) -> None:
         """Record a place without an owner, to report it to the next owner."""
@@ -277,7 +272,7 @@
             await connection.send(grant_of(place))
             end_message = await self._wait_for_end(connection, ask)
         finally:
-            await owner.end(place, end_message.outcome, end_message.first_event)
+            await owner.end(place, end_message)
 
     async def _wait_for_place(
         self,
@@ -313,7 +308,8 @@
             end_message = await self._wait_for_end(connection, hold.ask)
         finally:
             if place is not None and owner is not None:
-                await owner.end(place, end_message.outcome, 0)
+                end_message.first_event = 0
+                await owner.end(place, end_message)
 
 
 def grant_of(place: Place) -> PlaceGrant:
--- a/flamingovalve/gateway/quota_keeper.py
+++ b/flamingovalve/gateway/quota_keeper.py
@@ -75,20 +75,10 @@
         if quota is None:
             return CreditReply(float('inf'), 0)
         bucket = self._refreshed_bucket(ask, quota)
-        wait = bucket.take(ask.wanted, self._rate_share())
+        share = rate_share(self._members, self._overage)
+        wait = bucket.take(ask.wanted, share)
         return CreditReply(wait, bucket.balance)
 
-    def _rate_share(self) -> float:
-        """Return the fraction of a quota's rate that this VM may grant.
-
-        Partitions without a majority hold at most half of the VMs, so
-        together they grant at most half of the overage. The rest covers the
-        time until a partition is detected.
-        """
-        if self._members.has_quorum():
-            return 1
-        return self._members.visible_share() * self._overage
-
     def state_dump(self) -> dict[str, float]:
         """Return the balance of each workspace."""
         return {
@@ -112,3 +102,15 @@
         if now <= entry.active_since + _HANDOVER_SECONDS:
             bucket.cap(ask.most_left)
         return bucket
+
+
+def rate_share(members: MemberTable, overage: float) -> float:
+    """Return the fraction of a rate that a keeper on this VM may grant.
+
+    Partitions without a majority hold at most half of the VMs, so together
+    they grant at most half of the overage. The rest covers the time until a
+    partition is detected.
+    """
+    if members.has_quorum():
+        return 1
+    return members.visible_share() * overage
--- a/flamingovalve/gateway/quotas.py
+++ b/flamingovalve/gateway/quotas.py
@@ -6,35 +6,23 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-import curio
-
-from flamingovalve.errors import ConnectionLost, ErrorKind, ServingError
+from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import return_times
 from flamingovalve.gateway.credit import CreditBucket
-from flamingovalve.generated.messages import CreditAsk, CreditReply, MemberState
-from flamingovalve.membership.members import largest
-from flamingovalve.peer.client import PeerUnreachable
-from flamingovalve.util import clock, hashing
+from flamingovalve.generated.messages import CreditAsk, CreditReply
+from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.inbound import InboundRequest
+    from flamingovalve.gateway.keepers import KeeperClient
     from flamingovalve.gateway.model import Quota
     from flamingovalve.gateway.quota_keeper import QuotaKeeper
     from flamingovalve.generated.ids import VmId, WorkspaceId
-    from flamingovalve.membership.members import Member, MemberTable
-    from flamingovalve.peer.client import PeerPool
 
 logger = get_logger(__name__)
 
-_ASK_SECONDS: Final = 0.25
-# Number of keepers that are asked before the local share is used.
-_MAX_KEEPERS_ASKED: Final = 2
-# A keeper that did not respond is skipped for this long.
-_SKIP_SECONDS: Final = 1.0
 # Unused credit expires after this long.
 _UNUSED_LIFETIME_SECONDS: Final = 0.5
 _MIN_RETRY_SECONDS: Final = 0.1
@@ -73,31 +61,22 @@
 class QuotaClient:
     """Admits requests within the quota of their workspace.
 
-    The keeper of a quota is the first of the large reachable VMs in
-    rendezvous order. If no keeper responds, for example before a failure is
-    detected, a VM grants credit from its own share of the quota.
+    If no keeper responds, for example before a failure is detected, a VM
+    grants credit from its own share of the quota.
     """
 
     def __init__(
         self,
         catalogue: Catalogue,
-        members: MemberTable,
-        peers: PeerPool,
+        keepers: KeeperClient,
         keeper: QuotaKeeper,
-        probe: Callable[[VmId | None], Awaitable[None]],
     ) -> None:
-        """Ask remote keepers through ``peers`` and the local one directly.
-
-        :param probe: probes a VM immediately
-        """
+        """Ask remote keepers through ``keepers`` and the local one directly."""
         self.counts = QuotaCounts()
         self._catalogue = catalogue
-        self._members = members
-        self._peers = peers
+        self._keepers = keepers
         self._keeper = keeper
-        self._probe = probe
         self._credit_by_workspace: dict[WorkspaceId, _WorkspaceCredit] = {}
-        self._skipped_until: dict[VmId, float] = {}
 
     async def take(self, request: InboundRequest) -> None:
         """Take credit for a request.
@@ -148,7 +127,7 @@
             unused,
             _max_balance(credit, quota),
         )
-        for vm in self._keepers(request.workspace):
+        for vm in self._keepers.keepers(f'quota {request.workspace}'):
             reply = await self._ask(vm, ask)
             if reply is not None:
                 credit.keeper_balance = reply.left
@@ -160,48 +139,14 @@
         raise self._no_keeper_error(request)
 
     async def _ask(self, vm: VmId, ask: CreditAsk) -> CreditReply | None:
-        if vm == self._members.own_id:
+        if self._keepers.is_here(vm):
             reply = self._keeper.take(ask)
         else:
-            reply = await self._ask_peer(vm, ask)
+            reply = await self._keepers.ask(vm, ask)
         if reply is None or reply.wait_seconds == float('inf'):
             return None
         return reply
 
-    async def _ask_peer(self, vm: VmId, ask: CreditAsk) -> CreditReply | None:
-        keeper = self._members.by_id[vm].vm
-        address = keeper.peer_address
-        try:
-            async with curio.timeout_after(_ASK_SECONDS):
-                _remote, reply = await self._peers.ask(
-                    address,
-                    vm,
-                    ask,
-                    _ASK_SECONDS,
-                )
-        except (curio.TaskTimeout, PeerUnreachable, ConnectionLost) as error:
-            logger.info('quota keeper {} did not answer: {!r}', vm, error)
-            self._skipped_until[vm] = clock.now() + _SKIP_SECONDS
-            await self._probe(vm)
-            return None
-        return reply
-
-    def _keepers(self, workspace: WorkspaceId) -> list[VmId]:
-        reachable = [
-            member
-            for member in self._members.present()
-            if self._is_reachable(member)
-        ]
-        vm_ids = [member.vm.id for member in largest(reachable)]
-        return hashing.first(f'quota {workspace}', vm_ids, _MAX_KEEPERS_ASKED)
-
-    def _is_reachable(self, member: Member) -> bool:
-        if member.vm.id == self._members.own_id:
-            return True
-        if clock.now() < self._skipped_until.get(member.vm.id, 0):
-            return False
-        return member.direct and member.state is MemberState.ALIVE
-
     def _take_local_share(
         self,
         quota: Quota,
@@ -213,7 +158,7 @@
         Overdraft is not allowed: in a large fleet most requests exceed the
         share of a VM, and the overdrafts would add up to more than the quota.
         """
-        vms = max(len(self._members.present()), 1)
+        vms = self._keepers.vm_count()
         share = dataclasses.replace(
             quota,
             rate=quota.rate / vms,
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -7,7 +7,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final, Protocol
 
-from flamingovalve.errors import ConnectionLost, ErrorKind, Ran, ServingError
+from flamingovalve.errors import (
+    ConnectionLost,
+    ErrorKind,
+    HeldBack,
+    Ran,
+    ServingError,
+)
 from flamingovalve.gateway.announcements import Purpose
 from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.http.messages import Response, end_to_end
@@ -51,8 +57,12 @@
     UNREACHABLE = 'unreachable'
     TIMED_OUT = 'timed_out'
     BROKEN = 'broken'
+    HELD_BACK = 'held_back'
 
 
+NOT_RUN_OUTCOMES: Final = frozenset(
+    (Outcome.NOT_RUN, Outcome.UNREACHABLE, Outcome.HELD_BACK),
+)
 _CONNECTION_UNUSABLE_AFTER: Final = frozenset(
     (Outcome.LOST, Outcome.TIMED_OUT, Outcome.BROKEN),
 )
@@ -65,11 +75,14 @@
     :ivar response: response to return to the caller; None if the upstream
         sent none that can be returned, or if it was streamed
     :ivar first_event: seconds from sending to the first event; 0 for none
+    :ivar retry_after: seconds until the upstream accepts a request; 0 unless
+        the request was held back
     """
 
     outcome: Outcome
     response: Response | None = None
     first_event: float = 0
+    retry_after: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,12 +94,14 @@
     :ivar version: required version of the adapter; 0 for any
     :ivar resume_after: id of the last event that the caller has received;
         empty for a stream from the start
+    :ivar patience: longest wait in seconds for an upstream with a rate limit
     """
 
     seconds: float
     priority: int | None = None
     version: int = 0
     resume_after: str = ''
+    patience: float = 0
 
 
 class Wire(Protocol):
@@ -147,6 +162,10 @@
         upstream: Upstream,
         options: SendOptions,
     ) -> SendResult:
+        try:
+            await self._client.admit(upstream, options.patience)
+        except HeldBack as held:
+            return SendResult(Outcome.HELD_BACK, retry_after=held.seconds)
         connection = await self._connect(upstream, options.seconds)
         if connection is None:
             return SendResult(Outcome.UNREACHABLE)
@@ -375,7 +394,7 @@
 
 def may_send_again(request: InboundRequest, outcome: Outcome) -> bool:
     """Return whether another upstream may run a request after ``outcome``."""
-    if outcome in {Outcome.NOT_RUN, Outcome.UNREACHABLE}:
+    if outcome in NOT_RUN_OUTCOMES:
         return True
     if outcome in {Outcome.DONE, Outcome.TIMED_OUT}:
         return False
@@ -390,7 +409,7 @@
             'the upstream did not respond in time; the request may have run',
             ran=Ran.UNKNOWN,
         )
-    if outcome in {Outcome.NOT_RUN, Outcome.UNREACHABLE}:
+    if outcome in NOT_RUN_OUTCOMES:
         return ServingError(
             ErrorKind.OVERLOADED,
             'no upstream accepted the request; it has not run',
--- a/flamingovalve/gateway/state.py
+++ b/flamingovalve/gateway/state.py
@@ -22,7 +22,7 @@
         'quota': daemon.quotas.counts,
         'owner': daemon.owned.total_counts(),
         'quarantine': daemon.quarantine.counts,
-        'upstream_requests': daemon.upstream_statuses.counts,
+        'upstream_requests': daemon.upstreams.statuses.counts,
     }
 
 
@@ -58,6 +58,6 @@
         },
         'owned': daemon.owned.state_dump(),
         'credit': daemon.quota_keeper.state_dump(),
-        'upstreams': daemon.upstream_statuses.state_dump(),
+        'upstreams': daemon.upstreams.statuses.state_dump(),
         'catalogue': asdict(daemon.catalogue.counts),
     }
--- a/flamingovalve/gateway/upstream_client.py
+++ b/flamingovalve/gateway/upstream_client.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.announcements import SentRequest
 from flamingovalve.http.messages import Response
 from flamingovalve.util import clock
@@ -11,12 +12,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from flamingovalve.gateway.announcements import (
-        Announcement,
-        Purpose,
-        UpstreamStatuses,
-    )
+    from flamingovalve.gateway.announcements import Announcement, Purpose
     from flamingovalve.gateway.model import Upstream
+    from flamingovalve.gateway.rate_limits import RateLimit
+    from flamingovalve.gateway.send_limits import SendLimits
+    from flamingovalve.gateway.upstream_status import UpstreamStatuses
     from flamingovalve.http.client import (
         ConnectionPool,
         ResponseHead,
@@ -37,15 +37,34 @@
         pool: ConnectionPool,
         announcement_of: Callable[[ResponseHead], Announcement],
         statuses: UpstreamStatuses,
+        limits: SendLimits,
     ) -> None:
         """Send over connections of ``pool``.
 
         :param announcement_of: decodes the announcement of a response
         :param statuses: records requests and announcements
+        :param limits: admits requests within announced rate limits
         """
         self._pool = pool
         self._announcement_of = announcement_of
         self._statuses = statuses
+        self._limits = limits
+
+    def limit_of(self, upstream: Upstream) -> RateLimit:
+        """Return the rate limit of an upstream."""
+        return self._statuses.of(upstream.id).limit
+
+    async def admit(self, upstream: Upstream, patience: float) -> None:
+        """Wait until an upstream accepts a request.
+
+        :param patience: longest wait in seconds
+        :raises HeldBack: if it accepts none within ``patience``
+        """
+        try:
+            await self._limits.admit(upstream.id, patience)
+        except HeldBack:
+            self._statuses.counts.held_back += 1
+            raise
 
     async def acquire(self, upstream: Upstream) -> UpstreamConnection:
         """Return a connection to an upstream.
@@ -92,7 +111,8 @@
         :raises TimeoutError: if nothing was received for ``seconds``
         """
         head = await connection.head(seconds)
-        self._statuses.record(sent, self._announcement_of(head))
+        if self._statuses.record(sent, self._announcement_of(head)):
+            await self._limits.announce(sent.upstream)
         return head
 
     async def exchange(
@@ -101,14 +121,18 @@
         purpose: Purpose,
         call: UpstreamCall,
         seconds: float,
+        patience: float,
     ) -> Response:
         """Send a request and return the complete response.
 
         :param seconds: time limit of each wait
+        :param patience: longest wait until the upstream accepts it
+        :raises HeldBack: if it accepts none within ``patience``
         :raises OSError: if the upstream cannot be reached in time
         :raises ConnectionLost: if the connection broke
         :raises TimeoutError: if one of the waits exceeded ``seconds``
         """
+        await self.admit(upstream, patience)
         connection = await self.acquire(upstream)
         try:
             sent = await self.send(connection, upstream, purpose, call, seconds)
--- /dev/null
+++ b/flamingovalve/gateway/upstream_status.py
@@ -0,0 +1,171 @@
+"""What this VM knows of each upstream from its responses."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+from flamingovalve.gateway.rate_limits import NO_LIMIT, RateLimit
+from flamingovalve.util import clock
+from flamingovalve.util.logs import get_logger, note
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from flamingovalve.gateway.announcements import Announcement, SentRequest
+    from flamingovalve.generated.ids import UpstreamId
+
+logger = get_logger(__name__)
+
+_RECENT_SECONDS: Final = 4.0
+# Requests sent this shortly before a limit became known count towards it.
+_UNCOUNTED_SECONDS: Final = 1.5
+# The status of a removed upstream is kept for this long after the last request.
+_IDLE_SECONDS: Final = 60.0
+
+
+@dataclass
+class SendCounts:
+    """Counters of the requests that this VM sent to upstreams.
+
+    :ivar held_back: requests that were not sent, as the upstream accepted none
+    :ivar unanswered: requests to keepers of rate limits without a reply
+    """
+
+    serve: int = 0
+    report: int = 0
+    order: int = 0
+    held_back: int = 0
+    unanswered: int = 0
+
+
+@dataclass(slots=True)
+class UpstreamStatus:
+    """The status of one upstream.
+
+    :ivar recent: the latest requests of this VM, oldest first
+    """
+
+    limit: RateLimit = field(default_factory=RateLimit)
+    recent: deque[SentRequest] = field(default_factory=deque)
+    used_at: float = field(default_factory=clock.now)
+
+    def record_sent(self, sent: SentRequest) -> None:
+        """Record a request of this VM."""
+        self.used_at = sent.sent_at
+        self.recent.append(sent)
+        while self.recent[0].sent_at < sent.sent_at - _RECENT_SECONDS:
+            self.recent.popleft()
+
+    def recent_by_purpose(self) -> dict[str, int]:
+        """Return the numbers of this VM's recent requests by purpose."""
+        oldest = clock.now() - _RECENT_SECONDS
+        return Counter(
+            sent.purpose.value for sent in self.recent if sent.sent_at >= oldest
+        )
+
+    def find_uncounted(self) -> int:
+        """Return the number of requests that no keeper has counted."""
+        oldest = clock.now() - _UNCOUNTED_SECONDS
+        return sum(sent.sent_at >= oldest for sent in self.recent)
+
+
+class UpstreamStatuses:
+    """The status of each upstream that this VM uses."""
+
+    def __init__(self) -> None:
+        """Start without any status."""
+        self.counts = SendCounts()
+        self._by_id: dict[UpstreamId, UpstreamStatus] = {}
+
+    def of(self, upstream: UpstreamId) -> UpstreamStatus:
+        """Return the status of an upstream."""
+        status = self._by_id.get(upstream)
+        if status is None:
+            status = UpstreamStatus()
+            self._by_id[upstream] = status
+        return status
+
+    def forget_removed(self, is_listed: Callable[[UpstreamId], bool]) -> None:
+        """Forget the upstreams that were removed some time ago."""
+        oldest = clock.now() - _IDLE_SECONDS
+        removed = [
+            name
+            for name, status in self._by_id.items()
+            if status.used_at < oldest and not is_listed(name)
+        ]
+        for name in removed:
+            del self._by_id[name]
+
+    def limited(self) -> Iterator[tuple[UpstreamId, RateLimit]]:
+        """Yield the upstreams with a rate limit."""
+        for name, status in self._by_id.items():
+            if status.limit.rate() != NO_LIMIT:
+                yield name, status.limit
+
+    def record_sent(self, sent: SentRequest) -> None:
+        """Record that a request is being sent."""
+        purpose = sent.purpose.value
+        setattr(self.counts, purpose, getattr(self.counts, purpose) + 1)
+        self.of(sent.upstream).record_sent(sent)
+
+    def record(self, sent: SentRequest, announcement: Announcement) -> bool:
+        """Record what the response to ``sent`` announces.
+
+        :returns: whether a rate limit is new to this VM
+        """
+        status = self.of(sent.upstream)
+        previous_rate = status.limit.rate()
+        status.limit.record(sent, announcement)
+        return self._has_new_limit(
+            sent.upstream, previous_rate, sent.purpose.value
+        )
+
+    def record_rumour(self, upstream: UpstreamId, rate: float) -> bool:
+        """Record a rate limit that another VM was told.
+
+        :returns: whether it is new to this VM
+        """
+        limit = self.of(upstream).limit
+        previous_rate = limit.rate()
+        limit.record_rumour(rate)
+        return self._has_new_limit(upstream, previous_rate, 'rumour')
+
+    def state_dump(self) -> dict[str, Any]:
+        """Return the status of each upstream as JSON values."""
+        return {
+            name: {
+                'rate_limit': _json_rate(status.limit.rate()),
+                'sent': status.recent_by_purpose(),
+            }
+            for name, status in self._by_id.items()
+        }
+
+    def _has_new_limit(
+        self,
+        upstream: UpstreamId,
+        previous_rate: float,
+        source: str,
+    ) -> bool:
+        status = self.of(upstream)
+        rate = status.limit.rate()
+        if rate == previous_rate:
+            return False
+        status.limit.opens_at = 0
+        if previous_rate == NO_LIMIT:
+            status.limit.uncounted = status.find_uncounted()
+        note(
+            logger,
+            'rate limit of an upstream',
+            upstream=upstream,
+            rate=_json_rate(rate),
+            previous=_json_rate(previous_rate),
+            source=source,
+            sent=status.recent_by_purpose(),
+        )
+        return rate != NO_LIMIT
+
+
+def _json_rate(rate: float) -> float | None:
+    return None if rate == NO_LIMIT else rate
--- a/flamingovalve/membership/rumours.py
+++ b/flamingovalve/membership/rumours.py
@@ -60,6 +60,11 @@
     return ('owner', rumour.group)
 
 
+@subject.register(messages.LimitRumour)
+def _limit(rumour: messages.LimitRumour) -> Hashable:
+    return ('limit', rumour.upstream)
+
+
 class RumourQueue:
     """Rumours to piggyback, those with the fewest transmissions first.
 
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -5,7 +5,7 @@
 import re
 from typing import TYPE_CHECKING, Any, Final
 
-from flamingovalve.errors import ConnectionLost, Undecodable
+from flamingovalve.errors import ConnectionLost, HeldBack, Undecodable
 from flamingovalve.gateway.announcements import Announcement, Purpose
 from flamingovalve.gateway.orders import EngineReport, OrderOutcome
 from flamingovalve.gateway.relay import Verdict
@@ -29,6 +29,8 @@
 # Twice the slowest report of a busy engine; a report needs no slot.
 _REPORT_SECONDS: Final = 0.6
 _ORDER_SECONDS: Final = 0.6
+# An order waits for its turn while requests wait for the adapter.
+_ORDER_PATIENCE_SECONDS: Final = 1.5
 _MS_PER_SECOND: Final = 1000
 _MAX_PRIORITY: Final = 9
 _STATUS_OK: Final = 200
@@ -101,6 +103,7 @@
             _decimal(head.headers.get('server-limit', '')),
             head.headers.get('server-leaving', '').strip() == '1',
             rest or 0,
+            _FIRST_SUCCESS <= head.status <= _LAST_SUCCESS,
         )
 
     def keep_alive_seconds(self, head: ResponseHead) -> float | None:
@@ -118,11 +121,15 @@
 
     def __init__(self, client: UpstreamClient, upstream: Upstream) -> None:
         """Use the engine ``upstream`` through ``client``."""
+        self.limit = client.limit_of(upstream)
         self._client = client
         self._upstream = upstream
 
-    async def report(self) -> EngineReport | None:
-        """Read the report of the engine; ``None`` without a valid one."""
+    async def report(self, patience: float) -> EngineReport | None:
+        """Read the report of the engine; ``None`` without a valid one.
+
+        :raises HeldBack: if it accepts no request within ``patience``
+        """
         call = UpstreamCall('GET', '/report', [])
         try:
             response = await self._client.exchange(
@@ -130,6 +137,7 @@
                 Purpose.REPORT,
                 call,
                 _REPORT_SECONDS,
+                patience,
             )
         except (OSError, ConnectionLost):
             return None
@@ -153,7 +161,10 @@
                 Purpose.ORDER,
                 call,
                 _ORDER_SECONDS,
+                _ORDER_PATIENCE_SECONDS,
             )
+        except HeldBack:
+            return OrderOutcome.HELD_BACK
         except ConnectionRefusedError:
             return OrderOutcome.GONE
         except (OSError, ConnectionLost):
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -71,6 +71,11 @@
   remaining @2 :Float64 $unit("seconds") $doc("Time until the record expires.");
 }
 
+struct LimitRumour $doc("A rate limit that an upstream has announced to a VM.") {
+  upstream @0 :Text $ident("UpstreamId");
+  rate @1 :Float64 $doc("Requests per second that it accepts from all VMs together.");
+}
+
 struct StoreRumour $doc("Use of the weight store by one VM.") {
   vm @0 :Text $ident("VmId");
   loading @1 :UInt32 $doc("Loads in flight.");
@@ -94,6 +99,7 @@
     catalogue @5 :CatalogueRumour;
     owner @6 :OwnerRumour;
     watch @7 :WatchRumour;
+    limit @8 :LimitRumour;
   }
 }
 
@@ -275,6 +281,18 @@
   left @1 :Float64 $doc("Remaining balance; negative while overdrawn.");
 }
 
+struct SendAsk $doc("Asks the keeper of an upstream's rate limit when to send a request to it.") {
+  upstream @0 :Text $ident("UpstreamId");
+  rate @1 :Float64 $doc("The limit as the asking VM knows it, in requests per second.");
+  patience @2 :Float64 $unit("seconds") $doc("Longest wait for which to book the request; negative to book none.");
+  uncounted @3 :UInt32 $doc("Recent requests of the asking VM that no keeper has counted.");
+}
+
+struct SendReply $doc("When a request may be sent to an upstream.") {
+  waitSeconds @0 :Float64 $unit("seconds") $doc("Time until then. The request is booked if this is within its patience.");
+  nextSeconds @1 :Float64 $unit("seconds") $doc("Time until a further request could be sent.");
+}
+
 struct PromptPart $doc("A part of a prompt that other prompts may have in common.") {
   id @0 :Text;
   tokens @1 :UInt32;
@@ -309,11 +327,13 @@
   failed @2 $doc("The engine answered with an error, or too late.");
   abandoned @3 $doc("The caller disconnected.");
   lost @4 $doc("The engine could not be reached, or its connection broke.");
+  deferred @5 $doc("The request was not sent, as the engine accepts none now.");
 }
 
 struct PlaceEnd $doc("Releases a place.") {
   outcome @0 :PlaceOutcome;
   firstEvent @1 :Float64 $unit("seconds") $doc("Time from sending the request to its first event; 0 if none was received.");
+  retryAfter @2 :Float64 $unit("seconds") $doc("Time until the engine accepts a request; 0 unless it was held back.");
 }
 
 struct PlaceHold $doc("Reports to a new owner a place that a former owner granted.") {
@@ -347,5 +367,7 @@
     placeHold @21 :PlaceHold;
     creditAsk @22 :CreditAsk;
     creditReply @23 :CreditReply;
+    sendAsk @24 :SendAsk;
+    sendReply @25 :SendReply;
   }
 }
--- /dev/null
+++ b/tests/rig/announcing_faults.py
@@ -0,0 +1,157 @@
+"""Random faults on a site whose upstreams announce limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from standins.announcing import Announced
+from tests.rig.site_faults import FaultySite
+from tests.rig.upstream_rules import (
+    Disturbance,
+    Disturbances,
+    limit_violations,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from standins.announcing import History
+    from standins.platform_runner import PlatformRunnerStandIn
+
+_REQUEST_INTERVAL_SECONDS: Final = 0.08
+_RATES: Final = (0.3, 1.0, 1.0, 2.5, 8.0)
+_PATHS: Final = (
+    frozenset(),
+    frozenset(('/report', '/order')),
+)
+
+
+class AnnouncingSite(FaultySite):
+    """A site with random faults and announcements from one seed."""
+
+    def __init__(self, seed: int) -> None:
+        """Start the site; reports announce nothing in every other run."""
+        super().__init__(seed)
+        self.disturbances = Disturbances()
+        self._disturbed_since: dict[str, float] = {}
+        for upstream in self.upstreams():
+            upstream.history.silent_paths = _PATHS[seed % 2]
+
+    def upstreams(self) -> list[PlatformRunnerStandIn]:
+        """Return the engines and the plain upstreams."""
+        return [*self.site.engines, *self.site.apps]
+
+    def faults(self) -> list[Callable[[], None]]:
+        """Return the faults and announcements."""
+        return [
+            self.limit,
+            self.limit,
+            self.limit,
+            self.unlimit,
+            self.cut_vms,
+            self.cut_store,
+            self.heal,
+            self.kill,
+            self.start,
+            self.pause,
+            self.wake,
+            self.lose_orders,
+        ]
+
+    def limit(self) -> None:
+        """Let an upstream announce a limit, or change the one it has."""
+        history = self._history()
+        history.announced = Announced(rate_limit=self.rng.choice(_RATES))
+
+    def unlimit(self) -> None:
+        """Let an upstream announce nothing any more."""
+        self._history().announced = Announced()
+
+    def ask(self) -> None:
+        """Send nothing; :meth:`advance` sends requests all the time."""
+
+    def advance(self, seconds: float) -> None:
+        """Advance the time while callers send requests."""
+        end = self._now() + seconds
+        while self._now() < end:
+            self._request()
+            super().advance(min(end - self._now(), _REQUEST_INTERVAL_SECONDS))
+
+    def kill(self) -> None:
+        """Kill the process of a VM."""
+        self._record(super().kill)
+
+    def start(self) -> None:
+        """Start the processes that were killed."""
+        self._record(super().start)
+
+    def pause(self) -> None:
+        """Pause a process."""
+        self._record(super().pause)
+
+    def wake(self) -> None:
+        """Resume the paused processes."""
+        self._record(super().wake)
+
+    def cut_vms(self) -> None:
+        """Partition the fleet into two parts."""
+        self._record(super().cut_vms)
+
+    def heal(self) -> None:
+        """Heal all partitions."""
+        self._record(super().heal)
+
+    def find_violations(self) -> list[str]:
+        """Return a description of each violation."""
+        self._record(lambda: None)
+        broken = [
+            violation
+            for upstream in self.upstreams()
+            for violation in limit_violations(
+                upstream.name, upstream.history, self.disturbances
+            )
+        ]
+        return [*broken, *self._run_violations()]
+
+    def _history(self) -> History:
+        return self.rng.choice(self.upstreams()).history
+
+    def _request(self) -> None:
+        running = self.running()
+        if not running:
+            return
+        kind = self.rng.randrange(6)
+        if kind < 3:
+            adapter = self.rng.randrange(8)
+            call = self.site.chat(f'a{adapter}' if adapter > 2 else '')
+        elif kind < 5:
+            call = self.site.call('/reads/1')
+        else:
+            call = self.site.call('/orders/1')
+        name = dict(call.headers)['Attempt-Id']
+        vm_id = self.rng.choice(running)
+        self.answers.append((name, self.site.begin(vm_id, call)))
+
+    def _record(self, change: Callable[[], None]) -> None:
+        """Record which VMs are disturbed before or after a change."""
+        before = self._undisturbed()
+        change()
+        after = self._undisturbed()
+        now = self._now()
+        for vm in before - after:
+            self._disturbed_since[vm] = now
+        for vm in after - before:
+            since = self._disturbed_since.pop(vm, 0)
+            self.disturbances.entries.append(Disturbance(vm, since, now))
+        for vm, since in self._disturbed_since.items():
+            self.disturbances.entries.append(Disturbance(vm, since, now))
+
+    def _undisturbed(self) -> set[str]:
+        """Return the running VMs that are not cut off from a majority."""
+        larger, smaller = sorted(
+            self.parts, key=lambda part: (-len(part), min(part, default=''))
+        )
+        return set(self.running()) - set(smaller)
+
+    def _now(self) -> float:
+        return self.site.world.monotonic()
--- a/tests/rig/site_faults.py
+++ b/tests/rig/site_faults.py
@@ -32,6 +32,7 @@
         self.rng = random.Random(seed)
         self.site = Site.started(_VMS, engines=2, slots=3)
         self.steps: Counter[str] = Counter()
+        self.parts: tuple[list[str], list[str]] = ([], [])
         self.answers: list[tuple[str, curio.Task]] = []
         self._paused: set[str] = set()
 
@@ -102,7 +103,8 @@
         names = list(self.site.vms_by_id)
         self.rng.shuffle(names)
         count = self.rng.randrange(1, len(names))
-        self.site.links.partition(names[:count], names[count:])
+        self.parts = (names[:count], names[count:])
+        self.site.links.partition(*self.parts)
 
     def cut_store(self) -> None:
         """Partition one VM from the store."""
@@ -111,6 +113,7 @@
 
     def heal(self) -> None:
         """Heal all partitions."""
+        self.parts = ([], [])
         self.site.links.heal()
 
     def kill(self) -> None:
--- /dev/null
+++ b/tests/test_announcing_faults.py
@@ -0,0 +1,58 @@
+"""What upstreams announce, kept by whole daemons under random faults."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from unittest import mock
+
+from flamingovalve.gateway.send_keeper import SendKeeper
+from flamingovalve.generated.messages import SendReply
+from tests.rig.announcing_faults import AnnouncingSite
+
+STEPS = 14
+SEEDS = (1, 2, 3, 4)
+
+
+def play(seed: int) -> list[str]:
+    """Run the faults of one seed and return the violations."""
+    site = AnnouncingSite(seed)
+    try:
+        site.play(STEPS)
+        return site.find_violations()
+    finally:
+        site.close()
+
+
+class TestAnnouncingFaults(unittest.TestCase):
+    """Limits begin, change and end while VMs fail."""
+
+    def test_no_upstream_gets_more_than_it_accepts(self):
+        violations = {seed: play(seed) for seed in SEEDS}
+        self.assertEqual(violations, dict.fromkeys(SEEDS, []))
+
+
+class TestMutations(unittest.TestCase):
+    """Checks that a disabled safeguard causes a violation."""
+
+    def test_keeper_that_books_every_request_at_once(self):
+        with mock.patch.object(
+            SendKeeper, 'book', lambda _keeper, _ask: SendReply(0, 0)
+        ):
+            violations = [one for seed in SEEDS for one in play(seed)]
+        self.assertTrue(any('got' in one for one in violations), violations)
+
+
+def main() -> int:
+    """Run an inclusive range of seeds given on the command line."""
+    first, last = (int(text) for text in sys.argv[1:])
+    failed = 0
+    for seed in range(first, last + 1):
+        violations = play(seed)
+        failed += bool(violations)
+        print(seed, violations[:3] or 'ok', flush=True)
+    return failed
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/test_fallback_placement.py
+++ b/tests/test_fallback_placement.py
@@ -7,8 +7,9 @@
 from flamingovalve.gateway.catalogue import Catalogue
 from flamingovalve.gateway.fallback_placement import FallbackPlacement
 from flamingovalve.gateway.model import Configuration, UpstreamService
+from flamingovalve.gateway.rate_limits import RateLimit
 from flamingovalve.generated.ids import AdapterId, ServiceId
-from flamingovalve.generated.messages import PlaceOutcome
+from flamingovalve.generated.messages import PlaceEnd, PlaceOutcome
 from tests.rig.engines import TRAITS, ask, report, upstream
 from tests.rig.timeline import TimedTestCase
 
@@ -19,12 +20,14 @@
 class ReportingEngine:
     """An engine that reports its adapters and counts the reports."""
 
+    limit = RateLimit()
+
     def __init__(self, *resident):
         """Hold the adapters ``resident``."""
         self.resident = resident
         self.asked = 0
 
-    async def report(self):
+    async def report(self, patience):
         """Return a report of the adapters."""
         self.asked += 1
         return report(0, *self.resident)
@@ -80,7 +83,7 @@
         self.assertEqual(names.count('engine-0'), 2)
         while (lease := self.take('a')) is not None:
             last = lease
-        curio.run(last.end, PlaceOutcome.FINISHED, 0.1)
+        curio.run(last.end, PlaceEnd(PlaceOutcome.FINISHED, 0.1))
         self.assertIsNotNone(self.take('a'))
 
     def test_engine_that_refused_is_not_retried(self):
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -10,6 +10,7 @@
 from flamingovalve.gateway.model import Configuration, UpstreamService
 from flamingovalve.gateway.owned import OwnedGroups
 from flamingovalve.gateway.ownership import GroupClaims
+from flamingovalve.gateway.rate_limits import RateLimit
 from flamingovalve.gateway.shards import Shards
 from flamingovalve.generated.ids import GroupId, ServiceId
 from flamingovalve.generated.messages import MemberState, OwnerRumour
@@ -25,7 +26,9 @@
 class OrderedEngine:
     """An engine that has accepted orders of other VMs."""
 
-    async def report(self):
+    limit = RateLimit()
+
+    async def report(self, patience):
         """Return a report with seven accepted orders."""
         return report(7)
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -10,8 +10,9 @@
 from flamingovalve.gateway.ledger import AdapterState
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.places import PlaceServer
+from flamingovalve.gateway.rate_limits import RateLimit
 from flamingovalve.generated.ids import GroupId, VmId
-from flamingovalve.generated.messages import PlaceOutcome
+from flamingovalve.generated.messages import PlaceEnd, PlaceOutcome
 from flamingovalve.generated.settings import GatewaySettings
 from tests.rig.engines import MODEL, TRAITS, ask, hold, upstream
 from tests.rig.timeline import TimedTestCase
@@ -24,7 +25,9 @@
 class SilentEngine:
     """An engine that never answers."""
 
-    async def report(self):
+    limit = RateLimit()
+
+    async def report(self, patience):
         """Wait for ever."""
         await curio.sleep(LONG)
 
@@ -99,7 +102,7 @@
             dispatch.choose = counting
             request = ask('engine-0-1', 99, patience=LONG)
             place = await owner.place(request)
-            await owner.end(place, PlaceOutcome.FINISHED, 0)
+            await owner.end(place, PlaceEnd(PlaceOutcome.FINISHED))
 
         try:
             curio.run(scenario)
@@ -148,7 +151,7 @@
                 await curio.spawn(owner.place, request, daemon=True)
                 await curio.sleep(0)
                 self.advance(0.01)
-            await owner.end(places[0], PlaceOutcome.FINISHED, 0)
+            await owner.end(places[0], PlaceEnd(PlaceOutcome.FINISHED))
             engine = owner.engines.engines_by_id['engine-0'].ledger
             self.assertIs(engine.held['cold-0'].state, AdapterState.LOADING)
             self.assertNotIn('cold-1', engine.held)
@@ -169,7 +172,7 @@
                 await curio.spawn(owner.place, request, daemon=True)
                 await curio.sleep(0)
                 self.advance(0.01)
-            await owner.end(places[0], PlaceOutcome.FINISHED, 0)
+            await owner.end(places[0], PlaceEnd(PlaceOutcome.FINISHED))
             engine = owner.engines.engines_by_id['engine-0'].ledger
             self.assertEqual(engine.held['cold'].uses, 2)
 
@@ -199,7 +202,7 @@
             engine = owner.engines.engines_by_id['engine-0'].ledger
             for place in places[:8]:
                 before = set(engine.held)
-                await owner.end(place, PlaceOutcome.FINISHED, 0)
+                await owner.end(place, PlaceEnd(PlaceOutcome.FINISHED))
                 order.extend(set(engine.held) - before)
                 for held in engine.held.values():
                     held.state = AdapterState.RESIDENT
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -53,7 +53,7 @@
     def keeper(self):
         """Return the id of the VM that keeps the quota."""
         daemon = self.site.vms_by_id['vm-0'].daemon
-        first = daemon.quotas._keepers('ours')[0]
+        first = daemon.keepers.keepers('quota ours')[0]
         return next(
             vm.id for vm in self.site.vms_by_id.values() if vm.peer == first
         )
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -5,11 +5,11 @@
 import curio
 
 from flamingovalve.errors import ConnectionLost
-from flamingovalve.gateway.announcements import UpstreamStatuses
 from flamingovalve.gateway.inbound import InboundRequest
 from flamingovalve.gateway.model import RepeatPolicy, Route
 from flamingovalve.gateway.relay import Outcome, SendOptions, UpstreamRelay
 from flamingovalve.gateway.upstream_client import UpstreamClient
+from flamingovalve.gateway.upstream_status import UpstreamStatuses
 from flamingovalve.generated.ids import RequestId
 from tests.rig.engines import upstream
 from tests.rig.timeline import TimedTestCase
@@ -43,6 +43,13 @@
         """Accept a returned connection."""
 
 
+class OpenLimits:
+    """Limits that admit every request."""
+
+    async def admit(self, _upstream, _patience):
+        """Admit a request at once."""
+
+
 class EmptyWire:
     """A wire format without calls."""
 
@@ -85,7 +92,10 @@
     def send(self, request, seconds):
         """Send a request over a connection that takes ``seconds`` to open."""
         client = UpstreamClient(
-            SlowPool(self, seconds), lambda _head: None, UpstreamStatuses()
+            SlowPool(self, seconds),
+            lambda _head: None,
+            UpstreamStatuses(),
+            OpenLimits(),
         )
         relay = UpstreamRelay(client, EmptyWire())
         return curio.run(
