--- a/flamingovalve/gateway/balancer.py
+++ b/flamingovalve/gateway/balancer.py
@@ -93,6 +93,10 @@
         ] or candidates
         return min(usable, key=self._cost)
 
+    def wait_seconds(self, upstream: UpstreamId) -> float:
+        """Return the seconds until an upstream accepts a request."""
+        return self._statuses.of(upstream).limit.wait_seconds()
+
     def started(self, upstream: UpstreamId) -> None:
         """Count a call as in progress."""
         self.stats(upstream).under_way += 1
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -33,7 +33,7 @@
 _REPORT_SECONDS: Final = 0.7
 _EAGER_REPORT_SECONDS: Final = 0.3
 # Share of the requests of an engine with a rate limit that are reports.
-_REPORT_SHARE: Final = 0.25
+_REPORT_SHARE: Final = 0.15
 # A report waits for its turn among the requests of callers.
 _REPORT_PATIENCE_SECONDS: Final = 1.5
 _LOAD_OUTCOMES: Final = frozenset((OrderOutcome.ACCEPTED, OrderOutcome.HOLDS))
@@ -281,6 +281,7 @@
             self.ledger.fence,
             version,
         )
+        self.ledger.sends.add()
         outcome = await self._link.order(order)
         note(
             logger,
@@ -321,6 +322,7 @@
     async def _poll_report(self) -> None:
         ledger = self.ledger
         report = await self._link.report(_REPORT_PATIENCE_SECONDS)
+        self.ledger.sends.add()
         if report is None:
             # Otherwise an unreachable engine would be assigned requests until
             # its entry expires some four seconds later, and each would wait
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -265,7 +265,7 @@
         """Return the expected seconds of a load that begins now."""
         load = self.loads.expected(is_kept=name in self.kept)
         seconds = load.ready_at - clock.now()
-        return self.sends.seconds_of(_ORDERS_PER_LOAD) + seconds
+        return self.sends.wait_seconds(_ORDERS_PER_LOAD + 1) + seconds
 
     def record_load_accepted(self, held: HeldAdapter) -> None:
         """Record that the engine has accepted the load of an adapter."""
--- a/flamingovalve/gateway/rate_limits.py
+++ b/flamingovalve/gateway/rate_limits.py
@@ -15,6 +15,9 @@
 NO_LIMIT: Final = math.inf
 # A lower limit counts as this, so that its end is noticed.
 _MIN_RATE: Final = 0.1
+# An unload, a load and the request that waits for them.
+_MIN_BURST: Final = 3.0
+_BURST_SECONDS: Final = 0.25
 # A limit learnt from another VM lapses unless it is repeated.
 _RUMOUR_SECONDS: Final = 10.0
 # For this long after an upstream told this VM that it has no limit any more,
@@ -24,6 +27,11 @@
 _CONFIRMED_SECONDS: Final = 3.0
 
 
+def burst_of(rate: float) -> float:
+    """Return the number of requests that may be sent at once."""
+    return max(_MIN_BURST, rate * _BURST_SECONDS)
+
+
 @dataclass(slots=True)
 class RateLimit:
     """A rate limit of an upstream, as known to this VM.
--- a/flamingovalve/gateway/send_keeper.py
+++ b/flamingovalve/gateway/send_keeper.py
@@ -8,6 +8,7 @@
 from flamingovalve.gateway.credit import CreditBucket
 from flamingovalve.gateway.model import Quota
 from flamingovalve.gateway.quota_keeper import rate_share
+from flamingovalve.gateway.rate_limits import burst_of
 from flamingovalve.generated.messages import SendReply
 from flamingovalve.util import clock
 
@@ -17,8 +18,6 @@
     from flamingovalve.generated.messages import Hello, SendAsk
     from flamingovalve.membership.members import MemberTable
 
-# Requests that may be sent at once, in seconds of the limit.
-_BURST_SECONDS: Final = 0.25
 # A limit that nobody has asked for this long starts anew.
 _IDLE_SECONDS: Final = 10.0
 # Fraction of a limit that all partitions without a majority may use together.
@@ -68,7 +67,7 @@
     def book(self, ask: SendAsk) -> SendReply:
         """Book a request if it may be sent within the patience of ``ask``."""
         rate = min(ask.rate, self._statuses.of(ask.upstream).limit.rate())
-        quota = Quota(rate, max(1, rate * _BURST_SECONDS))
+        quota = Quota(rate, burst_of(rate))
         account = self._account_of(ask.upstream, quota)
         account.bucket.update_quota(quota)
         _charge(account, ask.uncounted)
--- a/flamingovalve/gateway/send_plan.py
+++ b/flamingovalve/gateway/send_plan.py
@@ -4,7 +4,11 @@
 
 from dataclasses import dataclass, field
 
-from flamingovalve.gateway.rate_limits import NO_LIMIT, RateLimit
+from flamingovalve.gateway.rate_limits import (
+    NO_LIMIT,
+    RateLimit,
+    burst_of,
+)
 from flamingovalve.util import clock
 
 
@@ -16,32 +20,36 @@
     places whose requests the keeper would hold back.
 
     :ivar limit: the limit that the engine announces
-    :ivar next_at: earliest time of another request, on the monotonic clock
+    :ivar used_until: when the limit has made up for all planned requests, on
+        the monotonic clock
     """
 
     limit: RateLimit = field(default_factory=RateLimit)
-    next_at: float = 0
+    used_until: float = 0
 
     def is_limited(self) -> bool:
         """Return whether the engine announces a rate limit."""
         return self.limit.rate() != NO_LIMIT
 
-    def wait_seconds(self) -> float:
-        """Return the seconds until the engine accepts another request."""
+    def wait_seconds(self, requests: int = 1) -> float:
+        """Return the seconds until the last of some requests is accepted."""
         if not self.is_limited():
             return 0
-        opens_at = max(self.limit.opens_at, self.next_at)
-        return max(0, opens_at - clock.now())
-
-    def seconds_of(self, requests: int) -> float:
-        """Return the seconds that the engine needs to accept requests."""
-        return self.wait_seconds() + requests * self.limit.spacing()
+        rate = self.limit.rate()
+        planned = self.used_until - clock.now()
+        wait = max(0, planned) + (requests - burst_of(rate)) / rate
+        return max(wait, self.limit.wait_seconds())
 
     def add(self) -> None:
         """Plan one more request."""
         if self.is_limited():
-            self.next_at = clock.now() + self.seconds_of(1)
+            used_until = max(self.used_until, clock.now())
+            self.used_until = used_until + self.limit.spacing()
 
     def hold_back(self, seconds: float) -> None:
         """Plan no request for ``seconds``."""
-        self.next_at = max(self.next_at, clock.now() + seconds)
+        rate = self.limit.rate()
+        if rate == NO_LIMIT:
+            return
+        held_until = clock.now() + seconds + (burst_of(rate) - 1) / rate
+        self.used_until = max(self.used_until, held_until)
