--- a/tests/rig/upstream_rules.py
+++ b/tests/rig/upstream_rules.py
@@ -17,6 +17,7 @@
 _EXCESS_FACTOR: Final = 1.5
 _EXCESS_REQUESTS: Final = 5
 _TOLD_SECONDS: Final = 0.5
+_REQUESTS_IN_REST: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,3 +131,32 @@
     # The limit in force half a second ago still counts.
     older = [a for a in known if a.at < moment - _TOLD_SECONDS][-1:]
     return [a.announced.rate_limit or 0 for a in (*older, *recent)]
+
+
+def rest_violations(
+    name: str,
+    history: History,
+    disturbances: Disturbances,
+) -> list[str]:
+    """Return the rests that an upstream asked for and did not get.
+
+    From half a second after a rejection with a rest to the end of the rest, at
+    most two requests may arrive from the VM that was rejected.
+    """
+    broken = []
+    for answer in history.answers:
+        ends = answer.at + answer.announced.rest_seconds
+        if disturbances.excuse(answer.sender, answer.at, ends):
+            continue
+        counted = [
+            arrival.path.split('/')[1]
+            for arrival in history.arrivals
+            if arrival.sender == answer.sender
+            and answer.at + _TOLD_SECONDS < arrival.at <= ends
+        ]
+        if len(counted) > _REQUESTS_IN_REST:
+            broken.append(
+                f'{name} got {len(counted)} requests from {answer.sender} '
+                f'in its rest from {answer.at:.3f}: {dict(Counter(counted))}'
+            )
+    return broken
