Send an upstream nothing in the rest that it asked for

Cause: nobody read the time. A rejection was classified like the refusal of an engine that lacks an adapter, with two effects. The VM forgot it with the request. The owner waited 30 ms for the load and granted the same engine again, up to five times, as `refused_by` is not part of an ask.

Change: UpstreamClient checks the rest when a request is admitted, and again when it is sent, for requests that were admitted before. A rejection with a rest is an outcome of its own. Asks name the engines that rest for the VM; the owner pauses a rejecting engine for all, for half a second to four. A request that no upstream of its service accepts in time is refused at once with the time until the first does; this replaces the check of rate limits in CallServer and holds for completions too.

A mutation that forgets rests is noticed. 58 tests of the parts touched passed.

--- a/benchmarks/owner_cost.py
+++ b/benchmarks/owner_cost.py
@@ -26,7 +26,7 @@
 )
 from flamingovalve.gateway.orders import Order, OrderOutcome
 from flamingovalve.gateway.owner import GroupOwner
-from flamingovalve.gateway.rate_limits import RateLimit
+from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.generated.ids import (
     AdapterId,
     DomainId,
@@ -62,7 +62,7 @@
     The state of the engine is written to the ledger of the owner directly.
     """
 
-    limit = RateLimit()
+    status = UpstreamStatus()
 
     async def report(self, _patience: float) -> None:
         """Wait without receiving a report."""
--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -30,6 +30,9 @@
 # budget.
 MAX_SENDS: Final = 5
 
+_NOT_ACCEPTED_OUTCOMES: Final = frozenset(
+    (Outcome.HELD_BACK, Outcome.REJECTED),
+)
 # Mostly long enough for another upstream of the service to register.
 _NO_UPSTREAM_SECONDS: Final = 0.5
 _MIN_RETRY_SECONDS: Final = 0.1
@@ -68,7 +71,7 @@
         """Record where a request was sent and whether it may have run."""
         if sent.outcome in NOT_RUN_OUTCOMES:
             request.refused_by.append(upstream.id)
-            if sent.outcome is Outcome.HELD_BACK:
+            if sent.outcome in _NOT_ACCEPTED_OUTCOMES:
                 request.accepted_after = min(
                     request.accepted_after, sent.retry_after
                 )
@@ -102,15 +105,36 @@
     If an earlier attempt may have run the request, the error says so.
     """
     error = error_for_outcome(sent.outcome)
-    if sent.outcome is Outcome.HELD_BACK:
-        error.retry_after = return_times.add_jitter(
-            max(request.accepted_after, _MIN_RETRY_SECONDS), request.id
-        )
+    if sent.outcome in _NOT_ACCEPTED_OUTCOMES:
+        error = not_accepted(request, request.accepted_after)
     if request.tried:
         error.ran = Ran.UNKNOWN
     return error
 
 
+def not_accepted(request: InboundRequest, seconds: float) -> ServingError:
+    """Return the error for a request that no upstream accepts now.
+
+    :param seconds: time after which one accepts it
+    """
+    pause = max(seconds, _MIN_RETRY_SECONDS)
+    pause = return_times.add_jitter(pause, request.id)
+    note(
+        logger,
+        'refused, no upstream accepts it',
+        id=request.id,
+        service=request.service,
+        accepted_after=round(seconds, 3),
+        retry_after=round(pause, 3),
+    )
+    return ServingError(
+        ErrorKind.OVERLOADED,
+        f'no upstream of service {request.service} accepts the request; '
+        f'retry after {pause:.1f} s',
+        retry_after=pause,
+    )
+
+
 def no_upstream(service: ServiceId) -> ServingError:
     """Return the error for a service without an available upstream."""
     return ServingError(
--- a/flamingovalve/gateway/balancer.py
+++ b/flamingovalve/gateway/balancer.py
@@ -93,10 +93,6 @@
         ] or candidates
         return min(usable, key=self._cost)
 
-    def wait_seconds(self, upstream: UpstreamId) -> float:
-        """Return the seconds until an upstream accepts a request."""
-        return self._statuses.of(upstream).limit.wait_seconds()
-
     def started(self, upstream: UpstreamId) -> None:
         """Count a call as in progress."""
         self.stats(upstream).under_way += 1
@@ -137,11 +133,10 @@
         cost = stats.under_way + self._rng.random() * _OTHER_DOMAIN_COST
         if upstream.domain != self._domain:
             cost += _OTHER_DOMAIN_COST
-        cost += self._limit_cost(upstream)
+        cost += self._announced_cost(upstream)
         return cost + max(0, stats.failing - _FAILING_SHARE / 2) * _FAILURE_COST
 
-    def _limit_cost(self, upstream: Upstream) -> float:
-        limit = self._statuses.of(upstream.id).limit
-        if limit.rate() == NO_LIMIT:
-            return 0
-        return _LIMITED_COST + limit.wait_seconds() * _WAIT_COST_PER_SECOND
+    def _announced_cost(self, upstream: Upstream) -> float:
+        status = self._statuses.of(upstream.id)
+        cost = status.wait_seconds() * _WAIT_COST_PER_SECOND
+        return cost + _LIMITED_COST * (status.limit.rate() != NO_LIMIT)
--- a/flamingovalve/gateway/calls.py
+++ b/flamingovalve/gateway/calls.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from flamingovalve.gateway.attempts import MAX_SENDS, final_error, no_upstream
-from flamingovalve.gateway.relay import Outcome, SendOptions, SendResult
+from flamingovalve.gateway.relay import Outcome, SendOptions
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.attempts import Attempts
@@ -13,7 +13,7 @@
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
-    from flamingovalve.gateway.relay import UpstreamRelay
+    from flamingovalve.gateway.relay import SendResult, UpstreamRelay
     from flamingovalve.http.server import Responder
 
 
@@ -42,7 +42,6 @@
 
         :raises ServingError: if no upstream returned a response
         """
-        self._check_limits(request)
         sent = await self._send_with_retries(request)
         if sent is None:
             raise no_upstream(request.service)
@@ -50,20 +49,6 @@
             raise final_error(request, sent)
         await responder.send(sent.response)
 
-    def _check_limits(self, request: InboundRequest) -> None:
-        """Check that an upstream accepts a request in time.
-
-        :raises ServingError: if none does
-        """
-        waits = [
-            self._balancer.wait_seconds(upstream.id)
-            for upstream in self._catalogue.upstreams(request.service)
-        ]
-        wait = min(waits, default=0)
-        if wait > request.send_patience():
-            request.accepted_after = wait
-            raise final_error(request, SendResult(Outcome.HELD_BACK))
-
     async def _send_with_retries(
         self,
         request: InboundRequest,
@@ -100,7 +85,7 @@
         await self._attempts.record(request, upstream, sent)
         if sent.outcome is Outcome.DONE:
             self._balancer.succeeded(upstream.id)
-        elif sent.outcome is Outcome.HELD_BACK:
+        elif sent.outcome in {Outcome.HELD_BACK, Outcome.REJECTED}:
             self._balancer.abandoned(upstream.id)
         else:
             is_unresponsive = sent.outcome in {
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -27,6 +27,7 @@
     Outcome.LOST: PlaceOutcome.LOST,
     Outcome.UNREACHABLE: PlaceOutcome.LOST,
     Outcome.HELD_BACK: PlaceOutcome.DEFERRED,
+    Outcome.REJECTED: PlaceOutcome.REJECTED,
 }
 
 
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -183,6 +183,7 @@
                 link_to,
                 lambda: len(self.members.present()),
             ),
+            self.upstreams.statuses,
         )
         self.directory = AddressDirectory(
             self.members,
@@ -214,6 +215,7 @@
             calls,
             self.completions,
             self.quarantine,
+            self.upstreams.statuses,
             self.rng,
         )
 
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -22,7 +22,7 @@
     from flamingovalve.gateway.ledger import EngineLedger
     from flamingovalve.gateway.orders import EngineReport
     from flamingovalve.gateway.popularity import Popularity
-    from flamingovalve.gateway.rate_limits import RateLimit
+    from flamingovalve.gateway.upstream_status import UpstreamStatus
     from flamingovalve.gateway.waiting import Waiter
     from flamingovalve.generated.ids import VmId
 
@@ -44,7 +44,7 @@
 class EngineLink(Protocol):
     """Requests reports from one engine and sends it orders."""
 
-    limit: RateLimit
+    status: UpstreamStatus
 
     async def report(self, patience: float) -> EngineReport | None:
         """Return the engine's report, or ``None`` if it does not answer.
--- a/flamingovalve/gateway/fallback_placement.py
+++ b/flamingovalve/gateway/fallback_placement.py
@@ -105,17 +105,18 @@
             upstream
             for upstream in self._catalogue.upstreams(request.service)
             if self._holds(upstream, request, ask)
+            and self._wait_of(upstream) <= request.send_patience()
             and used.count(upstream.id) < limit
         ]
         return min(
             candidates,
-            key=lambda one: (
-                self._link_to(one).limit.wait_seconds(),
-                used.count(one.id),
-            ),
+            key=lambda one: (self._wait_of(one), used.count(one.id)),
             default=None,
         )
 
+    def _wait_of(self, upstream: Upstream) -> float:
+        return self._link_to(upstream).status.wait_seconds()
+
     def _max_places(self, traits: EngineTraits) -> int:
         share = traits.batch * _BATCH_SHARE / max(1, self._vm_count())
         return max(_MIN_PLACES, int(share))
--- a/flamingovalve/gateway/group.py
+++ b/flamingovalve/gateway/group.py
@@ -172,7 +172,7 @@
             settings,
             chain,
             loads=self.loads,
-            sends=SendPlan(link.limit),
+            sends=SendPlan(link.status),
         )
         if self._is_initial:
             # The claim's fencing number exceeds those of previous owners.
--- a/flamingovalve/gateway/inbound.py
+++ b/flamingovalve/gateway/inbound.py
@@ -68,8 +68,8 @@
     :ivar service: service of the route that was chosen for this request
     :ivar tried: upstreams that may have run it
     :ivar refused_by: upstreams that did not run it
-    :ivar accepted_after: seconds after which an upstream with a rate limit
-        accepts it; infinite if none was asked
+    :ivar accepted_after: seconds after which an upstream that has held it
+        back or rejected it accepts it; infinite if none has
     :ivar is_caller_disconnected: returns whether the caller has disconnected
     """
 
@@ -117,7 +117,7 @@
         return min(self.remaining(), patience - elapsed)
 
     def send_patience(self) -> float:
-        """Return the longest wait in seconds for an upstream with a limit.
+        """Return the longest wait in seconds for an upstream to accept it.
 
         A request that would wait longer is better refused with the time
         after which an upstream accepts it: a queue of late requests would
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -165,7 +165,8 @@
 
     def may_order(self) -> bool:
         """Return whether an order may be sent to this engine now."""
-        return self.fence != NO_FENCE and self.chain.may_order()
+        may_order = self.fence != NO_FENCE and self.chain.may_order()
+        return may_order and not self.sends.status.rest_seconds()
 
     def slots(self) -> int:
         """Return the number of adapters that fit beside the models."""
@@ -399,6 +400,16 @@
         pause = min(pause, _MAX_PAUSE_SECONDS)
         self.avoided_until = clock.now() + pause
 
+    def record_rejection(self, rest_seconds: float) -> None:
+        """Pause an engine that rejects a VM's requests and wants rest.
+
+        Other VMs try it again before the end of the rest, which concerns the
+        rejected one only, but less and less often while it rejects them too.
+        """
+        rested_at = clock.now() + rest_seconds
+        self.record_failure()
+        self.avoided_until = min(self.avoided_until, rested_at)
+
     def record_outcome(self, *, failed: bool) -> None:
         """Record whether a request failed.
 
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -206,29 +206,39 @@
         end: PlaceEnd,
     ) -> None:
         """Release a place and record how its request ended."""
-        outcome, first_event = end.outcome, end.first_event
         engine = place.engine
         was_full = engine.is_full()
         engine.give_back(place)
-        if outcome is PlaceOutcome.REFUSED:
-            await self._mark_adapter_missing(place)
-        elif outcome is PlaceOutcome.DEFERRED:
-            engine.sends.hold_back(end.retry_after)
-        elif outcome is not PlaceOutcome.ABANDONED:
-            failed = outcome is not PlaceOutcome.FINISHED
-            engine.record_outcome(failed=failed)
-        if outcome is PlaceOutcome.FINISHED:
+        await self._record_end(place, end)
+        if end.outcome is PlaceOutcome.FINISHED:
             self._queue.admission.holds.record(clock.now() - place.taken_at)
-        if first_event:
-            self._queue.admission.first_events.record(first_event)
+        if end.first_event:
+            self._queue.admission.first_events.record(end.first_event)
             engine.record_adapter_present(place.ask.adapter)
-            engine.record_first_event(place, first_event)
-        if outcome is PlaceOutcome.LOST:
-            await self._request_report(place)
+            engine.record_first_event(place, end.first_event)
         if was_full:
             await self._queue.fill(engine)
         await self.serve_waiting()
 
+    async def _record_end(self, place: Place, end: PlaceEnd) -> None:
+        """Record what the end of a request says about its engine."""
+        engine = place.engine
+        match end.outcome:
+            case PlaceOutcome.ABANDONED:
+                return
+            case PlaceOutcome.REFUSED:
+                await self._mark_adapter_missing(place)
+            case PlaceOutcome.DEFERRED:
+                engine.sends.hold_back(end.retry_after)
+            case PlaceOutcome.REJECTED:
+                engine.record_rejection(end.retry_after)
+            case PlaceOutcome.LOST:
+                engine.record_outcome(failed=True)
+                await self._request_report(place)
+            case _:
+                failed = end.outcome is not PlaceOutcome.FINISHED
+                engine.record_outcome(failed=failed)
+
     async def _request_report(self, place: Place) -> None:
         """Request a report from an engine at once after a lost connection.
 
--- a/flamingovalve/gateway/place_finder.py
+++ b/flamingovalve/gateway/place_finder.py
@@ -19,6 +19,7 @@
     from flamingovalve.gateway.ownership import GroupClaims
     from flamingovalve.gateway.places import PlaceClient, PlaceLease
     from flamingovalve.gateway.shards import Shards
+    from flamingovalve.gateway.upstream_status import UpstreamStatuses
     from flamingovalve.generated.ids import GroupId, VmId
     from flamingovalve.generated.messages import PlaceAsk
 
@@ -56,12 +57,15 @@
         shards: Shards,
         probe: Callable[[VmId], Awaitable[None]],
         fallback: FallbackPlacement,
+        statuses: UpstreamStatuses,
     ) -> None:
         """Ask the owners that ``claims`` names.
 
         :param probe: checks immediately whether a VM still responds
         :param fallback: finds places if no owner responds
+        :param statuses: what engines announce
         """
+        self._statuses = statuses
         self._fallback = fallback
         self._probe = probe
         self._claims = claims
@@ -184,7 +188,8 @@
         ask.target = request.until_target_latency()
         ask.remaining = request.remaining()
         ask.patience = request.first_event_timeout()
-        ask.avoided = list(request.tried)
+        closed = self._statuses.closed(request.send_patience())
+        ask.avoided = [*request.tried, *closed]
         try:
             lease = await self._places.take(owner, ask)
         except OwnerUnavailable as silent:
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -38,11 +38,16 @@
 
 
 class Verdict(Enum):
-    """Classification of a response head with regard to its request."""
+    """Classification of a response head with regard to its request.
+
+    ``NOT_RUN`` is mostly the lack of an adapter, ``REJECTED`` the wish of the
+    upstream for rest.
+    """
 
     SUCCESS = 'success'
     FAILURE = 'failure'
     NOT_RUN = 'not_run'
+    REJECTED = 'rejected'
     OTHER_REQUEST = 'other_request'
     UNSIGNED = 'unsigned'
 
@@ -58,10 +63,16 @@
     TIMED_OUT = 'timed_out'
     BROKEN = 'broken'
     HELD_BACK = 'held_back'
+    REJECTED = 'rejected'
 
 
 NOT_RUN_OUTCOMES: Final = frozenset(
-    (Outcome.NOT_RUN, Outcome.UNREACHABLE, Outcome.HELD_BACK),
+    (
+        Outcome.NOT_RUN,
+        Outcome.UNREACHABLE,
+        Outcome.HELD_BACK,
+        Outcome.REJECTED,
+    ),
 )
 _CONNECTION_UNUSABLE_AFTER: Final = frozenset(
     (Outcome.LOST, Outcome.TIMED_OUT, Outcome.BROKEN),
@@ -76,7 +87,7 @@
         sent none that can be returned, or if it was streamed
     :ivar first_event: seconds from sending to the first event; 0 for none
     :ivar retry_after: seconds until the upstream accepts a request; 0 unless
-        the request was held back
+        the request was held back or rejected
     """
 
     outcome: Outcome
@@ -164,8 +175,23 @@
     ) -> SendResult:
         try:
             await self._client.admit(upstream, options.patience)
+            sent = await self._send_admitted(
+                transfer, request, upstream, options
+            )
         except HeldBack as held:
             return SendResult(Outcome.HELD_BACK, retry_after=held.seconds)
+        if sent.outcome is Outcome.REJECTED:
+            status = self._client.status_of(upstream)
+            sent.retry_after = status.rest_seconds()
+        return sent
+
+    async def _send_admitted(
+        self,
+        transfer: Callable[..., Awaitable[SendResult]],
+        request: InboundRequest,
+        upstream: Upstream,
+        options: SendOptions,
+    ) -> SendResult:
         connection = await self._connect(upstream, options.seconds)
         if connection is None:
             return SendResult(Outcome.UNREACHABLE)
@@ -263,6 +289,8 @@
             return SendResult(Outcome.DONE, response)
         if verdict is Verdict.NOT_RUN:
             return SendResult(Outcome.NOT_RUN)
+        if verdict is Verdict.REJECTED:
+            return SendResult(Outcome.REJECTED)
         if verdict is Verdict.FAILURE:
             return SendResult(Outcome.FAILED, response)
         return SendResult(Outcome.BROKEN)
--- a/flamingovalve/gateway/send_plan.py
+++ b/flamingovalve/gateway/send_plan.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-from flamingovalve.gateway.rate_limits import (
-    NO_LIMIT,
-    RateLimit,
-    burst_of,
-)
+from flamingovalve.gateway.rate_limits import NO_LIMIT, burst_of
+from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.util import clock
 
+if TYPE_CHECKING:
+    from flamingovalve.gateway.rate_limits import RateLimit
+
 
 @dataclass(slots=True)
 class SendPlan:
@@ -19,14 +20,19 @@
     The keeper of the limit decides. The plan keeps an owner from granting
     places whose requests the keeper would hold back.
 
-    :ivar limit: the limit that the engine announces
+    :ivar status: what the engine announces
     :ivar used_until: when the limit has made up for all planned requests, on
         the monotonic clock
     """
 
-    limit: RateLimit = field(default_factory=RateLimit)
+    status: UpstreamStatus = field(default_factory=UpstreamStatus)
     used_until: float = 0
 
+    @property
+    def limit(self) -> RateLimit:
+        """The rate limit that the engine announces."""
+        return self.status.limit
+
     def is_limited(self) -> bool:
         """Return whether the engine announces a rate limit."""
         return self.limit.rate() != NO_LIMIT
--- a/flamingovalve/gateway/serving.py
+++ b/flamingovalve/gateway/serving.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from flamingovalve.gateway.attempts import no_upstream
+from flamingovalve.gateway.attempts import no_upstream, not_accepted
 
 if TYPE_CHECKING:
     import random
@@ -16,6 +16,7 @@
     from flamingovalve.gateway.model import UpstreamService
     from flamingovalve.gateway.quarantine import CrashQuarantine
     from flamingovalve.gateway.retries import FleetRetryBudget
+    from flamingovalve.gateway.upstream_status import UpstreamStatuses
     from flamingovalve.http.server import Responder
 
 
@@ -29,14 +30,19 @@
         calls: CallServer,
         completions: CompletionServer,
         quarantine: CrashQuarantine,
+        statuses: UpstreamStatuses,
         rng: random.Random,
     ) -> None:
-        """Serve through ``calls`` or ``completions``, by service type."""
+        """Serve through ``calls`` or ``completions``, by service type.
+
+        :param statuses: what upstreams announce
+        """
         self._catalogue = catalogue
         self._budget = budget
         self._calls = calls
         self._completions = completions
         self._quarantine = quarantine
+        self._statuses = statuses
         self._rng = rng
 
     async def serve(
@@ -51,6 +57,7 @@
         self._quarantine.check(request)
         service = self._choose_service(request)
         request.service = service.name
+        self._check_accepted(request)
         self._budget.record_request(service.name)
         completion = request.completion
         if service.engine is not None and completion is not None:
@@ -58,6 +65,16 @@
         else:
             await self._calls.serve(request, responder)
 
+    def _check_accepted(self, request: InboundRequest) -> None:
+        """Check that an upstream accepts a request in time.
+
+        :raises ServingError: if none does
+        """
+        upstreams = self._catalogue.upstreams(request.service)
+        wait = self._statuses.wait_seconds(upstreams)
+        if wait > request.send_patience():
+            raise not_accepted(request, wait)
+
     def _choose_service(self, request: InboundRequest) -> UpstreamService:
         weighted_services = request.route.services
         names = [share.service for share in weighted_services]
--- a/flamingovalve/gateway/upstream_client.py
+++ b/flamingovalve/gateway/upstream_client.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import curio
+
 from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.announcements import SentRequest
 from flamingovalve.http.messages import Response
@@ -14,9 +16,11 @@
 
     from flamingovalve.gateway.announcements import Announcement, Purpose
     from flamingovalve.gateway.model import Upstream
-    from flamingovalve.gateway.rate_limits import RateLimit
     from flamingovalve.gateway.send_limits import SendLimits
-    from flamingovalve.gateway.upstream_status import UpstreamStatuses
+    from flamingovalve.gateway.upstream_status import (
+        UpstreamStatus,
+        UpstreamStatuses,
+    )
     from flamingovalve.http.client import (
         ConnectionPool,
         ResponseHead,
@@ -50,9 +54,9 @@
         self._statuses = statuses
         self._limits = limits
 
-    def limit_of(self, upstream: Upstream) -> RateLimit:
-        """Return the rate limit of an upstream."""
-        return self._statuses.of(upstream.id).limit
+    def status_of(self, upstream: Upstream) -> UpstreamStatus:
+        """Return the status of an upstream."""
+        return self._statuses.of(upstream.id)
 
     async def admit(self, upstream: Upstream, patience: float) -> None:
         """Wait until an upstream accepts a request.
@@ -60,7 +64,10 @@
         :param patience: longest wait in seconds
         :raises HeldBack: if it accepts none within ``patience``
         """
+        status = self.status_of(upstream)
         try:
+            status.check_rest(patience)
+            await curio.sleep(status.rest_seconds())
             await self._limits.admit(upstream.id, patience)
         except HeldBack:
             self._statuses.counts.held_back += 1
@@ -91,9 +98,12 @@
     ) -> SentRequest:
         """Send a request over a connection.
 
+        :raises HeldBack: if the upstream has asked for rest since the request
+            was admitted
         :raises ConnectionLost: if the connection broke
         :raises TimeoutError: if sending took longer than ``seconds``
         """
+        self.status_of(upstream).check_rest()
         sent = SentRequest(upstream.id, purpose, clock.now())
         self._statuses.record_sent(sent)
         await connection.send(call, seconds)
--- a/flamingovalve/gateway/upstream_status.py
+++ b/flamingovalve/gateway/upstream_status.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
+from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.rate_limits import NO_LIMIT, RateLimit
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from flamingovalve.gateway.announcements import Announcement, SentRequest
+    from flamingovalve.gateway.model import Upstream
     from flamingovalve.generated.ids import UpstreamId
 
 logger = get_logger(__name__)
@@ -21,6 +24,10 @@
 _RECENT_SECONDS: Final = 4.0
 # Requests sent this shortly before a limit became known count towards it.
 _UNCOUNTED_SECONDS: Final = 1.5
+# Bounds what a malformed header can do.
+_MAX_REST_SECONDS: Final = 300.0
+# Covers clocks that run at different speeds.
+_REST_MARGIN_SECONDS: Final = 0.05
 # The status of a removed upstream is kept for this long after the last request.
 _IDLE_SECONDS: Final = 60.0
 
@@ -45,11 +52,14 @@
     """The status of one upstream.
 
     :ivar recent: the latest requests of this VM, oldest first
+    :ivar rests_until: end of the rest from requests of this VM that it asked
+        for, on the monotonic clock
     """
 
     limit: RateLimit = field(default_factory=RateLimit)
     recent: deque[SentRequest] = field(default_factory=deque)
     used_at: float = field(default_factory=clock.now)
+    rests_until: float = 0
 
     def record_sent(self, sent: SentRequest) -> None:
         """Record a request of this VM."""
@@ -65,6 +75,31 @@
             sent.purpose.value for sent in self.recent if sent.sent_at >= oldest
         )
 
+    def rest_seconds(self) -> float:
+        """Return the seconds until the end of its rest; 0 without one."""
+        return max(0, self.rests_until - clock.now())
+
+    def wait_seconds(self) -> float:
+        """Return the seconds until it accepts a request of this VM."""
+        return max(self.rest_seconds(), self.limit.wait_seconds())
+
+    def check_rest(self, patience: float = 0) -> None:
+        """Check that its rest ends within ``patience``.
+
+        :raises HeldBack: if it rests for longer
+        """
+        seconds = self.rest_seconds()
+        if seconds > patience:
+            raise HeldBack('the upstream rests', seconds)
+
+    def record_rest(self, seconds: float) -> bool:
+        """Record a rest; return whether it begins now."""
+        begins = not self.rest_seconds()
+        seconds = min(seconds, _MAX_REST_SECONDS) + _REST_MARGIN_SECONDS
+        ends = clock.now() + seconds
+        self.rests_until = max(self.rests_until, ends)
+        return begins
+
     def find_uncounted(self) -> int:
         """Return the number of requests that no keeper has counted."""
         oldest = clock.now() - _UNCOUNTED_SECONDS
@@ -78,6 +113,7 @@
         """Start without any status."""
         self.counts = SendCounts()
         self._by_id: dict[UpstreamId, UpstreamStatus] = {}
+        self._last_rest_ends = 0.0
 
     def of(self, upstream: UpstreamId) -> UpstreamStatus:
         """Return the status of an upstream."""
@@ -98,6 +134,25 @@
         for name in removed:
             del self._by_id[name]
 
+    def wait_seconds(self, upstreams: Iterable[Upstream]) -> float:
+        """Return the seconds until one of some upstreams accepts a request."""
+        shortest = math.inf
+        for upstream in upstreams:
+            shortest = min(shortest, self.of(upstream.id).wait_seconds())
+            if not shortest:
+                return 0
+        return 0 if shortest == math.inf else shortest
+
+    def closed(self, patience: float) -> list[UpstreamId]:
+        """Return the upstreams that rest for longer than ``patience``."""
+        if clock.now() >= self._last_rest_ends:
+            return []
+        return [
+            name
+            for name, status in self._by_id.items()
+            if status.rest_seconds() > patience
+        ]
+
     def limited(self) -> Iterator[tuple[UpstreamId, RateLimit]]:
         """Yield the upstreams with a rate limit."""
         for name, status in self._by_id.items():
@@ -118,10 +173,26 @@
         status = self.of(sent.upstream)
         previous_rate = status.limit.rate()
         status.limit.record(sent, announcement)
+        if announcement.rest_seconds:
+            self._record_rest(sent, announcement.rest_seconds)
         return self._has_new_limit(
             sent.upstream, previous_rate, sent.purpose.value
         )
 
+    def _record_rest(self, sent: SentRequest, seconds: float) -> None:
+        status = self.of(sent.upstream)
+        begins = status.record_rest(seconds)
+        self._last_rest_ends = max(self._last_rest_ends, status.rests_until)
+        if begins:
+            note(
+                logger,
+                'upstream asks for rest',
+                upstream=sent.upstream,
+                purpose=sent.purpose.value,
+                seconds=seconds,
+                sent=status.recent_by_purpose(),
+            )
+
     def record_rumour(self, upstream: UpstreamId, rate: float) -> bool:
         """Record a rate limit that another VM was told.
 
@@ -137,6 +208,7 @@
         return {
             name: {
                 'rate_limit': _json_rate(status.limit.rate()),
+                'rest_seconds': status.rest_seconds(),
                 'sent': status.recent_by_purpose(),
             }
             for name, status in self._by_id.items()
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -87,6 +87,8 @@
         if headers.get('attempt-id', request.id) != request.id:
             return Verdict.OTHER_REQUEST
         if 'not-executed' in headers or head.status == _STATUS_MISDIRECTED:
+            if self.announcement(head).rest_seconds:
+                return Verdict.REJECTED
             return Verdict.NOT_RUN
         if 'response-seal' not in headers or 'content-encoding' in headers:
             return Verdict.UNSIGNED
@@ -121,7 +123,7 @@
 
     def __init__(self, client: UpstreamClient, upstream: Upstream) -> None:
         """Use the engine ``upstream`` through ``client``."""
-        self.limit = client.limit_of(upstream)
+        self.status = client.status_of(upstream)
         self._client = client
         self._upstream = upstream
 
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -328,12 +328,13 @@
   abandoned @3 $doc("The caller disconnected.");
   lost @4 $doc("The engine could not be reached, or its connection broke.");
   deferred @5 $doc("The request was not sent, as the engine accepts none now.");
+  rejected @6 $doc("The engine rejected the request and wants rest.");
 }
 
 struct PlaceEnd $doc("Releases a place.") {
   outcome @0 :PlaceOutcome;
   firstEvent @1 :Float64 $unit("seconds") $doc("Time from sending the request to its first event; 0 if none was received.");
-  retryAfter @2 :Float64 $unit("seconds") $doc("Time until the engine accepts a request; 0 unless it was held back.");
+  retryAfter @2 :Float64 $unit("seconds") $doc("Time until the engine accepts a request; 0 unless it was held back or rejected.");
 }
 
 struct PlaceHold $doc("Reports to a new owner a place that a former owner granted.") {
--- a/standins/announcing.py
+++ b/standins/announcing.py
@@ -59,11 +59,13 @@
     """Arrivals and answers of one upstream, in the order of their times.
 
     :ivar announced: what responses announce from now on
+    :ivar rejects_all: whether reports and orders are rejected too
     :ivar silent_paths: paths whose responses announce nothing
     :ivar name_sender: returns the VM that a remote address belongs to
     """
 
     announced: Announced = Announced()
+    rejects_all: bool = False
     silent_paths: frozenset[str] = frozenset()
     arrivals: list[Arrival] = field(default_factory=list)
     answers: list[Answer] = field(default_factory=list)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -63,6 +63,9 @@
         """Record the arrival of a request and announce in the response."""
         arrival = self.history.record_arrival(request, responder)
         announcing = AnnouncingResponder(responder, self.history, arrival)
+        if self.history.rejects_all:
+            await announcing.send(Response(503, [('Not-Executed', '1')]))
+            return
         await super().respond(request, announcing)
 
     async def answer(self, request: Request, responder: Responder) -> None:
--- a/tests/rig/announcing_faults.py
+++ b/tests/rig/announcing_faults.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+import dataclasses
+from typing import TYPE_CHECKING, Any, Final
 
 from standins.announcing import Announced
 from tests.rig.site_faults import FaultySite
@@ -10,6 +11,7 @@
     Disturbance,
     Disturbances,
     limit_violations,
+    rest_violations,
 )
 
 if TYPE_CHECKING:
@@ -20,6 +22,7 @@
 
 _REQUEST_INTERVAL_SECONDS: Final = 0.08
 _RATES: Final = (0.3, 1.0, 1.0, 2.5, 8.0)
+_RESTS: Final = (0.3, 1.0, 3.0, 3.0, 7.5)
 _PATHS: Final = (
     frozenset(),
     frozenset(('/report', '/order')),
@@ -47,6 +50,9 @@
             self.limit,
             self.limit,
             self.limit,
+            self.reject,
+            self.reject,
+            self.unlimit,
             self.unlimit,
             self.cut_vms,
             self.cut_store,
@@ -60,12 +66,18 @@
 
     def limit(self) -> None:
         """Let an upstream announce a limit, or change the one it has."""
-        history = self._history()
-        history.announced = Announced(rate_limit=self.rng.choice(_RATES))
+        self._announce(rate_limit=self.rng.choice(_RATES))
+
+    def reject(self) -> None:
+        """Let an upstream reject requests and ask for rest."""
+        history = self._announce(rest_seconds=self.rng.choice(_RESTS))
+        history.rejects_all = self.rng.random() < 1 / 3
 
     def unlimit(self) -> None:
         """Let an upstream announce nothing any more."""
-        self._history().announced = Announced()
+        history = self.rng.choice(self.upstreams()).history
+        history.announced = Announced()
+        history.rejects_all = False
 
     def ask(self) -> None:
         """Send nothing; :meth:`advance` sends requests all the time."""
@@ -107,14 +119,17 @@
         broken = [
             violation
             for upstream in self.upstreams()
-            for violation in limit_violations(
+            for check in (limit_violations, rest_violations)
+            for violation in check(
                 upstream.name, upstream.history, self.disturbances
             )
         ]
         return [*broken, *self._run_violations()]
 
-    def _history(self) -> History:
-        return self.rng.choice(self.upstreams()).history
+    def _announce(self, **changes: Any) -> History:
+        history = self.rng.choice(self.upstreams()).history
+        history.announced = dataclasses.replace(history.announced, **changes)
+        return history
 
     def _request(self) -> None:
         running = self.running()
--- a/tests/test_announcing_faults.py
+++ b/tests/test_announcing_faults.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from flamingovalve.gateway.send_keeper import SendKeeper
+from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.generated.messages import SendReply
 from tests.rig.announcing_faults import AnnouncingSite
 
@@ -40,7 +41,14 @@
             SendKeeper, 'book', lambda _keeper, _ask: SendReply(0, 0)
         ):
             violations = [one for seed in SEEDS for one in play(seed)]
-        self.assertTrue(any('got' in one for one in violations), violations)
+        self.assertTrue(any('in 4 s' in one for one in violations), violations)
+
+    def test_rest_that_is_forgotten(self):
+        with mock.patch.object(
+            UpstreamStatus, 'rest_seconds', lambda _status: 0
+        ):
+            violations = [one for seed in SEEDS for one in play(seed)]
+        self.assertTrue(any('in its rest' in one for one in violations))
 
 
 def main() -> int:
--- a/tests/test_fallback_placement.py
+++ b/tests/test_fallback_placement.py
@@ -7,7 +7,7 @@
 from flamingovalve.gateway.catalogue import Catalogue
 from flamingovalve.gateway.fallback_placement import FallbackPlacement
 from flamingovalve.gateway.model import Configuration, UpstreamService
-from flamingovalve.gateway.rate_limits import RateLimit
+from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.generated.ids import AdapterId, ServiceId
 from flamingovalve.generated.messages import PlaceEnd, PlaceOutcome
 from tests.rig.engines import TRAITS, ask, report, upstream
@@ -20,7 +20,7 @@
 class ReportingEngine:
     """An engine that reports its adapters and counts the reports."""
 
-    limit = RateLimit()
+    status = UpstreamStatus()
 
     def __init__(self, *resident):
         """Hold the adapters ``resident``."""
@@ -44,6 +44,10 @@
         self.tried = []
         self.refused_by = list(refused_by)
 
+    def send_patience(self):
+        """Return half a second."""
+        return 0.5
+
 
 class TestFallbackPlacement(TimedTestCase):
     """Places on two engines without an owner."""
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -10,8 +10,8 @@
 from flamingovalve.gateway.model import Configuration, UpstreamService
 from flamingovalve.gateway.owned import OwnedGroups
 from flamingovalve.gateway.ownership import GroupClaims
-from flamingovalve.gateway.rate_limits import RateLimit
 from flamingovalve.gateway.shards import Shards
+from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.generated.ids import GroupId, ServiceId
 from flamingovalve.generated.messages import MemberState, OwnerRumour
 from flamingovalve.generated.settings import GatewaySettings
@@ -26,7 +26,7 @@
 class OrderedEngine:
     """An engine that has accepted orders of other VMs."""
 
-    limit = RateLimit()
+    status = UpstreamStatus()
 
     async def report(self, patience):
         """Return a report with seven accepted orders."""
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -10,7 +10,7 @@
 from flamingovalve.gateway.ledger import AdapterState
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.places import PlaceServer
-from flamingovalve.gateway.rate_limits import RateLimit
+from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.generated.ids import GroupId, VmId
 from flamingovalve.generated.messages import PlaceEnd, PlaceOutcome
 from flamingovalve.generated.settings import GatewaySettings
@@ -25,7 +25,7 @@
 class SilentEngine:
     """An engine that never answers."""
 
-    limit = RateLimit()
+    status = UpstreamStatus()
 
     async def report(self, patience):
         """Wait for ever."""
