--- a/tests/rig/upstream_rules.py
+++ b/tests/rig/upstream_rules.py
@@ -7,12 +7,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from standins.announcing import Answer
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from standins.announcing import Answer, Arrival, History
+    from standins.announcing import Arrival, History
 
 CONTACT_SECONDS: Final = 3.0
+DRAIN_SECONDS: Final = 2.0
 _WINDOW_SECONDS: Final = 4.0
 _EXCESS_FACTOR: Final = 1.5
 _EXCESS_REQUESTS: Final = 5
@@ -22,11 +25,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Disturbance:
-    """A restart, pause or partition of a VM, which excuses it meanwhile."""
+    """A restart, pause or partition of a VM, which excuses it meanwhile.
+
+    :ivar is_partition: whether its process ran all the while
+    """
 
     vm: str
     begins: float
     ends: float
+    is_partition: bool = False
 
 
 class Disturbances:
@@ -45,6 +52,16 @@
             for entry in self.entries
         )
 
+    def interrupt(self, vm: str, begins: float, ends: float) -> bool:
+        """Return whether a VM was restarted or paused in a time."""
+        return any(
+            entry.vm == vm
+            and not entry.is_partition
+            and entry.begins <= ends
+            and entry.ends >= begins
+            for entry in self.entries
+        )
+
 
 def limit_violations(
     name: str,
@@ -160,3 +177,40 @@
                 f'in its rest from {answer.at:.3f}: {dict(Counter(counted))}'
             )
     return broken
+
+
+def leaving_violations(
+    name: str,
+    history: History,
+    disturbances: Disturbances,
+    sent_at_by_request: dict[str, float],
+) -> list[str]:
+    """Return the requests that reached an upstream long after it left.
+
+    A request that its caller sent later than ``DRAIN_SECONDS`` after a VM was
+    told that the upstream is leaving must not reach it from that VM. A
+    partition excuses nothing, a restart or a pause since then does.
+    """
+    told: dict[str, float] = {}
+    broken = []
+    events = sorted(
+        [*history.arrivals, *history.answers], key=lambda event: event.at
+    )
+    for event in events:
+        if isinstance(event, Answer):
+            if event.announced.is_leaving:
+                told.setdefault(event.sender, event.at)
+            elif event.path not in history.silent_paths:
+                told.pop(event.sender, None)
+            continue
+        told_at = told.get(event.sender, float('inf'))
+        sent_at = sent_at_by_request.get(event.request_id, float('-inf'))
+        if sent_at <= told_at + DRAIN_SECONDS:
+            continue
+        if disturbances.interrupt(event.sender, told_at, event.at):
+            continue
+        broken.append(
+            f'{name} got {event.request_id} from {event.sender}, sent '
+            f'{sent_at - told_at:.2f} s after it was told of its leaving'
+        )
+    return broken
