Send no new request to an upstream that says that it is leaving

Cause: only the store's entry of an upstream told a VM that it leaves. Some upstreams never write that, and a VM that is cut off or turned away cannot read it, though the upstream says so in every answer that the VM passes on.

Change: UpstreamClient holds back requests of callers and orders to an upstream that has said so (gateway/departures), when they are admitted and again when they are sent. Reports go on, as they show whether it has restarted. Asks for places name such engines as they name those that rest, and the end of a place tells the owner. The departure ends with a later response to the same kind of request without the header, with the removal of the entry, or two minutes after the last response that said so.

--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import curio
@@ -86,7 +87,7 @@
             tried=len(request.tried),
             outcome=sent.outcome.value,
             first_event=round(sent.first_event, 3),
-            retry_after=round(sent.retry_after, 3),
+            retry_after=_json_seconds(sent.retry_after),
             left=round(request.remaining(), 3),
         )
         # In its own task, as detecting a crashed upstream may take a while.
@@ -112,11 +113,17 @@
     return error
 
 
+def _json_seconds(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def not_accepted(request: InboundRequest, seconds: float) -> ServingError:
     """Return the error for a request that no upstream accepts now.
 
-    :param seconds: time after which one accepts it
+    :param seconds: time after which one accepts it; infinite if all leave
     """
+    if math.isinf(seconds):
+        return no_upstream(request.service)
     pause = max(seconds, _MIN_RETRY_SECONDS)
     pause = return_times.add_jitter(pause, request.id)
     note(
--- a/flamingovalve/gateway/balancer.py
+++ b/flamingovalve/gateway/balancer.py
@@ -85,7 +85,11 @@
 
         :param avoided: ids of upstreams that must not be chosen
         """
-        candidates = [one for one in upstreams if one.id not in avoided]
+        candidates = [
+            one
+            for one in upstreams
+            if one.id not in avoided and not self._is_leaving(one)
+        ]
         if not candidates:
             return None
         usable = [
@@ -128,6 +132,9 @@
     def _is_usable(self, upstream: Upstream) -> bool:
         return clock.now() >= self.stats(upstream.id).avoided_until
 
+    def _is_leaving(self, upstream: Upstream) -> bool:
+        return self._statuses.of(upstream.id).departure.is_known()
+
     def _cost(self, upstream: Upstream) -> float:
         stats = self.stats(upstream.id)
         cost = stats.under_way + self._rng.random() * _OTHER_DOMAIN_COST
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -105,6 +105,7 @@
                 _PLACE_OUTCOMES.get(sent.outcome, PlaceOutcome.FAILED),
                 sent.first_event,
                 sent.retry_after,
+                sent.is_leaving,
             )
         finally:
             await self._places.end(lease, end)
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -166,7 +166,7 @@
     def may_order(self) -> bool:
         """Return whether an order may be sent to this engine now."""
         may_order = self.fence != NO_FENCE and self.chain.may_order()
-        return may_order and not self.sends.status.rest_seconds()
+        return may_order and not self.sends.status.is_closed(0)
 
     def slots(self) -> int:
         """Return the number of adapters that fit beside the models."""
@@ -379,7 +379,8 @@
 
     def is_usable(self) -> bool:
         """Return whether requests may be sent to this engine now."""
-        return not self.silent and clock.now() >= self.avoided_until
+        is_paused = self.silent or clock.now() < self.avoided_until
+        return not is_paused and not self.sends.status.departure.is_known()
 
     def is_loading_model(self) -> bool:
         """Return whether a base model is being loaded."""
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -10,6 +10,7 @@
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import dispatch
 from flamingovalve.gateway.admission import QueuePosition
+from flamingovalve.gateway.announcements import Purpose
 from flamingovalve.gateway.group import EngineGroup
 from flamingovalve.gateway.ledger import AdapterState, HeldAdapter
 from flamingovalve.gateway.orders import OrderOutcome
@@ -26,7 +27,7 @@
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.engine import EngineLink, OwnedEngine
     from flamingovalve.gateway.fencing import Fences
-    from flamingovalve.gateway.ledger import Place
+    from flamingovalve.gateway.ledger import EngineLedger, Place
     from flamingovalve.gateway.model import EngineTraits, Upstream
     from flamingovalve.generated.ids import GroupId, VmId
     from flamingovalve.generated.messages import PlaceAsk, PlaceEnd, PlaceHold
@@ -210,6 +211,8 @@
         was_full = engine.is_full()
         engine.give_back(place)
         await self._record_end(place, end)
+        if end.leaving:
+            self._record_leaving(engine)
         if end.outcome is PlaceOutcome.FINISHED:
             self._queue.admission.holds.record(clock.now() - place.taken_at)
         if end.first_event:
@@ -220,6 +223,18 @@
             await self._queue.fill(engine)
         await self.serve_waiting()
 
+    def _record_leaving(self, engine: EngineLedger) -> None:
+        """Grant no place on an engine that told another VM that it leaves."""
+        departure = engine.sends.status.departure
+        if not departure.is_known():
+            note(
+                logger,
+                'upstream is leaving',
+                upstream=engine.upstream.id,
+                source='peer',
+            )
+        departure.record_told(Purpose.SERVE)
+
     async def _record_end(self, place: Place, end: PlaceEnd) -> None:
         """Record what the end of a request says about its engine."""
         engine = place.engine
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -88,12 +88,14 @@
     :ivar first_event: seconds from sending to the first event; 0 for none
     :ivar retry_after: seconds until the upstream accepts a request; 0 unless
         the request was held back or rejected
+    :ivar is_leaving: whether the upstream said that it is leaving
     """
 
     outcome: Outcome
     response: Response | None = None
     first_event: float = 0
     retry_after: float = 0
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,15 +176,16 @@
         options: SendOptions,
     ) -> SendResult:
         try:
-            await self._client.admit(upstream, options.patience)
+            await self._client.admit(upstream, Purpose.SERVE, options.patience)
             sent = await self._send_admitted(
                 transfer, request, upstream, options
             )
         except HeldBack as held:
             return SendResult(Outcome.HELD_BACK, retry_after=held.seconds)
+        status = self._client.status_of(upstream)
         if sent.outcome is Outcome.REJECTED:
-            status = self._client.status_of(upstream)
             sent.retry_after = status.rest_seconds()
+        sent.is_leaving = status.departure.is_known()
         return sent
 
     async def _send_admitted(
--- a/flamingovalve/gateway/send_plan.py
+++ b/flamingovalve/gateway/send_plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -55,7 +56,7 @@
     def hold_back(self, seconds: float) -> None:
         """Plan no request for ``seconds``."""
         rate = self.limit.rate()
-        if rate == NO_LIMIT:
+        if rate == NO_LIMIT or math.isinf(seconds):
             return
         held_until = clock.now() + seconds + (burst_of(rate) - 1) / rate
         self.used_until = max(self.used_until, held_until)
--- a/flamingovalve/gateway/upstream_client.py
+++ b/flamingovalve/gateway/upstream_client.py
@@ -58,7 +58,9 @@
         """Return the status of an upstream."""
         return self._statuses.of(upstream.id)
 
-    async def admit(self, upstream: Upstream, patience: float) -> None:
+    async def admit(
+        self, upstream: Upstream, purpose: Purpose, patience: float
+    ) -> None:
         """Wait until an upstream accepts a request.
 
         :param patience: longest wait in seconds
@@ -66,7 +68,7 @@
         """
         status = self.status_of(upstream)
         try:
-            status.check_rest(patience)
+            status.check(purpose, patience)
             await curio.sleep(status.rest_seconds())
             await self._limits.admit(upstream.id, patience)
         except HeldBack:
@@ -98,12 +100,12 @@
     ) -> SentRequest:
         """Send a request over a connection.
 
-        :raises HeldBack: if the upstream has asked for rest since the request
-            was admitted
+        :raises HeldBack: if the upstream has asked for rest, or is leaving,
+            since the request was admitted
         :raises ConnectionLost: if the connection broke
         :raises TimeoutError: if sending took longer than ``seconds``
         """
-        self.status_of(upstream).check_rest()
+        self.status_of(upstream).check(purpose)
         sent = SentRequest(upstream.id, purpose, clock.now())
         self._statuses.record_sent(sent)
         await connection.send(call, seconds)
@@ -142,7 +144,7 @@
         :raises ConnectionLost: if the connection broke
         :raises TimeoutError: if one of the waits exceeded ``seconds``
         """
-        await self.admit(upstream, patience)
+        await self.admit(upstream, purpose, patience)
         connection = await self.acquire(upstream)
         try:
             sent = await self.send(connection, upstream, purpose, call, seconds)
--- a/flamingovalve/gateway/upstream_status.py
+++ b/flamingovalve/gateway/upstream_status.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from flamingovalve.errors import HeldBack
+from flamingovalve.gateway.announcements import Purpose
+from flamingovalve.gateway.departures import Departure
 from flamingovalve.gateway.rate_limits import NO_LIMIT, RateLimit
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
@@ -60,6 +62,7 @@
     recent: deque[SentRequest] = field(default_factory=deque)
     used_at: float = field(default_factory=clock.now)
     rests_until: float = 0
+    departure: Departure = field(default_factory=Departure)
 
     def record_sent(self, sent: SentRequest) -> None:
         """Record a request of this VM."""
@@ -80,14 +83,27 @@
         return max(0, self.rests_until - clock.now())
 
     def wait_seconds(self) -> float:
-        """Return the seconds until it accepts a request of this VM."""
+        """Return the seconds until it accepts a caller's request of this VM.
+
+        :returns: seconds; infinite if it is leaving
+        """
+        if self.departure.is_known():
+            return math.inf
         return max(self.rest_seconds(), self.limit.wait_seconds())
 
-    def check_rest(self, patience: float = 0) -> None:
-        """Check that its rest ends within ``patience``.
+    def is_closed(self, patience: float) -> bool:
+        """Return whether it is leaving, or rests longer than ``patience``."""
+        return self.departure.is_known() or self.rest_seconds() > patience
+
+    def check(self, purpose: Purpose, patience: float = 0) -> None:
+        """Check that it accepts a request within ``patience``, but for limits.
 
-        :raises HeldBack: if it rests for longer
+        Reports go on while it leaves, as they show whether it has restarted.
+
+        :raises HeldBack: if it is leaving, or rests for longer
         """
+        if purpose is not Purpose.REPORT and self.departure.is_known():
+            raise HeldBack('the upstream is leaving', math.inf)
         seconds = self.rest_seconds()
         if seconds > patience:
             raise HeldBack('the upstream rests', seconds)
@@ -113,7 +129,7 @@
         """Start without any status."""
         self.counts = SendCounts()
         self._by_id: dict[UpstreamId, UpstreamStatus] = {}
-        self._last_rest_ends = 0.0
+        self._closed_until = 0.0
 
     def of(self, upstream: UpstreamId) -> UpstreamStatus:
         """Return the status of an upstream."""
@@ -124,7 +140,7 @@
         return status
 
     def forget_removed(self, is_listed: Callable[[UpstreamId], bool]) -> None:
-        """Forget the upstreams that were removed some time ago."""
+        """Forget removed upstreams, some time after the last request."""
         oldest = clock.now() - _IDLE_SECONDS
         removed = [
             name
@@ -133,6 +149,10 @@
         ]
         for name in removed:
             del self._by_id[name]
+        for name, status in self._by_id.items():
+            if not is_listed(name):
+                # An upstream that registers again under this id has restarted.
+                status.departure = Departure()
 
     def wait_seconds(self, upstreams: Iterable[Upstream]) -> float:
         """Return the seconds until one of some upstreams accepts a request."""
@@ -144,14 +164,17 @@
         return 0 if shortest == math.inf else shortest
 
     def closed(self, patience: float) -> list[UpstreamId]:
-        """Return the upstreams that rest for longer than ``patience``."""
-        if clock.now() >= self._last_rest_ends:
+        """Return the upstreams that leave, or rest longer than ``patience``."""
+        if clock.now() >= self._closed_until:
             return []
-        return [
-            name
+        closed = [
+            (name, status)
             for name, status in self._by_id.items()
-            if status.rest_seconds() > patience
+            if status.is_closed(0)
         ]
+        if not closed:
+            self._closed_until = 0
+        return [name for name, status in closed if status.is_closed(patience)]
 
     def limited(self) -> Iterator[tuple[UpstreamId, RateLimit]]:
         """Yield the upstreams with a rate limit."""
@@ -175,6 +198,7 @@
         status.limit.record(sent, announcement)
         if announcement.rest_seconds:
             self._record_rest(sent, announcement.rest_seconds)
+        self._record_departure(sent, announcement)
         return self._has_new_limit(
             sent.upstream, previous_rate, sent.purpose.value
         )
@@ -182,7 +206,7 @@
     def _record_rest(self, sent: SentRequest, seconds: float) -> None:
         status = self.of(sent.upstream)
         begins = status.record_rest(seconds)
-        self._last_rest_ends = max(self._last_rest_ends, status.rests_until)
+        self._closed_until = max(self._closed_until, status.rests_until)
         if begins:
             note(
                 logger,
@@ -193,6 +217,24 @@
                 sent=status.recent_by_purpose(),
             )
 
+    def _record_departure(
+        self, sent: SentRequest, announcement: Announcement
+    ) -> None:
+        departure = self.of(sent.upstream).departure
+        was_known = departure.is_known()
+        departure.record(sent, announcement)
+        is_known = departure.is_known()
+        if is_known:
+            self._closed_until = math.inf
+        if is_known != was_known:
+            note(
+                logger,
+                'upstream is leaving' if is_known else 'upstream stays',
+                upstream=sent.upstream,
+                source=sent.purpose.value,
+                sent=self.of(sent.upstream).recent_by_purpose(),
+            )
+
     def record_rumour(self, upstream: UpstreamId, rate: float) -> bool:
         """Record a rate limit that another VM was told.
 
@@ -209,6 +251,7 @@
             name: {
                 'rate_limit': _json_rate(status.limit.rate()),
                 'rest_seconds': status.rest_seconds(),
+                'leaving': status.departure.is_known(),
                 'sent': status.recent_by_purpose(),
             }
             for name, status in self._by_id.items()
--- a/tests/rig/announcing_faults.py
+++ b/tests/rig/announcing_faults.py
@@ -10,6 +10,7 @@
 from tests.rig.upstream_rules import (
     Disturbance,
     Disturbances,
+    leaving_violations,
     limit_violations,
     rest_violations,
 )
@@ -36,7 +37,9 @@
         """Start the site; reports announce nothing in every other run."""
         super().__init__(seed)
         self.disturbances = Disturbances()
-        self._disturbed_since: dict[str, float] = {}
+        self.sent_at: dict[str, float] = {}
+        self._stopped_since: dict[str, float] = {}
+        self._cut_since: dict[str, float] = {}
         for upstream in self.upstreams():
             upstream.history.silent_paths = _PATHS[seed % 2]
 
@@ -52,6 +55,7 @@
             self.limit,
             self.reject,
             self.reject,
+            self.leave,
             self.unlimit,
             self.unlimit,
             self.cut_vms,
@@ -73,6 +77,18 @@
         history = self._announce(rest_seconds=self.rng.choice(_RESTS))
         history.rejects_all = self.rng.random() < 1 / 3
 
+    def leave(self) -> None:
+        """Let an upstream leave, unless it is the last of its service."""
+        upstreams = self.rng.choice((self.site.engines, self.site.apps))
+        staying = [
+            one for one in upstreams if not one.history.announced.is_leaving
+        ]
+        if len(staying) > 1:
+            history = self.rng.choice(staying).history
+            history.announced = dataclasses.replace(
+                history.announced, is_leaving=True
+            )
+
     def unlimit(self) -> None:
         """Let an upstream announce nothing any more."""
         history = self.rng.choice(self.upstreams()).history
@@ -124,7 +140,14 @@
                 upstream.name, upstream.history, self.disturbances
             )
         ]
-        return [*broken, *self._run_violations()]
+        late = [
+            violation
+            for upstream in self.upstreams()
+            for violation in leaving_violations(
+                upstream.name, upstream.history, self.disturbances, self.sent_at
+            )
+        ]
+        return [*broken, *late, *self._run_violations()]
 
     def _announce(self, **changes: Any) -> History:
         history = self.rng.choice(self.upstreams()).history
@@ -145,28 +168,48 @@
             call = self.site.call('/orders/1')
         name = dict(call.headers)['Attempt-Id']
         vm_id = self.rng.choice(running)
+        self.sent_at[name] = self._now()
         self.answers.append((name, self.site.begin(vm_id, call)))
 
     def _record(self, change: Callable[[], None]) -> None:
-        """Record which VMs are disturbed before or after a change."""
-        before = self._undisturbed()
+        """Record which VMs are stopped or cut off before or after a change."""
+        vm_ids = set(self.site.vms_by_id)
+        stopped, cut = vm_ids - set(self.running()), self._minority()
         change()
-        after = self._undisturbed()
+        self._track(
+            self._stopped_since,
+            stopped | (vm_ids - set(self.running())),
+            vm_ids - set(self.running()),
+            is_partition=False,
+        )
+        minority = self._minority()
+        self._track(
+            self._cut_since, cut | minority, minority, is_partition=True
+        )
+
+    def _track(
+        self,
+        since: dict[str, float],
+        disturbed: set[str],
+        still_disturbed: set[str],
+        *,
+        is_partition: bool,
+    ) -> None:
         now = self._now()
-        for vm in before - after:
-            self._disturbed_since[vm] = now
-        for vm in after - before:
-            since = self._disturbed_since.pop(vm, 0)
-            self.disturbances.entries.append(Disturbance(vm, since, now))
-        for vm, since in self._disturbed_since.items():
-            self.disturbances.entries.append(Disturbance(vm, since, now))
-
-    def _undisturbed(self) -> set[str]:
-        """Return the running VMs that are not cut off from a majority."""
-        larger, smaller = sorted(
+        for vm in disturbed:
+            begins = since.setdefault(vm, now)
+            self.disturbances.entries.append(
+                Disturbance(vm, begins, now, is_partition)
+            )
+            if vm not in still_disturbed:
+                del since[vm]
+
+    def _minority(self) -> set[str]:
+        """Return the VMs that are cut off from a majority."""
+        _larger, smaller = sorted(
             self.parts, key=lambda part: (-len(part), min(part, default=''))
         )
-        return set(self.running()) - set(smaller)
+        return set(smaller)
 
     def _now(self) -> float:
         return self.site.world.monotonic()
--- a/tests/test_announcing_faults.py
+++ b/tests/test_announcing_faults.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+from flamingovalve.gateway.departures import Departure
 from flamingovalve.gateway.send_keeper import SendKeeper
 from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.generated.messages import SendReply
@@ -26,9 +27,9 @@
 
 
 class TestAnnouncingFaults(unittest.TestCase):
-    """Limits begin, change and end while VMs fail."""
+    """Limits, rests and departures begin and end while VMs fail."""
 
-    def test_no_upstream_gets_more_than_it_accepts(self):
+    def test_no_upstream_gets_what_it_does_not_accept(self):
         violations = {seed: play(seed) for seed in SEEDS}
         self.assertEqual(violations, dict.fromkeys(SEEDS, []))
 
@@ -43,6 +44,11 @@
             violations = [one for seed in SEEDS for one in play(seed)]
         self.assertTrue(any('in 4 s' in one for one in violations), violations)
 
+    def test_departure_that_is_forgotten(self):
+        with mock.patch.object(Departure, 'is_known', lambda _departure: False):
+            violations = [one for seed in SEEDS for one in play(seed)]
+        self.assertTrue(any('its leaving' in one for one in violations))
+
     def test_rest_that_is_forgotten(self):
         with mock.patch.object(
             UpstreamStatus, 'rest_seconds', lambda _status: 0
