Read reports of limited engines sooner after a change of owner, tell fewer limits

Found by reading, not seen by callers. A new owner whose first report was held back waited a quarter of a minute at one request a second until it asked again, and can send no order before it has a report: an uncertain owner now asks at the spacing of the limit. A limit that differs a little in each response would have been told to all VMs with each response: it is told when it begins or changes by a fifth.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -147,7 +147,7 @@
             )
             uncertain = uncertain or self.ledger.fence == NO_FENCE
             delay = _EAGER_REPORT_SECONDS if uncertain else _REPORT_SECONDS
-            delay = max(delay, self._limited_interval())
+            delay = max(delay, self._limited_interval(is_uncertain=uncertain))
             pause = chain.paused_until - clock.now()
             if 0 < pause < delay:
                 delay = pause
@@ -155,12 +155,14 @@
                 await self.report_now.wait()
             self.report_now.clear()
 
-    def _limited_interval(self) -> float:
+    def _limited_interval(self, *, is_uncertain: bool) -> float:
         """Return the interval of reports that leaves most requests to callers.
 
+        :param is_uncertain: whether the engine can't be used without a report
         :returns: seconds; 0 without a rate limit
         """
-        return self.ledger.sends.limit.spacing() / _REPORT_SHARE
+        spacing = self.ledger.sends.limit.spacing()
+        return spacing if is_uncertain else spacing / _REPORT_SHARE
 
     async def load(self, held: HeldAdapter, victim: HeldAdapter | None) -> None:
         """Load an adapter, then resume the requests that wait for it.
--- a/flamingovalve/gateway/rate_limits.py
+++ b/flamingovalve/gateway/rate_limits.py
@@ -20,6 +20,7 @@
 _BURST_SECONDS: Final = 0.25
 # A limit learnt from another VM lapses unless it is repeated.
 _RUMOUR_SECONDS: Final = 10.0
+_CHANGE_SHARE: Final = 0.2
 # For this long after an upstream told this VM that it has no limit any more,
 # rumours of one are outdated.
 _ENDED_SECONDS: Final = 3.0
@@ -48,6 +49,7 @@
     :ivar rumoured_at: when this VM learnt it
     :ivar named_to: purposes of the requests whose responses named a limit;
         other responses need not name it
+    :ivar noted_rate: rate that was last logged and told to other VMs
     :ivar opens_at: earliest time at which the keeper would admit a request
     :ivar uncounted: requests sent shortly before the limit was known, which
         its keeper has not counted yet
@@ -59,6 +61,7 @@
     rumoured_rate: float = NO_LIMIT
     rumoured_at: float = float('-inf')
     named_to: set[Purpose] = field(default_factory=set)
+    noted_rate: float = NO_LIMIT
     opens_at: float = 0
     uncounted: int = 0
 
@@ -80,6 +83,19 @@
         """Return the seconds between two requests; 0 without a limit."""
         return 1 / self.rate()
 
+    def is_news(self, previous_rate: float) -> bool:
+        """Return whether the limit began, ended, or changed a good deal.
+
+        Otherwise a limit that differs a little in each response would be told
+        to all VMs with each response.
+
+        :param previous_rate: the rate before the latest response or rumour
+        """
+        rate = self.rate()
+        if NO_LIMIT in {rate, previous_rate}:
+            return rate != previous_rate
+        return abs(rate - self.noted_rate) > _CHANGE_SHARE * rate
+
     def is_confirmed(self) -> bool:
         """Return whether the upstream named the limit to this VM recently."""
         is_recent = clock.now() < self.told_at + _CONFIRMED_SECONDS
--- a/flamingovalve/gateway/upstream_status.py
+++ b/flamingovalve/gateway/upstream_status.py
@@ -265,8 +265,9 @@
     ) -> bool:
         status = self.of(upstream)
         rate = status.limit.rate()
-        if rate == previous_rate:
+        if not status.limit.is_news(previous_rate):
             return False
+        status.limit.noted_rate = rate
         status.limit.opens_at = 0
         if previous_rate == NO_LIMIT:
             status.limit.uncounted = status.find_uncounted()
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -71,6 +71,16 @@
         self.limit.record_rumour(2)
         self.assertEqual(self.limit.rate(), NO_LIMIT)
 
+    def test_limit_that_varies_a_little_is_no_news(self):
+        """Guards against rumours with each response of such an upstream."""
+        statuses = UpstreamStatuses()
+        sent = SentRequest(ENGINE, Purpose.SERVE, self.current_time)
+        news = [
+            statuses.record(sent, Announcement(rate))
+            for rate in (2, 2.1, 1.9, 2.2, 4)
+        ]
+        self.assertEqual(news, [True, False, False, False, True])
+
     def test_rumours_do_not_replace_each_other_for_ever(self):
         """Guards against two rumours that each VM passes on in turn."""
         statuses = UpstreamStatuses()
