Take no late response to an earlier request for the end of a limit

Found by reading, not seen by callers: a response to an earlier request may arrive late on a reused connection, before the one to the present request. It says what held then, but counted as proof that a limit or a departure announced since has ended.

Also mends six tests of test_shards that broke: the place finder needs the statuses of upstreams since.

--- a/flamingovalve/gateway/announcements.py
+++ b/flamingovalve/gateway/announcements.py
@@ -27,8 +27,8 @@
     :ivar is_leaving: whether it accepts no new requests
     :ivar rest_seconds: for how long it wants no requests from this VM; 0
         unless it has rejected the request
-    :ivar is_success: whether the request succeeded, so that what the response
-        does not announce is not in force
+    :ivar is_success: whether this is the response to the request, and a
+        success, so that what it does not announce is not in force
     """
 
     rate_limit: float | None = None
@@ -42,8 +42,10 @@
     """A request to an upstream that was sent.
 
     :ivar sent_at: when it was sent, on the monotonic clock
+    :ivar request_id: id that its response repeats; empty for none
     """
 
     upstream: UpstreamId
     purpose: Purpose
     sent_at: float
+    request_id: str = ''
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from flamingovalve.gateway.announcements import Announcement
+    from flamingovalve.gateway.announcements import Announcement, SentRequest
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.upstream_client import UpstreamClient
@@ -131,8 +131,10 @@
     def verdict(self, head: ResponseHead, request: InboundRequest) -> Verdict:
         """Classify the head of a response to a request."""
 
-    def announcement(self, head: ResponseHead) -> Announcement:
-        """Decode what a response announces about its upstream."""
+    def announcement(
+        self, head: ResponseHead, sent: SentRequest
+    ) -> Announcement:
+        """Decode what the response to ``sent`` announces of its upstream."""
 
     def keep_alive_seconds(self, head: ResponseHead) -> float | None:
         """Return the announced keep-alive timeout in seconds, if any."""
@@ -245,6 +247,7 @@
             Purpose.SERVE,
             call,
             request.remaining_timeout(),
+            request.id,
         )
         head = await self._client.head(
             connection, sent, request.remaining_timeout()
--- a/flamingovalve/gateway/upstream_client.py
+++ b/flamingovalve/gateway/upstream_client.py
@@ -39,13 +39,14 @@
     def __init__(
         self,
         pool: ConnectionPool,
-        announcement_of: Callable[[ResponseHead], Announcement],
+        announcement_of: Callable[[ResponseHead, SentRequest], Announcement],
         statuses: UpstreamStatuses,
         limits: SendLimits,
     ) -> None:
         """Send over connections of ``pool``.
 
-        :param announcement_of: decodes the announcement of a response
+        :param announcement_of: decodes the announcement of the response to a
+            request
         :param statuses: records requests and announcements
         :param limits: admits requests within announced rate limits
         """
@@ -97,16 +98,18 @@
         purpose: Purpose,
         call: UpstreamCall,
         seconds: float,
+        request_id: str = '',
     ) -> SentRequest:
         """Send a request over a connection.
 
+        :param request_id: id that its response repeats
         :raises HeldBack: if the upstream has asked for rest, or is leaving,
             since the request was admitted
         :raises ConnectionLost: if the connection broke
         :raises TimeoutError: if sending took longer than ``seconds``
         """
         self.status_of(upstream).check(purpose)
-        sent = SentRequest(upstream.id, purpose, clock.now())
+        sent = SentRequest(upstream.id, purpose, clock.now(), request_id)
         self._statuses.record_sent(sent)
         await connection.send(call, seconds)
         return sent
@@ -123,7 +126,7 @@
         :raises TimeoutError: if nothing was received for ``seconds``
         """
         head = await connection.head(seconds)
-        if self._statuses.record(sent, self._announcement_of(head)):
+        if self._statuses.record(sent, self._announcement_of(head, sent)):
             await self._limits.announce(sent.upstream)
         return head
 
--- a/flamingovalve/gateway/upstream_status.py
+++ b/flamingovalve/gateway/upstream_status.py
@@ -155,7 +155,10 @@
                 status.departure = Departure()
 
     def wait_seconds(self, upstreams: Iterable[Upstream]) -> float:
-        """Return the seconds until one of some upstreams accepts a request."""
+        """Return the seconds until one of some upstreams accepts a request.
+
+        :returns: seconds; 0 if there are none, or all are leaving
+        """
         shortest = math.inf
         for upstream in upstreams:
             shortest = min(shortest, self.of(upstream.id).wait_seconds())
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from flamingovalve.gateway.announcements import SentRequest
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.orders import Order
@@ -87,7 +88,7 @@
         if headers.get('attempt-id', request.id) != request.id:
             return Verdict.OTHER_REQUEST
         if 'not-executed' in headers or head.status == _STATUS_MISDIRECTED:
-            if self.announcement(head).rest_seconds:
+            if _rest_seconds(head):
                 return Verdict.REJECTED
             return Verdict.NOT_RUN
         if 'response-seal' not in headers or 'content-encoding' in headers:
@@ -96,16 +97,19 @@
             return Verdict.SUCCESS
         return Verdict.FAILURE
 
-    def announcement(self, head: ResponseHead) -> Announcement:
-        """Decode what a response announces about its upstream."""
-        rest = None
-        if head.status == _STATUS_UNAVAILABLE:
-            rest = _decimal(head.headers.get('retry-after', ''))
+    def announcement(
+        self, head: ResponseHead, sent: SentRequest
+    ) -> Announcement:
+        """Decode what the response to ``sent`` announces of its upstream."""
+        headers = head.headers
+        is_success = _FIRST_SUCCESS <= head.status <= _LAST_SUCCESS
+        # A late response to an earlier request may precede the connection's.
+        is_own = headers.get('attempt-id', sent.request_id) == sent.request_id
         return Announcement(
-            _decimal(head.headers.get('server-limit', '')),
-            head.headers.get('server-leaving', '').strip() == '1',
-            rest or 0,
-            _FIRST_SUCCESS <= head.status <= _LAST_SUCCESS,
+            _decimal(headers.get('server-limit', '')),
+            headers.get('server-leaving', '').strip() == '1',
+            _rest_seconds(head),
+            is_success and is_own,
         )
 
     def keep_alive_seconds(self, head: ResponseHead) -> float | None:
@@ -189,6 +193,13 @@
     return float(text) if _DECIMAL.fullmatch(text) else None
 
 
+def _rest_seconds(head: ResponseHead) -> float:
+    """Return the rest that a rejection asks for; 0 for any other response."""
+    if head.status != _STATUS_UNAVAILABLE:
+        return 0
+    return _decimal(head.headers.get('retry-after', '')) or 0
+
+
 def _order_body(order: Order) -> dict[str, Any]:
     body: dict[str, Any] = {
         'Op': order.action.value,
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -93,7 +93,7 @@
         """Send a request over a connection that takes ``seconds`` to open."""
         client = UpstreamClient(
             SlowPool(self, seconds),
-            lambda _head: None,
+            lambda _head, _sent: None,
             UpstreamStatuses(),
             OpenLimits(),
         )
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -13,6 +13,7 @@
 from flamingovalve.gateway.place_finder import PlaceFinder
 from flamingovalve.gateway.places import OwnerUnavailable
 from flamingovalve.gateway.popularity import Popularity
+from flamingovalve.gateway.upstream_status import UpstreamStatuses
 from flamingovalve.generated.ids import GroupId, ServiceId, VmId
 from tests.rig.engines import ask, hold, ledger, upstream
 from tests.rig.timeline import TimedTestCase
@@ -153,6 +154,10 @@
     service = SERVICE
     tried: tuple[str, ...] = ()
 
+    def send_patience(self) -> float:
+        """Return half a second."""
+        return 0.5
+
     def until_target_latency(self) -> float:
         """Return the seconds until it is late."""
         return 1.0
@@ -190,7 +195,12 @@
     def finder(self, claims):
         """Return a place finder that records its probes."""
         return PlaceFinder(
-            claims, self.places, self.shards, self._probe, NoPlaces()
+            claims,
+            self.places,
+            self.shards,
+            self._probe,
+            NoPlaces(),
+            UpstreamStatuses(),
         )
 
     async def _probe(self, vm):
