Say why a report is missing, and what the fields of accounts hold

Read as a newcomer: a held-back report of an engine without an owner was skipped without a line; it is logged now, as it is where an owner reads reports. Three fields had no description. Behaviour is unchanged. test_fallback_placement, test_upstream_limits and test_docs pass.

--- a/flamingovalve/gateway/fallback_placement.py
+++ b/flamingovalve/gateway/fallback_placement.py
@@ -153,7 +153,9 @@
     async def _refresh_report(self, upstream: Upstream) -> None:
         try:
             report = await self._link_to(upstream).report(patience=0)
-        except HeldBack:
+        except HeldBack as held:
+            # The previous report stays in use.
+            logger.debug('no report: {}', held)
             return
         if report is None:
             self._reports_by_id.pop(upstream.id, None)
--- a/flamingovalve/gateway/send_keeper.py
+++ b/flamingovalve/gateway/send_keeper.py
@@ -35,6 +35,8 @@
 
     :ivar free: requests sent before the limit was known that need not be made
         up for
+    :ivar debt_left: further ones that will be made up for; the rest is waived
+    :ivar asked_at: when it was last asked, on the monotonic clock
     """
 
     bucket: CreditBucket
--- a/flamingovalve/gateway/upstream_status.py
+++ b/flamingovalve/gateway/upstream_status.py
@@ -54,6 +54,7 @@
     """The status of one upstream.
 
     :ivar recent: the latest requests of this VM, oldest first
+    :ivar used_at: when this VM last sent it a request, on the monotonic clock
     :ivar rests_until: end of the rest from requests of this VM that it asked
         for, on the monotonic clock
     """
