Log and count whether a VM reaches its upstreams

No log line and no metric said that a VM cannot reach its upstreams: a send that ends unreachable looks the same for one dead engine and for a VM without any path.

Each new connection and each response head now records that the path to an upstream works, each failed connection that it fails, with its kind. Gauges give the present numbers. Decisions are unchanged.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -156,6 +156,7 @@
             self.members,
             self.keepers,
             self.background,
+            self.catalogue,
         )
         link_to = functools.partial(self.platform.engine, self.upstreams.client)
         self.claims = GroupClaims(self.members, clock.now())
@@ -443,6 +444,7 @@
         server_limits.body_bytes = limits.body_bytes
         server_limits.idle_seconds = limits.idle_seconds
         self.upstreams.statuses.forget_removed(self.catalogue.lists)
+        self.upstreams.paths.forget_removed()
         await self.owned.reconcile(self._announce_claim)
         await self.gossip.push(self.follower.own_rumour())
 
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -257,7 +257,7 @@
             request.id,
         )
         head = await self._client.head(
-            connection, sent, request.remaining_timeout()
+            connection, upstream, sent, request.remaining_timeout()
         )
         while self._wire.verdict(head, request) is Verdict.OTHER_REQUEST:
             # Skips a duplicate response to an earlier call on this connection;
@@ -265,7 +265,7 @@
             await connection.body(request.remaining_timeout())
             connection.expect_extra_response()
             head = await self._client.head(
-                connection, sent, request.remaining_timeout()
+                connection, upstream, sent, request.remaining_timeout()
             )
         keep_alive = self._wire.keep_alive_seconds(head)
         if keep_alive is not None:
--- a/flamingovalve/gateway/state.py
+++ b/flamingovalve/gateway/state.py
@@ -24,6 +24,7 @@
         'owner': daemon.owned.total_counts(),
         'quarantine': daemon.quarantine.counts,
         'upstream_requests': daemon.upstreams.statuses.counts,
+        'upstream_paths': daemon.upstreams.paths.counts,
         **daemon.calls.counts(),
     }
 
@@ -36,6 +37,10 @@
         'requests_in_progress': daemon.front.in_progress,
         'configuration_version': daemon.catalogue.configuration.version,
         'catalogue_revision': daemon.catalogue.revision,
+        'upstreams_unreachable': len(daemon.upstreams.paths.failing()),
+        'services_unreachable': len(
+            daemon.upstreams.paths.unreachable_services()
+        ),
         'store_reachable': daemon.follower.reachable,
         'confirmation_age_seconds': daemon.follower.confirmation.age(),
         'members_present': len(daemon.members.present()),
@@ -66,5 +71,6 @@
         'credit': daemon.quota_keeper.state_dump(),
         'calls': daemon.calls.keeper.state_dump(),
         'upstreams': daemon.upstreams.statuses.state_dump(),
+        'unreachable': daemon.upstreams.paths.state_dump(),
         'catalogue': asdict(daemon.catalogue.counts),
     }
--- a/flamingovalve/gateway/upstream_client.py
+++ b/flamingovalve/gateway/upstream_client.py
@@ -8,6 +8,7 @@
 
 from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.announcements import SentRequest
+from flamingovalve.gateway.upstream_paths import failure_of
 from flamingovalve.http.messages import Response
 from flamingovalve.util import clock
 
@@ -17,6 +18,7 @@
     from flamingovalve.gateway.announcements import Announcement, Purpose
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.send_limits import SendLimits
+    from flamingovalve.gateway.upstream_paths import UpstreamPaths
     from flamingovalve.gateway.upstream_status import (
         UpstreamStatus,
         UpstreamStatuses,
@@ -42,6 +44,7 @@
         announcement_of: Callable[[ResponseHead, SentRequest], Announcement],
         statuses: UpstreamStatuses,
         limits: SendLimits,
+        paths: UpstreamPaths,
     ) -> None:
         """Send over connections of ``pool``.
 
@@ -49,11 +52,13 @@
             request
         :param statuses: records requests and announcements
         :param limits: admits requests within announced rate limits
+        :param paths: records which upstreams were reached
         """
         self._pool = pool
         self._announcement_of = announcement_of
         self._statuses = statuses
         self._limits = limits
+        self._paths = paths
 
     def status_of(self, upstream: Upstream) -> UpstreamStatus:
         """Return the status of an upstream."""
@@ -81,7 +86,16 @@
 
         :raises OSError: if it cannot be reached in time
         """
-        return await self._pool.acquire(upstream.address)
+        idle = await self._pool.take_idle(upstream.address)
+        if idle is not None:
+            return idle
+        try:
+            connection = await self._pool.connect(upstream.address)
+        except OSError as error:
+            self._paths.record_failure(upstream, failure_of(error))
+            raise
+        self._paths.record_success(upstream)
+        return connection
 
     async def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after its request."""
@@ -117,6 +131,7 @@
     async def head(
         self,
         connection: UpstreamConnection,
+        upstream: Upstream,
         sent: SentRequest,
         seconds: float,
     ) -> ResponseHead:
@@ -126,6 +141,7 @@
         :raises TimeoutError: if nothing was received for ``seconds``
         """
         head = await connection.head(seconds)
+        self._paths.record_success(upstream)
         if self._statuses.record(sent, self._announcement_of(head, sent)):
             await self._limits.announce(sent.upstream)
         return head
@@ -151,7 +167,7 @@
         connection = await self.acquire(upstream)
         try:
             sent = await self.send(connection, upstream, purpose, call, seconds)
-            head = await self.head(connection, sent, seconds)
+            head = await self.head(connection, upstream, sent, seconds)
             body = await connection.body(seconds)
         except BaseException:
             await connection.close()
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -240,7 +240,15 @@
         self._idle_by_address: dict[str, list[UpstreamConnection]] = {}
 
     async def acquire(self, address: str) -> UpstreamConnection:
-        """Return an idle connection to ``address``, or open a new one."""
+        """Return an idle connection to ``address``, or open a new one.
+
+        :raises OSError: if it cannot be reached in time
+        """
+        idle = await self.take_idle(address)
+        return idle or await self.connect(address)
+
+    async def take_idle(self, address: str) -> UpstreamConnection | None:
+        """Return an idle connection to ``address``, if there is one."""
         idle = self._idle_by_address.get(address, [])
         while idle:
             connection = idle.pop()
@@ -253,7 +261,7 @@
             if is_young_enough and connection.is_quiet():
                 return connection
             await connection.close()
-        return await self.connect(address)
+        return None
 
     async def connect(self, address: str) -> UpstreamConnection:
         """Open a new connection to ``address``.
--- a/tests/rig/network.py
+++ b/tests/rig/network.py
@@ -36,6 +36,7 @@
         self.rng = random.Random(seed)
         self.node_by_address: dict[tuple[str, int], str] = {}
         self._cut: set[tuple[str, str]] = set()
+        self._refused: dict[tuple[str, str], type[OSError]] = {}
 
     def cut(self, origin: str, target: str) -> None:
         """Block the direction from ``origin`` to ``target``."""
@@ -49,9 +50,34 @@
                 self.cut(origin, target)
                 self.cut(target, origin)
 
+    def refuse(
+        self,
+        left: Iterable[str],
+        right: Iterable[str],
+        error: type[OSError] = ConnectionRefusedError,
+    ) -> None:
+        """Let new connections of ``left`` to ``right`` fail at once."""
+        others = list(right)
+        for origin in left:
+            for target in others:
+                self._refused[origin, target] = error
+
+    def refusal(self, origin: str, target: str) -> type[OSError] | None:
+        """Return how a new connection fails at once; None if it does not."""
+        return self._refused.get((origin, target))
+
     def heal(self) -> None:
         """Unblock every link."""
         self._cut.clear()
+        self._refused.clear()
+
+    def heal_between(self, left: Iterable[str], right: Iterable[str]) -> None:
+        """Unblock the links between two groups of nodes."""
+        others = list(right)
+        for origin in left:
+            for target in others:
+                self._cut -= {(origin, target), (target, origin)}
+                self._refused.pop((origin, target), None)
 
     def passes(self, origin: str, target: str) -> bool:
         """Return whether data from ``origin`` reaches ``target``."""
@@ -174,6 +200,9 @@
         """
         target = _bound(address)
         remote = self.links.node_by_address.get(target, '')
+        refusal = self.links.refusal(self.node, remote)
+        if refusal is not None:
+            raise refusal(f'no connection to {address}')
         opened = self._wrap(plain.socket(), remote)
         try:
             async with curio.timeout_after(seconds):
@@ -250,10 +279,16 @@
             connection.silent = True
         return len(silenced)
 
-    def shut_down_connections(self) -> None:
-        """Shut down every open connection, as an application does."""
+    def shut_down_connections(self, remotes: Iterable[str] = ()) -> None:
+        """Shut down open connections, as an application does.
+
+        :param remotes: nodes they lead to; empty for all
+        """
+        chosen = set(remotes)
         for connection in self.connections:
-            if connection.fileno() >= 0:
+            if connection.fileno() < 0:
+                continue
+            if not chosen or connection.remote in chosen:
                 connection._socket.shutdown(plain.SHUT_RDWR)
 
     def close_all(self) -> None:
--- a/tests/rig/site.py
+++ b/tests/rig/site.py
@@ -227,13 +227,15 @@
 
     # -- Requests
 
-    def call(self, path: str, **headers: str) -> UpstreamCall:
+    def call(
+        self, path: str, budget_ms: int = 5000, **headers: str
+    ) -> UpstreamCall:
         """Return a request of a caller with a unique attempt id."""
         self.sent += 1
         lines = [
             ('Host', HOST),
             ('Attempt-Id', f'attempt-{self.sent}'),
-            ('Time-Budget-Ms', '5000'),
+            ('Time-Budget-Ms', str(budget_ms)),
             *((name.replace('_', '-'), text) for name, text in headers.items()),
         ]
         return UpstreamCall('POST', path, lines, b'body', HOST)
--- a/tests/rig/site_faults.py
+++ b/tests/rig/site_faults.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 from itertools import pairwise
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, ClassVar, Final
 
 from tests.rig.site import Site
 
@@ -25,12 +25,21 @@
 
 
 class FaultySite:
-    """A site with random faults from one seed."""
+    """A site with random faults from one seed.
+
+    :cvar vm_count: number of VMs
+    :cvar engine_count: number of engines
+    """
+
+    vm_count: ClassVar[int] = _VMS
+    engine_count: ClassVar[int] = 2
 
     def __init__(self, seed: int) -> None:
         """Start the site."""
         self.rng = random.Random(seed)
-        self.site = Site.started(_VMS, engines=2, slots=3)
+        self.site = Site.started(
+            self.vm_count, engines=self.engine_count, slots=3
+        )
         self.steps: Counter[str] = Counter()
         self.parts: tuple[list[str], list[str]] = ([], [])
         self.answers: list[tuple[str, curio.Task]] = []
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -10,6 +10,7 @@
 from flamingovalve.gateway.model import RepeatPolicy, Route
 from flamingovalve.gateway.relay import Outcome, SendOptions, UpstreamRelay
 from flamingovalve.gateway.upstream_client import UpstreamClient
+from flamingovalve.gateway.upstream_paths import UpstreamPaths
 from flamingovalve.gateway.upstream_status import UpstreamStatuses
 from flamingovalve.generated.ids import RequestId
 from tests.rig.engines import upstream
@@ -35,7 +36,10 @@
         self.case = case
         self.seconds = seconds
 
-    async def acquire(self, _address):
+    async def take_idle(self, _address):
+        """Return no connection."""
+
+    async def connect(self, _address):
         """Advance the clock and return a connection."""
         self.case.advance(self.seconds)
         return UnusedConnection()
@@ -52,10 +56,10 @@
         super().__init__(case, 0.01)
         self.announce = announce
 
-    async def acquire(self, address):
+    async def connect(self, address):
         """Let the announcement arrive and return a connection."""
         self.announce()
-        return await super().acquire(address)
+        return await super().connect(address)
 
 
 class OpenLimits:
@@ -113,7 +117,11 @@
     def send_through(self, pool, statuses, request):
         """Send a request over a connection of ``pool``."""
         client = UpstreamClient(
-            pool, lambda _head, _sent: None, statuses, OpenLimits()
+            pool,
+            lambda _head, _sent: None,
+            statuses,
+            OpenLimits(),
+            UpstreamPaths(lambda _service: []),
         )
         relay = UpstreamRelay(client, EmptyWire())
         return curio.run(
