--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -43,6 +43,8 @@
     :ivar lose_answers: number of next requests that run, but whose
         connection is dropped before the response
     :ivar full: whether to refuse every request as not executed
+    :ivar closes_every: closes the connection after one in so many responses;
+        0 for never
     :ivar history: requests that arrived and what their responses announced;
         its ``announced`` is added to each response
     """
@@ -58,6 +60,8 @@
         self.lose_answers = 0
         self.full = False
         self.history = History()
+        self.closes_every = 0
+        self._responses = 0
 
     async def respond(self, request: Request, responder: Responder) -> None:
         """Record the arrival of a request and announce in the response."""
@@ -106,10 +110,14 @@
 
     def identity_headers(self, request: Request) -> list[tuple[str, str]]:
         """Return the headers that identify a response as this upstream's."""
-        return [
+        headers = [
             ('Attempt-Id', request.headers.get('attempt-id', '')),
             ('Response-Seal', f'seal-of-{self.name}'),
         ]
+        self._responses += 1
+        if self.closes_every and not self._responses % self.closes_every:
+            headers.append(('Connection', 'close'))
+        return headers
 
 
 class PlatformEngineStandIn(PlatformRunnerStandIn):
--- a/tests/rig/partition_faults.py
+++ b/tests/rig/partition_faults.py
@@ -28,6 +28,8 @@
 _CHAT_BUDGET_MS: Final = 2400
 _CALL_BUDGET_MS: Final = 1000
 _ADAPTERS: Final = 6
+# Upstreams close the connection after one in so many responses.
+_CLOSES_EVERY: Final = 4
 _SILENCE_SECONDS: Final = 1.0
 _PARTITION_SECONDS: Final = (5.0, 9.0)
 
@@ -90,6 +92,8 @@
     def __post_init__(self) -> None:
         """Start the site."""
         FaultySite.__init__(self, self.seed)
+        for runner in (*self.site.engines, *self.site.apps):
+            runner.closes_every = _CLOSES_EVERY
         self._request_rng = random.Random(self.seed)
         self._in_touch_from = dict.fromkeys(self.site.vms_by_id, 0.0)
 
