Serve callers of VMs without paths to upstreams through other VMs

Callers saw: first tries at VMs that were partitioned from all upstreams were served 3 of 57 and 0 of 18 times, the others 49 of 51, and 28 of 101 while the owner of the engines was one of the partitioned VMs.

Cause: a VM sent requests over its own connections only, and kept its roles while membership saw it alive, whatever paths it had to upstreams. Class: what a VM does or holds that needs a path to upstreams rested on the paths between VMs. Evidence: 300 of 300 sends of partitioned VMs ended unreachable or timed out; no engine got a request or an order in the 12 s in which its owner was partitioned; connections were tried for 0.4 s each, and places held meanwhile.

All decisions about a request stay with the VM that its caller chose, so what is counted once stays counted once, and no byte is sent before the connection is open. A path is bypassed when another VM reached what this one did not; a dead or silent upstream bypasses none. A VM that bypasses most upstreams of a service releases its groups and says so by gossip; another VM claims them at once. Orders never run through another VM. Directories leave such VMs out while others remain. Failures over bypassed paths are neutral for owners and keepers, and an upstream that refuses one VM but accepts another has not crashed.

--- a/flamingovalve/gateway/call_client.py
+++ b/flamingovalve/gateway/call_client.py
@@ -288,4 +288,6 @@
     if sent.outcome is Outcome.UNREACHABLE and request.remaining() <= 0:
         # Its deadline passed before it was sent.
         return CallOutcome.ABANDONED
+    if sent.is_path_failure():
+        return CallOutcome.ABANDONED
     return _OUTCOMES.get(sent.outcome, CallOutcome.FAILED)
--- a/flamingovalve/gateway/calls.py
+++ b/flamingovalve/gateway/calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from flamingovalve.errors import ServingError
 from flamingovalve.gateway.attempts import MAX_SENDS, final_error, no_upstream
@@ -20,6 +20,8 @@
     from flamingovalve.gateway.relay import SendResult, UpstreamRelay
     from flamingovalve.http.server import Responder
 
+_NEUTRAL_OUTCOMES: Final = frozenset((Outcome.HELD_BACK, Outcome.REJECTED))
+
 
 class CallServer:
     """Serves calls whose response is read completely before it is returned."""
@@ -125,7 +127,7 @@
     def _record(self, upstream: Upstream, sent: SendResult) -> None:
         if sent.outcome is Outcome.DONE:
             self._balancer.succeeded(upstream.id)
-        elif sent.outcome in {Outcome.HELD_BACK, Outcome.REJECTED}:
+        elif sent.is_path_failure() or sent.outcome in _NEUTRAL_OUTCOMES:
             self._balancer.abandoned(upstream.id)
         else:
             is_unresponsive = sent.outcome in {
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -106,7 +106,7 @@
             options = self._options_of(request, lease, sink)
             sent = await self._relay.stream(request, upstream, options, sink)
             end = PlaceEnd(
-                _PLACE_OUTCOMES.get(sent.outcome, PlaceOutcome.FAILED),
+                _place_outcome(sent),
                 sent.first_event,
                 sent.retry_after,
                 sent.is_leaving,
@@ -162,3 +162,10 @@
             max_event_gap=request.route.max_event_gap,
             workspace=request.workspace,
         )
+
+
+def _place_outcome(sent: SendResult) -> PlaceOutcome:
+    """Return how a place ended, as far as it concerns its engine."""
+    if sent.is_path_failure():
+        return PlaceOutcome.ABANDONED
+    return _PLACE_OUTCOMES.get(sent.outcome, PlaceOutcome.FAILED)
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -41,7 +41,7 @@
 from flamingovalve.generated.settings import LimitSettings, PublishedVm
 from flamingovalve.http.client import ConnectionPool
 from flamingovalve.http.server import HttpServer
-from flamingovalve.membership.gossip import Gossip
+from flamingovalve.membership.gossip import Dissemination, Gossip
 from flamingovalve.membership.members import MemberTable
 from flamingovalve.peer.client import PeerPool
 from flamingovalve.peer.server import PeerServer
@@ -151,6 +151,7 @@
             self.members, self.peers, self.gossip.probe_now
         )
         self.upstreams = UpstreamAccess(
+            self.network,
             self.pool,
             self.platform.wire,
             self.members,
@@ -158,8 +159,15 @@
             self.background,
             self.catalogue,
         )
+        self.upstreams.connect(
+            settings, self.peers, self.rng, lambda: self.is_leaving
+        )
         link_to = functools.partial(self.platform.engine, self.upstreams.client)
-        self.claims = GroupClaims(self.members, clock.now())
+        self.claims = GroupClaims(
+            self.members,
+            clock.now(),
+            self.upstreams.reachability.is_replaceable,
+        )
         self.shards = Shards(self.catalogue)
         self.owned = OwnedGroups(
             settings.gateway,
@@ -186,7 +194,9 @@
             self.upstreams.statuses,
         )
         self.directory = AddressDirectory.from_config(
-            self.members, settings.gateway
+            self.members,
+            settings.gateway,
+            self.upstreams.reachability.is_cut_off_from_any,
         )
         retry_budget = FleetRetryBudget(
             settings.gateway,
@@ -194,7 +204,7 @@
         )
         self.quarantine = CrashQuarantine(
             settings.relay.quarantine_seconds,
-            self._refuses_connections,
+            self.upstreams.has_crashed,
         )
         attempts = Attempts(retry_budget, self.quarantine)
         relay = UpstreamRelay(self.upstreams.client, self.platform.wire)
@@ -275,13 +285,14 @@
         self.calls.serve_peers(self.peer_server)
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
         self.peer_server.on_ask(messages.CreditAsk, self.quota_keeper.answer)
-        self.peer_server.on_ask(messages.SendAsk, self.upstreams.keeper.answer)
+        self.upstreams.serve_peers(self.peer_server)
         handlers = GossipHandlers(
             self.follower,
             self.quarantine,
             self.claims,
             self.places,
             self.upstreams.limits,
+            self._apply_path_rumour,
             self.background,
         )
         self.gossip.rumour_listener = handlers.apply_rumour
@@ -291,6 +302,7 @@
         self.follower.publish = self.gossip.push
         self.quarantine.publish = self.gossip.push
         self.upstreams.limits.publish = self.gossip.push
+        self.upstreams.checker.publish = self._announce_paths
 
     # -- Lifecycle
 
@@ -345,6 +357,7 @@
         await spawn(self.follower.follow_forever)
         await spawn(self.directory.delay.measure_forever)
         await spawn(self.owned.reconcile_forever, self._announce_claim)
+        await spawn(self.upstreams.checker.check_forever)
         await self._accept_callers()
 
     async def begin_leaving(self) -> None:
@@ -379,7 +392,7 @@
             _ACCEPT_WHILE_LEAVING_SECONDS - _IDLE_CLOSE_DELAY_SECONDS
         )
         await self._accepting.cancel()
-        while self.front.in_progress and clock.now() < leaving_since + grace:
+        while self._has_work() and clock.now() < leaving_since + grace:
             await self.http.close_idle()
             await curio.sleep(_LEAVE_POLL_SECONDS)
         logger.info(
@@ -387,6 +400,11 @@
         )
         await self.stop()
 
+    def _has_work(self) -> bool:
+        return bool(
+            self.front.in_progress or self.upstreams.forwarded.open_count
+        )
+
     async def _close(self) -> None:
         async with curio.ignore_after(_MAX_CLOSE_SECONDS):
             await self._close_all()
@@ -448,9 +466,25 @@
         await self.owned.reconcile(self._announce_claim)
         await self.gossip.push(self.follower.own_rumour())
 
-    async def _refuses_connections(self, address: str) -> bool:
-        seconds = self.settings.relay.connect_seconds
-        return await self.network.refuses_connections(address, seconds)
+    async def _announce_paths(self) -> None:
+        """Release groups that this VM has no path to, then announce it.
+
+        Other VMs send orders once they know.
+        """
+        await self.owned.reconcile(self._announce_claim)
+        for rumour in self.upstreams.reachability.own_rumours():
+            await self.gossip.push(rumour)
+
+    async def _apply_path_rumour(
+        self, rumour: messages.PathRumour
+    ) -> Dissemination:
+        dissemination = self.upstreams.reachability.apply_rumour(rumour)
+        if dissemination is not Dissemination.NONE:
+            spawn = self.background.spawn
+            await spawn(self.owned.reconcile, self._announce_claim)
+            if rumour.services:
+                await spawn(self.upstreams.checker.suspect_own)
+        return dissemination
 
     async def _announce_claim(self, rumour: messages.OwnerRumour) -> None:
         await self.gossip.push(rumour)
@@ -463,6 +497,7 @@
             self.follower.own_rumour(),
             *self.rng.sample(claims, count),
             *self.upstreams.limits.standing_rumours(self.rng),
+            *self.upstreams.reachability.own_rumours(),
         ]
 
 
--- a/flamingovalve/gateway/directory.py
+++ b/flamingovalve/gateway/directory.py
@@ -10,7 +10,9 @@
 from flamingovalve.util import hashing
 
 if TYPE_CHECKING:
-    from flamingovalve.generated.ids import DomainId
+    from collections.abc import Callable
+
+    from flamingovalve.generated.ids import DomainId, VmId
     from flamingovalve.generated.settings import GatewaySettings
     from flamingovalve.membership.members import Member, MemberTable
 
@@ -40,39 +42,51 @@
         members: MemberTable,
         max_near: int,
         fewest: int,
+        is_cut_off: Callable[[VmId], bool],
     ) -> None:
         """Select from those ``members`` that are alive.
 
         :param max_near: maximum number of VMs of one failure domain
         :param fewest: number below which this VM lists itself though it is
             late
+        :param is_cut_off: returns whether a VM reaches the upstreams of a
+            service only through other VMs
         """
         self._members = members
+        self._is_cut_off = is_cut_off
         self._max_near = min(max_near, _MAX_ADDRESSES)
         self._fewest = min(fewest, self._max_near)
         self.delay = LoopDelay()
 
     @classmethod
     def from_config(
-        cls, members: MemberTable, settings: GatewaySettings
+        cls,
+        members: MemberTable,
+        settings: GatewaySettings,
+        is_cut_off: Callable[[VmId], bool],
     ) -> Self:
         """Create the directory of a VM with ``settings``."""
         return cls(
             members,
             settings.addresses_per_domain,
             settings.fewest_addresses_per_domain,
+            is_cut_off,
         )
 
     def addresses(self, domain: DomainId) -> list[str]:
         """Return the addresses for a caller in ``domain``.
 
         If that domain has too few live VMs, those of all domains are returned.
+        VMs that are cut off from upstreams are left out while others remain.
         """
-        alive = [
+        reachable = [
             member
             for member in self._members.present()
             if self._is_reachable(member)
         ]
+        alive = [
+            member for member in reachable if not self._is_cut_off(member.vm.id)
+        ] or reachable
         near = [
             member for member in alive if member.vm.failure_domain == domain
         ]
--- a/flamingovalve/gateway/gossip_handlers.py
+++ b/flamingovalve/gateway/gossip_handlers.py
@@ -9,12 +9,15 @@
     CatalogueRumour,
     LimitRumour,
     OwnerRumour,
+    PathRumour,
     PoisonRumour,
     WatchRumour,
 )
 from flamingovalve.membership.gossip import Dissemination
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from flamingovalve.gateway.follower import CatalogueFollower
     from flamingovalve.gateway.ownership import GroupClaims
     from flamingovalve.gateway.places import PlaceClient
@@ -33,6 +36,7 @@
         claims: GroupClaims,
         places: PlaceClient,
         limits: SendLimits,
+        apply_path_rumour: Callable[[PathRumour], Awaitable[Dissemination]],
         background: TaskSet,
     ) -> None:
         """Dispatch rumours to the given components.
@@ -44,6 +48,7 @@
         self._claims = claims
         self._places = places
         self._limits = limits
+        self._apply_path_rumour = apply_path_rumour
         self._background = background
 
     @singledispatchmethod
@@ -67,6 +72,10 @@
     async def _limit(self, rumour: LimitRumour) -> Dissemination:
         return await self._limits.apply_rumour(rumour)
 
+    @apply_rumour.register
+    async def _path(self, rumour: PathRumour) -> Dissemination:
+        return await self._apply_path_rumour(rumour)
+
     @apply_rumour.register
     async def _owner(self, rumour: OwnerRumour) -> Dissemination:
         previous_owner = self._claims.owner(rumour.group)
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -13,9 +13,13 @@
 from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingovalve.generated.ids import GroupId
     from flamingovalve.membership.members import MemberTable
 
+    IsReplaceable = Callable[[VmId, GroupId], bool]
+
 logger = get_logger(__name__)
 
 # Membership views can differ for seconds. A claim stays in force this long
@@ -35,13 +39,21 @@
     by the live VM that ranks first in rendezvous hashing.
     """
 
-    def __init__(self, members: MemberTable, started_at: float) -> None:
+    def __init__(
+        self,
+        members: MemberTable,
+        started_at: float,
+        is_replaceable: IsReplaceable,
+    ) -> None:
         """Start without claims.
 
         :param started_at: start of this process, on the monotonic clock
+        :param is_replaceable: returns whether a VM has announced that it
+            cannot reach the engines of a group, and another VM can
         """
         self.members = members
         self.started_at = started_at
+        self._is_replaceable = is_replaceable
         self.by_group: dict[GroupId, OwnerRumour] = {}
         self._received_at: dict[GroupId, float] = {}
 
@@ -59,7 +71,7 @@
             return self._all_just_started()
         if claim.vm == self.members.own_id:
             return False
-        return self._has_ended(claim)
+        return self._has_ended(claim) or self._is_replaceable(claim.vm, group)
 
     def should_claim(self, group: GroupId) -> bool:
         """Return whether this VM should claim ``group`` now."""
@@ -81,7 +93,11 @@
         takes processor time.
         """
         latest_start = clock.now() - _ESTABLISHED_SECONDS
-        present = self.members.present()
+        present = [
+            member
+            for member in self.members.present()
+            if not self._is_replaceable(member.vm.id, group)
+        ]
         established = [
             member for member in present if member.process_since <= latest_start
         ]
@@ -179,6 +195,8 @@
 
     def _is_in_force(self, claim: OwnerRumour) -> bool:
         members = self.members
+        if self._is_replaceable(claim.vm, claim.group):
+            return False
         if claim.vm == members.own_id:
             return (
                 claim.incarnation == members.own_incarnation
--- a/flamingovalve/gateway/quarantine.py
+++ b/flamingovalve/gateway/quarantine.py
@@ -30,7 +30,7 @@
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
 
-    RefusesConnections = Callable[[str], Awaitable[bool]]
+    HasCrashed = Callable[[Upstream], Awaitable[bool]]
     PublishRumour = Callable[[PoisonRumour], Awaitable[None]]
 
 logger = get_logger(__name__)
@@ -62,15 +62,16 @@
 class CrashQuarantine:
     """Counts the crashes of each request until a response clears it."""
 
-    def __init__(self, seconds: float, refuses: RefusesConnections) -> None:
+    def __init__(self, seconds: float, has_crashed: HasCrashed) -> None:
         """Keep the crash count of a request for ``seconds``.
 
-        :param refuses: returns whether an address refuses connections
+        :param has_crashed: returns whether an upstream crashed, not just its
+            connection
         """
         self.counts = CrashCounts()
         self.publish: PublishRumour = _discard_rumour
         self._seconds = seconds
-        self._refuses = refuses
+        self._has_crashed = has_crashed
         self._suspects: dict[Fingerprint, _Suspect] = {}
 
     def check(self, request: InboundRequest) -> None:
@@ -115,13 +116,6 @@
         )
         return Dissemination.ORDINARY
 
-    async def _has_crashed(self, upstream: Upstream) -> bool:
-        """Return whether the upstream crashed, not just its connection.
-
-        A crashed upstream refuses new connections.
-        """
-        return await self._refuses(upstream.address)
-
     def _clear(self, request: InboundRequest) -> None:
         if not self._suspects:
             return
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -81,6 +81,12 @@
 )
 
 
+# Outcomes that a failing path can cause.
+_PATH_OUTCOMES: Final = frozenset(
+    (Outcome.LOST, Outcome.UNREACHABLE, Outcome.TIMED_OUT),
+)
+
+
 @dataclass(slots=True)
 class SendResult:
     """Result of sending a request to one upstream.
@@ -94,6 +100,8 @@
     :ivar retry_after: seconds until the upstream accepts a request, or until
         the keeper expects to grant another attempt; 0 if unknown
     :ivar is_leaving: whether the upstream said that it is leaving
+    :ivar is_bypassed: whether the path of this VM to the upstream fails, so that
+        a failure says nothing about the upstream
     """
 
     outcome: Outcome
@@ -103,6 +111,11 @@
     retry_after: float = 0
     is_leaving: bool = False
     max_gap: float = 0
+    is_bypassed: bool = False
+
+    def is_path_failure(self) -> bool:
+        """Return whether it failed without the upstream's fault."""
+        return self.is_bypassed and self.outcome in _PATH_OUTCOMES
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +208,7 @@
         if sent.outcome is Outcome.REJECTED:
             sent.retry_after = status.rest_seconds()
         sent.is_leaving = status.departure.is_known()
+        sent.is_bypassed = self._client.is_bypassed(upstream)
         return sent
 
     async def _send_admitted(
@@ -225,7 +239,7 @@
         if seconds <= 0:
             return None
         try:
-            return await self._client.acquire(upstream)
+            return await self._client.acquire(upstream, Purpose.SERVE)
         except OSError:
             await self._client.drop(upstream)
             return None
@@ -256,8 +270,13 @@
             request.remaining_timeout(),
             request.id,
         )
+        may_move = request.route.repeat is not RepeatPolicy.ONCE
         head = await self._client.head(
-            connection, upstream, sent, request.remaining_timeout()
+            connection,
+            upstream,
+            sent,
+            request.remaining_timeout(),
+            may_move=may_move,
         )
         while self._wire.verdict(head, request) is Verdict.OTHER_REQUEST:
             # Skips a duplicate response to an earlier call on this connection;
@@ -329,7 +348,7 @@
                 body = await connection.body(request.remaining_timeout())
                 return self._classify(head, body, request)
             await sink.begin(head.status, end_to_end(head.lines))
-            await self._forward_events(connection, request, sink)
+            await self._forward_events(connection, request, upstream, sink)
         except CallerLost:
             # Not a failure of the upstream, and no other upstream can help.
             raise
@@ -350,10 +369,11 @@
         self,
         connection: UpstreamConnection,
         request: InboundRequest,
+        upstream: Upstream,
         sink: EventSink,
     ) -> None:
         try:
-            await self._forward_chunks(connection, request, sink)
+            await self._forward_chunks(connection, request, upstream, sink)
         except BaseException:
             sink.pauses.record_end()
             raise
@@ -364,14 +384,22 @@
         self,
         connection: UpstreamConnection,
         request: InboundRequest,
+        upstream: Upstream,
         sink: EventSink,
     ) -> None:
-        chunk_bytes = await connection.chunk(request.remaining_timeout())
+        may_move = request.route.repeat is RepeatPolicy.RESUMABLE
+        chunk_bytes = b'-'
         while chunk_bytes:
-            sink.pauses.record_chunk(chunk_bytes)
-            await sink.write(chunk_bytes)
-            sink.pauses.record_written()
-            chunk_bytes = await connection.chunk(request.remaining_timeout())
+            chunk_bytes = await self._client.chunk(
+                connection,
+                upstream,
+                request.remaining_timeout(),
+                may_move=may_move,
+            )
+            if chunk_bytes:
+                sink.pauses.record_chunk(chunk_bytes)
+                await sink.write(chunk_bytes)
+                sink.pauses.record_written()
 
 
 # Share of the announced keep-alive timeout during which a connection is reused.
--- a/flamingovalve/gateway/state.py
+++ b/flamingovalve/gateway/state.py
@@ -23,8 +23,7 @@
         'quota': daemon.quotas.counts,
         'owner': daemon.owned.total_counts(),
         'quarantine': daemon.quarantine.counts,
-        'upstream_requests': daemon.upstreams.statuses.counts,
-        'upstream_paths': daemon.upstreams.paths.counts,
+        **daemon.upstreams.counts(),
         **daemon.calls.counts(),
     }
 
@@ -41,6 +40,7 @@
         'services_unreachable': len(
             daemon.upstreams.paths.unreachable_services()
         ),
+        'tunnels_forwarded': daemon.upstreams.forwarded.open_count,
         'store_reachable': daemon.follower.reachable,
         'confirmation_age_seconds': daemon.follower.confirmation.age(),
         'members_present': len(daemon.members.present()),
@@ -71,6 +71,7 @@
         'credit': daemon.quota_keeper.state_dump(),
         'calls': daemon.calls.keeper.state_dump(),
         'upstreams': daemon.upstreams.statuses.state_dump(),
+        'cut_off': daemon.upstreams.reachability.state_dump(),
         'unreachable': daemon.upstreams.paths.state_dump(),
         'catalogue': asdict(daemon.catalogue.counts),
     }
--- a/flamingovalve/gateway/upstream_client.py
+++ b/flamingovalve/gateway/upstream_client.py
@@ -2,21 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import curio
 
-from flamingovalve.errors import HeldBack
-from flamingovalve.gateway.announcements import SentRequest
-from flamingovalve.gateway.upstream_paths import failure_of
+from flamingovalve.errors import ConnectionLost, HeldBack
+from flamingovalve.gateway.announcements import Purpose, SentRequest
 from flamingovalve.http.messages import Response
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from flamingovalve.gateway.announcements import Announcement, Purpose
+    from flamingovalve.gateway.announcements import Announcement
+    from flamingovalve.gateway.dialer import UpstreamDialer
     from flamingovalve.gateway.model import Upstream
+    from flamingovalve.gateway.path_checks import PathChecker
     from flamingovalve.gateway.send_limits import SendLimits
     from flamingovalve.gateway.upstream_paths import UpstreamPaths
     from flamingovalve.gateway.upstream_status import (
@@ -24,12 +25,18 @@
         UpstreamStatuses,
     )
     from flamingovalve.http.client import (
-        ConnectionPool,
         ResponseHead,
         UpstreamCall,
         UpstreamConnection,
     )
 
+# Many round trips; upstreams acknowledge what they receive at once.
+_UNACKNOWLEDGED_SECONDS: Final = 0.25
+# Time in which another VM opens a connection where this one cannot.
+_CHECK_SECONDS: Final = 0.2
+# Engines pause for less while they read prompts.
+_SILENT_SECONDS: Final = 0.5
+
 
 class UpstreamClient:
     """Sends requests to upstreams and reads what they announce.
@@ -40,13 +47,14 @@
 
     def __init__(
         self,
-        pool: ConnectionPool,
         announcement_of: Callable[[ResponseHead, SentRequest], Announcement],
         statuses: UpstreamStatuses,
         limits: SendLimits,
         paths: UpstreamPaths,
+        dialer: UpstreamDialer,
+        checker: PathChecker,
     ) -> None:
-        """Send over connections of ``pool``.
+        """Send over connections of ``dialer``.
 
         :param announcement_of: decodes the announcement of the response to a
             request
@@ -54,16 +62,21 @@
         :param limits: admits requests within announced rate limits
         :param paths: records which upstreams were reached
         """
-        self._pool = pool
         self._announcement_of = announcement_of
         self._statuses = statuses
         self._limits = limits
         self._paths = paths
+        self._dialer = dialer
+        self._checker = checker
 
     def status_of(self, upstream: Upstream) -> UpstreamStatus:
         """Return the status of an upstream."""
         return self._statuses.of(upstream.id)
 
+    def is_bypassed(self, upstream: Upstream) -> bool:
+        """Return whether only other VMs reach an upstream."""
+        return self._paths.is_bypassed(upstream.id)
+
     async def admit(
         self, upstream: Upstream, purpose: Purpose, patience: float
     ) -> None:
@@ -81,29 +94,31 @@
             self._statuses.counts.held_back += 1
             raise
 
-    async def acquire(self, upstream: Upstream) -> UpstreamConnection:
+    async def acquire(
+        self, upstream: Upstream, purpose: Purpose
+    ) -> UpstreamConnection:
         """Return a connection to an upstream.
 
+        Orders and reports never run through another VM: an engine would see
+        the orders of one owner come from two VMs.
+
         :raises OSError: if it cannot be reached in time
         """
-        idle = await self._pool.take_idle(upstream.address)
-        if idle is not None:
-            return idle
+        if purpose is Purpose.SERVE:
+            return await self._dialer.connect(upstream)
         try:
-            connection = await self._pool.connect(upstream.address)
-        except OSError as error:
-            self._paths.record_failure(upstream, failure_of(error))
+            return await self._dialer.connect_directly(upstream)
+        except OSError:
+            await self._checker.verify_failure(upstream)
             raise
-        self._paths.record_success(upstream)
-        return connection
 
     async def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after its request."""
-        await self._pool.release(connection)
+        await self._dialer.release(connection)
 
     async def drop(self, upstream: Upstream) -> None:
         """Close the idle connections to an upstream."""
-        await self._pool.drop(upstream.address)
+        await self._dialer.drop(upstream)
 
     async def send(
         self,
@@ -134,18 +149,88 @@
         upstream: Upstream,
         sent: SentRequest,
         seconds: float,
+        *,
+        may_move: bool = False,
     ) -> ResponseHead:
         """Wait for the head of the response to ``sent``.
 
+        :param may_move: whether to give up the connection if its path fails
         :raises ConnectionLost: if the connection broke
         :raises TimeoutError: if nothing was received for ``seconds``
         """
-        head = await connection.head(seconds)
-        self._paths.record_success(upstream)
-        if self._statuses.record(sent, self._announcement_of(head, sent)):
+        head = await self._await_head(
+            connection, upstream, seconds, may_move=may_move
+        )
+        announcement = self._announcement_of(head, sent)
+        if connection.is_direct:
+            self._paths.record_success(upstream, connection.opened_at)
+        else:
+            await connection.record(announcement)
+        if self._statuses.record(sent, announcement):
             await self._limits.announce(sent.upstream)
         return head
 
+    async def _await_head(
+        self,
+        connection: UpstreamConnection,
+        upstream: Upstream,
+        seconds: float,
+        *,
+        may_move: bool,
+    ) -> ResponseHead:
+        """Wait for a response, and check the path if nothing gets through."""
+        ends_at = clock.now() + seconds
+        if connection.is_direct and seconds > _UNACKNOWLEDGED_SECONDS:
+            async with curio.ignore_after(_UNACKNOWLEDGED_SECONDS):
+                return await connection.head(seconds)
+            if connection.has_unacknowledged_data():
+                await self._check_path(connection, upstream, may_move=may_move)
+        return await connection.head(max(ends_at - clock.now(), 0))
+
+    async def _check_path(
+        self,
+        connection: UpstreamConnection,
+        upstream: Upstream,
+        *,
+        may_move: bool,
+    ) -> None:
+        """Check a path on which a request was not acknowledged.
+
+        :raises ConnectionLost: if it fails and the request may move to another
+            connection
+        """
+        await self._checker.check(upstream)
+        if not may_move:
+            return
+        await curio.sleep(_CHECK_SECONDS)
+        is_silent = self._paths.is_silent(upstream.id)
+        if is_silent and connection.has_unacknowledged_data():
+            raise ConnectionLost('the path to the upstream fails')
+
+    async def chunk(
+        self,
+        connection: UpstreamConnection,
+        upstream: Upstream,
+        seconds: float,
+        *,
+        may_move: bool,
+    ) -> bytes:
+        """Wait for the next part of a body; empty once it is complete.
+
+        :param may_move: whether to give up the connection if its path fails
+        :raises ConnectionLost: if the connection broke or is given up
+        :raises TimeoutError: if nothing was received for ``seconds``
+        """
+        if not may_move or not connection.is_direct:
+            return await connection.chunk(seconds)
+        ends_at = clock.now() + seconds
+        while clock.now() + _SILENT_SECONDS < ends_at:
+            async with curio.ignore_after(_SILENT_SECONDS):
+                return await connection.chunk(seconds)
+            if self._paths.is_silent(upstream.id):
+                raise ConnectionLost('the path to the upstream fails')
+        return await connection.chunk(max(ends_at - clock.now(), 0))
+
     async def exchange(
         self,
         upstream: Upstream,
@@ -164,7 +249,7 @@
         :raises TimeoutError: if one of the waits exceeded ``seconds``
         """
         await self.admit(upstream, purpose, patience)
-        connection = await self.acquire(upstream)
+        connection = await self.acquire(upstream, purpose)
         try:
             sent = await self.send(connection, upstream, purpose, call, seconds)
             head = await self.head(connection, upstream, sent, seconds)
--- a/flamingovalve/gateway/upstream_paths.py
+++ b/flamingovalve/gateway/upstream_paths.py
@@ -13,7 +13,7 @@
     from collections.abc import Callable
 
     from flamingovalve.gateway.model import Upstream
-    from flamingovalve.generated.ids import ServiceId, UpstreamId
+    from flamingovalve.generated.ids import ServiceId, UpstreamId, VmId
 
     UpstreamsOf = Callable[[ServiceId], list[Upstream]]
 
@@ -38,11 +38,13 @@
 
     :ivar failures: attempts that did not reach an upstream
     :ivar fails: paths that have begun to fail
+    :ivar bypassed: paths that failed while another VM reached the upstream
     :ivar restored: paths that worked again
     """
 
     failures: int = 0
     fails: int = 0
+    bypassed: int = 0
     restored: int = 0
 
 
@@ -55,12 +57,16 @@
     :ivar failed_since: first failure after that, on the monotonic clock;
         None while it works
     :ivar failures: failures since then
+    :ivar failure: the latest of them
+    :ivar is_bypassed: whether another VM reached the upstream meanwhile
     """
 
     upstream: Upstream
     worked_at: float = float('-inf')
     failed_since: float | None = None
     failures: int = 0
+    failure: PathFailure = PathFailure.SILENT
+    is_bypassed: bool = False
 
 
 class UpstreamPaths:
@@ -76,11 +82,15 @@
         self._by_id: dict[UpstreamId, UpstreamPath] = {}
         self._unreachable: set[ServiceId] = set()
 
-    def record_success(self, upstream: Upstream) -> None:
-        """Record that data arrived or a connection opened."""
+    def record_success(self, upstream: Upstream, opened_at: float) -> None:
+        """Record that data arrived or a connection opened.
+
+        :param opened_at: when the connection was opened, on the monotonic
+            clock; an older one may live on while new ones are refused
+        """
         path = self._of(upstream)
         path.worked_at = clock.now()
-        if path.failed_since is None:
+        if path.failed_since is None or opened_at < path.failed_since:
             return
         self.counts.restored += 1
         note(
@@ -90,9 +100,11 @@
             service=upstream.service,
             failures=path.failures,
             seconds=round(clock.now() - path.failed_since, 3),
+            was_bypassed=path.is_bypassed,
         )
         path.failed_since = None
         path.failures = 0
+        path.is_bypassed = False
         self._update_service(upstream.service)
 
     def record_failure(self, upstream: Upstream, failure: PathFailure) -> None:
@@ -100,6 +112,7 @@
         path = self._of(upstream)
         self.counts.failures += 1
         path.failures += 1
+        path.failure = failure
         if path.failed_since is not None:
             return
         path.failed_since = clock.now()
@@ -114,6 +127,55 @@
         )
         self._update_service(upstream.service)
 
+    def record_bypass(self, upstream: Upstream, vm: VmId) -> None:
+        """Record that the VM ``vm`` reached what this one did not."""
+        path = self._of(upstream)
+        path.is_bypassed = True
+        self.counts.bypassed += 1
+        note(
+            logger,
+            'path to an upstream is bypassed',
+            upstream=upstream.id,
+            service=upstream.service,
+            through=vm,
+            worked_before=_age(path.worked_at),
+        )
+
+    def is_bypassed(self, name: UpstreamId) -> bool:
+        """Return whether another VM reached an upstream that this one didn't."""
+        path = self._by_id.get(name)
+        return path is not None and path.is_bypassed
+
+    def is_silent(self, name: UpstreamId) -> bool:
+        """Return whether a bypassed path lets nothing through.
+
+        Where new connections are refused or reset, open ones may live on.
+        """
+        path = self._by_id.get(name)
+        if path is None or not path.is_bypassed:
+            return False
+        return path.failure in {PathFailure.SILENT, PathFailure.TIMED_OUT}
+
+    def bypassed(self) -> list[Upstream]:
+        """Return the upstreams whose path is bypassed."""
+        return [
+            path.upstream for path in self._by_id.values() if path.is_bypassed
+        ]
+
+    def is_cut_off(self, service: ServiceId) -> bool:
+        """Return whether most upstreams of a service are bypassed."""
+        upstreams = self._upstreams_of(service)
+        bypassed = sum(self.is_bypassed(one.id) for one in upstreams)
+        return bypassed > len(upstreams) / 2
+
+    def worked_at(self, name: UpstreamId) -> float:
+        """Return when the path to an upstream last worked.
+
+        :returns: time on the monotonic clock; minus infinity for never
+        """
+        path = self._by_id.get(name)
+        return path.worked_at if path else float('-inf')
+
     def failing(self) -> list[UpstreamPath]:
         """Return the paths that fail."""
         return [
@@ -141,6 +203,7 @@
         return {
             path.upstream.id: {
                 'failures': path.failures,
+                'bypassed': path.is_bypassed,
                 'worked_before': _age(path.worked_at),
             }
             for path in self.failing()
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -4,7 +4,7 @@
 
 import json
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Self
+from typing import TYPE_CHECKING, Any, ClassVar, Self
 
 import curio
 import h11
@@ -81,12 +81,17 @@
 class UpstreamConnection:
     """Connection to an upstream that carries one call at a time.
 
+    :cvar is_direct: whether it does not run through another VM
+    :ivar opened_at: when it was opened, on the monotonic clock
     :ivar keep_alive_seconds: time that the upstream keeps it open while idle
     """
 
+    is_direct: ClassVar[bool] = True
+
     def __init__(self, network: Network, address: str, opened: Socket) -> None:
         """Use the socket ``opened``, which is connected to ``address``."""
         self.address = address
+        self.opened_at = clock.now()
         self.idle_since = clock.now()
         self.keep_alive_seconds = float('inf')
         self._network = network
@@ -189,6 +194,27 @@
         """
         return is_quiet(self._socket)
 
+    def has_unacknowledged_data(self) -> bool:
+        """Return whether the upstream has not acknowledged what was sent."""
+        return self._network.unacknowledged(self._socket) > 0
+
+    async def send_bytes(self, payload: bytes) -> None:
+        """Send bytes of another VM's request, without reading them.
+
+        :raises ConnectionLost: if the connection broke
+        """
+        try:
+            await self._socket.sendall(payload)
+        except OSError as error:
+            raise ConnectionLost(str(error)) from error
+
+    async def receive_bytes(self) -> bytes:
+        """Return bytes for another VM; empty after an orderly end.
+
+        :raises OSError: if the connection broke
+        """
+        return await self._socket.recv(_READ_BYTES)
+
     def expect_extra_response(self) -> None:
         """Prepare to read a second response to the call that was sent.
 
@@ -283,6 +309,12 @@
         else:
             await connection.close()
 
+    def put_back(self, connection: UpstreamConnection) -> None:
+        """Keep an unused connection, or one that another VM has used."""
+        connection.idle_since = clock.now()
+        idle = self._idle_by_address.setdefault(connection.address, [])
+        idle.append(connection)
+
     async def drop(self, address: str) -> None:
         """Close the idle connections to ``address``.
 
--- a/flamingovalve/membership/rumours.py
+++ b/flamingovalve/membership/rumours.py
@@ -65,6 +65,11 @@
     return ('limit', rumour.upstream)
 
 
+@subject.register(messages.PathRumour)
+def _path(rumour: messages.PathRumour) -> Hashable:
+    return ('path', rumour.vm)
+
+
 class RumourQueue:
     """Rumours to piggyback, those with the fewest transmissions first.
 
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -77,6 +77,13 @@
   rate @1 :Float64 $doc("Requests per second that it accepts from all VMs together.");
 }
 
+struct PathRumour $doc("The services whose upstreams a VM reaches only through other VMs.") {
+  vm @0 :Text $ident("VmId");
+  incarnation @1 :UInt64 $ident("Incarnation");
+  sequence @2 :UInt32 $doc("Incremented by the VM with each change.");
+  services @3 :List(Text) $doc("Names of the services; empty if it reaches all by itself.");
+}
+
 struct StoreRumour $doc("Use of the weight store by one VM.") {
   vm @0 :Text $ident("VmId");
   loading @1 :UInt32 $doc("Loads in flight.");
@@ -101,6 +108,7 @@
     owner @6 :OwnerRumour;
     watch @7 :WatchRumour;
     limit @8 :LimitRumour;
+    path @9 :PathRumour;
   }
 }
 
@@ -378,6 +386,37 @@
   upstream @1 :Text $ident("UpstreamId");
 }
 
+struct TunnelAsk $doc("Asks another VM for a connection to an upstream.") {
+  upstream @0 :Text $ident("UpstreamId");
+  service @1 :Text $ident("ServiceId");
+}
+
+struct TunnelOpened $doc("The connection is open; the bytes of both directions follow.") {
+  pooled @0 :Bool $doc("Whether it was open already.");
+}
+
+struct TunnelData $doc("Bytes sent or received on a tunnelled connection.") {
+  payload @0 :Data;
+}
+
+struct TunnelNotice $doc("What a response on a tunnelled connection announced to the VM that forwards it.") {
+  restSeconds @0 :Float64 $unit("seconds") $doc("For how long the upstream wants no requests from it; 0 for none.");
+  leaving @1 :Bool $doc("Whether the upstream is leaving.");
+}
+
+struct TunnelClosed $doc("The upstream closed a tunnelled connection.") {
+  clean @0 :Bool $doc("Whether it ended in order; otherwise it was reset.");
+}
+
+struct TunnelEnd $doc("Ends a tunnel.") {
+  reusable @0 :Bool $doc("Whether the connection can carry another request.");
+  keepAliveSeconds @1 :Float64 = inf $unit("seconds") $doc("Time for which the upstream keeps it open while idle.");
+}
+
+struct TunnelEnded $doc("Confirms the end of a tunnel; nothing of it follows.") {
+  reused @0 :Bool;
+}
+
 struct Frame $doc("One message on a connection between two VMs.") {
   union {
     hello @0 :Hello;
@@ -409,5 +448,12 @@
     callAsk @26 :CallAsk;
     callGrant @27 :CallGrant;
     callEnd @28 :CallEnd;
+    tunnelAsk @29 :TunnelAsk;
+    tunnelOpened @30 :TunnelOpened;
+    tunnelData @31 :TunnelData;
+    tunnelNotice @32 :TunnelNotice;
+    tunnelClosed @33 :TunnelClosed;
+    tunnelEnd @34 :TunnelEnd;
+    tunnelEnded @35 :TunnelEnded;
   }
 }
--- a/flamingovalve/util/network.py
+++ b/flamingovalve/util/network.py
@@ -93,6 +93,10 @@
         except BlockingIOError:
             return 0
 
+    def unacknowledged(self, opened: Socket) -> int:
+        """Return the sent bytes that the peer has not acknowledged."""
+        return unacknowledged_bytes(opened)
+
     async def discard(self, opened: Socket) -> None:
         """Close a socket and ignore errors."""
         with contextlib.suppress(OSError):
--- a/tests/rig/network.py
+++ b/tests/rig/network.py
@@ -265,6 +265,10 @@
         self.links.traffic.has_sent = True
         return super().send_now(opened, encoded)
 
+    def unacknowledged(self, opened: Socket) -> int:
+        """Return the bytes that a cut link holds back."""
+        return len(opened._send_buffer)
+
     def silence(self, remote: str) -> int:
         """Stall the open connections to ``remote`` for good.
 
