Try bypassed paths directly only, and move requests that may still move

Cause: each check of a bypassed path opened a tunnel beside the direct attempt, every half second, and checks of all paths closed idle connections that still worked.

Requests on a path that lets nothing through were given up also where their route allows no second upstream; three callers got 502 in place of a wait. They are now given up only if they may be sent again.

--- a/flamingovalve/gateway/dialer.py
+++ b/flamingovalve/gateway/dialer.py
@@ -99,9 +99,13 @@
     async def check(self, upstream: Upstream) -> None:
         """Find out whether the path to an upstream works.
 
-        If it does not, and another VM reaches the upstream, it is bypassed.
+        If it does not, and another VM reaches the upstream, it is bypassed. One
+        that is bypassed already is only tried directly.
         """
-        opened = await self._open(upstream)
+        if self._paths.is_bypassed(upstream.id):
+            opened = await self._try_directly(upstream)
+        else:
+            opened = await self._open(upstream)
         if opened is None:
             return
         if opened.is_direct:
--- a/flamingovalve/gateway/path_checks.py
+++ b/flamingovalve/gateway/path_checks.py
@@ -129,7 +129,6 @@
 
     async def _check_unconfirmed(self, since: float) -> None:
         for upstream in self._unconfirmed(since):
-            await self._pool.drop(upstream.address)
             await self.check(upstream)
 
     def _unconfirmed(self, since: float) -> list[Upstream]:
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -270,13 +270,12 @@
             request.remaining_timeout(),
             request.id,
         )
-        may_move = request.route.repeat is not RepeatPolicy.ONCE
         head = await self._client.head(
             connection,
             upstream,
             sent,
             request.remaining_timeout(),
-            may_move=may_move,
+            may_move=_may_move(request),
         )
         while self._wire.verdict(head, request) is Verdict.OTHER_REQUEST:
             # Skips a duplicate response to an earlier call on this connection;
@@ -387,7 +386,7 @@
         upstream: Upstream,
         sink: EventSink,
     ) -> None:
-        may_move = request.route.repeat is RepeatPolicy.RESUMABLE
+        may_move = _may_move(request)
         chunk_bytes = b'-'
         while chunk_bytes:
             chunk_bytes = await self._client.chunk(
@@ -485,6 +484,13 @@
     return request.remaining() > 0
 
 
+def _may_move(request: InboundRequest) -> bool:
+    """Return whether a request in progress could be sent to another upstream."""
+    if request.route.repeat is RepeatPolicy.ONCE:
+        return False
+    return len(request.tried) + 1 < request.route.max_upstreams
+
+
 def may_send_again(request: InboundRequest, outcome: Outcome) -> bool:
     """Return whether another upstream may run a request after ``outcome``."""
     if outcome in NOT_RUN_OUTCOMES:
