Set the user timeout and keep-alive probes of every TCP socket on purpose

What callers saw: nothing yet; the platform now says that a user timeout which is set also decides when probes give up, whatever their count. None of our sockets set one, so a connection over a path that fails silently lived for the quarter of an hour that the operating system allows by default, and idle ones were never probed.

Connections to upstreams and VMs end after 4 s without an acknowledgement, and are probed each second after 2 s without data: longer than a sound upstream is silent, with four retransmissions in between. Callers get 30 s, as a caller that reads slowly has a full window for long, which the user timeout ends too.

--- a/flamingovalve/peer/server.py
+++ b/flamingovalve/peer/server.py
@@ -30,6 +30,7 @@
 )
 from flamingovalve.util.authentication import Keyring
 from flamingovalve.util.logs import get_logger
+from flamingovalve.util.network import LINK_TIMEOUTS
 from flamingovalve.util.tasks import TaskSet
 
 if TYPE_CHECKING:
@@ -233,7 +234,7 @@
 
     async def _accept(self, listening: Socket) -> None:
         try:
-            opened = await self._network.accept(listening)
+            opened = await self._network.accept(listening, LINK_TIMEOUTS)
         except OSError as failed:
             logger.warning('cannot accept a peer connection: {}', failed)
             await curio.sleep(0.1)
--- a/flamingovalve/util/network.py
+++ b/flamingovalve/util/network.py
@@ -7,6 +7,7 @@
 import os
 import struct
 import termios
+from dataclasses import dataclass
 from typing import Final, NewType
 
 import curio
@@ -22,6 +23,56 @@
 Address = NewType('Address', str)
 
 _INT: Final = struct.Struct('i')
+_MS_PER_SECOND: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class SocketTimeouts:
+    """When the operating system gives up a connection, in whole seconds.
+
+    :ivar user: time without an acknowledgement of sent data or probes; also
+        for a peer that accepts no more data
+    :ivar idle: time without data before the first probe
+    :ivar interval: time between probes
+    """
+
+    user: int
+    idle: int
+    interval: int
+
+    def apply(self, opened: Socket) -> None:
+        """Set the timeouts of a connection.
+
+        The user timeout alone ends the probes, whatever their count.
+        """
+        options = (
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, self.idle),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, self.interval),
+            (
+                socket.IPPROTO_TCP,
+                socket.TCP_KEEPCNT,
+                max(1, self.user // self.interval),
+            ),
+            (
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                self.user * _MS_PER_SECOND,
+            ),
+            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        )
+        for level, name, setting in options:
+            opened.setsockopt(level, name, setting)
+
+
+# Longer than a sound upstream or VM is silent, so that four retransmissions
+# fit in.
+LINK_TIMEOUTS: Final = SocketTimeouts(user=4, idle=2, interval=1)
+# Callers may read slowly, and their networks fail for longer.
+_CALLER_USER_TIMEOUT_SECONDS: Final = 30
+CALLER_TIMEOUTS: Final = SocketTimeouts(
+    user=_CALLER_USER_TIMEOUT_SECONDS, idle=10, interval=5
+)
 
 
 class Network:
@@ -48,7 +99,7 @@
         except BaseException:
             await self.discard(opened)
             raise
-        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        LINK_TIMEOUTS.apply(opened)
         return opened
 
     async def refuses_connections(self, address: str, seconds: float) -> bool:
@@ -76,10 +127,12 @@
         opened.bind(split_address(address))
         return opened
 
-    async def accept(self, listening: Socket) -> Socket:
+    async def accept(
+        self, listening: Socket, timeouts: SocketTimeouts = CALLER_TIMEOUTS
+    ) -> Socket:
         """Wait for the next connection on ``listening``."""
         accepted, _origin = await listening.accept()
-        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        timeouts.apply(accepted)
         return accepted
 
     def send_now(self, opened: Socket, encoded: bytes) -> int:
--- a/tests/rig/network.py
+++ b/tests/rig/network.py
@@ -11,7 +11,12 @@
 from curio.traps import _read_wait
 
 from flamingovalve.util.listeners import split_address
-from flamingovalve.util.network import Network
+from flamingovalve.util.network import (
+    CALLER_TIMEOUTS,
+    LINK_TIMEOUTS,
+    Network,
+    SocketTimeouts,
+)
 from tests.rig.addresses import bound_host, process_host
 
 if TYPE_CHECKING:
@@ -217,7 +222,7 @@
         except BaseException:
             await opened.close()
             raise
-        opened.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
+        LINK_TIMEOUTS.apply(opened)
         return opened
 
     async def _finish_connect(
@@ -248,12 +253,14 @@
         self.links.node_by_address[host, port] = self.node
         return FaultDatagrams(opened._socket, self)
 
-    async def accept(self, listening: Socket) -> Socket:
+    async def accept(
+        self, listening: Socket, timeouts: SocketTimeouts = CALLER_TIMEOUTS
+    ) -> Socket:
         """Accept the next connection."""
         accepted, origin = await listening.accept()
         remote = self.links.node_by_address.get(origin, '')
         wrapped = self._wrap(accepted._socket, remote)
-        wrapped.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
+        timeouts.apply(wrapped)
         return wrapped
 
     def send_now(self, opened: Socket, encoded: bytes) -> int:
