Keep brittle upstreams from falling over

What callers saw: nothing yet; the platform now names upstreams that say in all answers how many rejections per second they bear, and fall over beyond that for some seconds. Nothing decoded the header, so a burst was rejected at will.

An upstream's keeper and a group's owner learn what was rejected by all VMs, as each VM reports it with the end of a call or a place. At a brittle upstream they risk half of what it bears in any 1.2 s; the other half covers what is on its way. Calls beyond its slots wait there only in that number, and not at all after a rejection. What finds no room is refused at once. A VM that chooses without a keeper keeps to its share of the slots and of the rejections, and the same share bounds whatever else is sent, tunnels included.

--- a/flamingovalve/gateway/announcements.py
+++ b/flamingovalve/gateway/announcements.py
@@ -29,12 +29,17 @@
         unless it has rejected the request
     :ivar is_success: whether this is the response to the request, and a
         success, so that what it does not announce is not in force
+    :ivar bears: rejections per second for lack of room after which the upstream
+        falls over; 0 if it names none
+    :ivar is_rejection: whether it rejected the request for lack of room
     """
 
     rate_limit: float | None = None
     is_leaving: bool = False
     rest_seconds: float = 0
     is_success: bool = True
+    bears: float = 0
+    is_rejection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/flamingovalve/gateway/balancer.py
+++ b/flamingovalve/gateway/balancer.py
@@ -111,6 +111,18 @@
         shortest = min(waits_by_id.values(), default=0)
         return [one for one in upstreams if waits_by_id.get(one.id) == shortest]
 
+    def has_room(self, upstream: Upstream, vm_count: int) -> bool:
+        """Return whether a call may be sent without its keeper's grant.
+
+        :param vm_count: VMs that share the slots of a brittle upstream
+        """
+        brittleness = self._statuses.of(upstream.id).brittleness
+        if not brittleness.is_known():
+            return True
+        share = max(1, upstream.slots // vm_count)
+        is_full = self.stats(upstream.id).under_way >= share
+        return not is_full and not brittleness.wait_seconds(vm_count)
+
     def started(self, upstream: UpstreamId) -> None:
         """Count a call as in progress."""
         self.stats(upstream).under_way += 1
--- a/flamingovalve/gateway/call_client.py
+++ b/flamingovalve/gateway/call_client.py
@@ -144,7 +144,11 @@
             raise self._refused(request, choice)
         if choice is not None:
             return choice
-        upstream = self._balancer.choose(upstreams, excluded)
+        vm_count = self._keepers.vm_count()
+        open_upstreams = [
+            one for one in upstreams if self._balancer.has_room(one, vm_count)
+        ]
+        upstream = self._balancer.choose(open_upstreams, excluded)
         if upstream is None:
             return None
         self.counts.local += 1
@@ -217,6 +221,8 @@
                 choice.upstream.id,
                 _outcome_of(request, choice, sent),
                 sent.seconds if sent else choice.seconds(),
+                sent.bears if sent else 0,
+                sent is not None and sent.is_rejected,
             ),
         )
 
--- a/flamingovalve/gateway/call_keeper.py
+++ b/flamingovalve/gateway/call_keeper.py
@@ -9,10 +9,11 @@
 
 import heapq
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
 from flamingovalve.errors import ConnectionLost, ErrorKind, Ran
+from flamingovalve.gateway.brittleness import Brittleness
 from flamingovalve.gateway.call_pace import UpstreamPace
 from flamingovalve.gateway.send_plan import SendPlan
 from flamingovalve.generated.messages import CallGrant, CallOutcome, Refusal
@@ -77,6 +78,7 @@
 
     :ivar plan: requests planned within the rate limit that it announces
     :ivar granted_at: when it was last chosen, on the monotonic clock
+    :ivar brittleness: what VMs were told and rejected
     :ivar was_stalled: whether the log says that it is stalled
     """
 
@@ -84,8 +86,27 @@
     pace: UpstreamPace
     plan: SendPlan
     granted_at: float = 0
+    brittleness: Brittleness = field(default_factory=Brittleness)
     was_stalled: bool = False
 
+    def has_room(self) -> bool:
+        """Return whether one more call may be sent, unless it is not brittle."""
+        if self.brittleness.wait_seconds() > 0:
+            return False
+        room = self.pace.slots + self.brittleness.room_beyond_slots()
+        return self.pace.in_progress < room
+
+    def room_wait(self) -> float:
+        """Return the estimated seconds until it has room."""
+        return max(self.brittleness.wait_seconds(), self.pace.pace())
+
+    def record_end(self, end: CallEnd) -> None:
+        """Record what the end of a call says of its brittleness."""
+        if end.bears or end.outcome is CallOutcome.ANSWERED:
+            self.brittleness.record_told(end.bears)
+        if end.rejected:
+            self.brittleness.record_rejection()
+
     def idle_probe_wait(self) -> float:
         """Return the seconds until a call that seems hopeless may probe it.
 
@@ -198,6 +219,10 @@
         ]
         if not offers:
             return Refusal(ErrorKind.NO_UPSTREAM.label, ran=Ran.NOT.value)
+        waits = [offer.entry.room_wait() for offer in offers]
+        offers = [offer for offer in offers if offer.entry.has_room()]
+        if not offers:
+            return self._refuse(ask, min(waits))
         probe = _find_probe(offers, ask)
         if probe is not None:
             self.counts.probes += 1
@@ -212,6 +237,7 @@
         grant = self._grants_by_key.pop((end.request_id, end.upstream), None)
         if grant is None:
             return
+        grant.entry.record_end(end)
         pace, is_probe = grant.entry.pace, grant.is_probe
         if end.outcome is CallOutcome.ANSWERED and end.seconds > 0:
             pace.answered(grant.calls, end.seconds, is_probe=is_probe)
@@ -417,4 +443,5 @@
         'failing': round(pace.failing, 2),
         'window': pace.window,
         'stalled': pace.is_stalled,
+        'brittle': entry.brittleness.is_known(),
     }
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -110,6 +110,7 @@
                 sent.first_event,
                 sent.retry_after,
                 sent.is_leaving,
+                rejected=sent.is_rejected,
             )
         finally:
             # Callers leave in long pauses, which the owner learns from.
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -351,9 +351,9 @@
             # Otherwise an unreachable engine would be assigned requests until
             # its entry expires some four seconds later, and each would wait
             # in vain.
-            ledger.record_silence()
+            ledger.silent = True
             return
-        ledger.record_answer()
+        ledger.silent = False
         if ledger.born and report.born != ledger.born:
             self._context.counts.restarts += 1
             logger.warning('upstream {} restarted', ledger.upstream.id)
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any, Final
 
+from flamingovalve.gateway.brittleness import Brittleness
 from flamingovalve.gateway.fencing import NO_FENCE
 from flamingovalve.gateway.learning import ExpectedLoad, KeptAdapters, LoadTimes
 from flamingovalve.gateway.prefill import PrefillBacklog, must_yield
@@ -147,7 +148,8 @@
     :ivar avoided_until: end of the pause after a failure, on the monotonic
         clock
     :ivar failing: exponentially weighted share of failed requests
-    :ivar silent: whether it did not respond to the last request for a report
+    :ivar silent: whether it did not respond to the last request for a report,
+        and is excluded from choices until it does
     :ivar model_ready_at: when a base model being loaded should be ready
     :ivar at_hand: models that it can load without the weight store
     :ivar fence: fencing number of the next order; ``NO_FENCE`` until found
@@ -158,6 +160,7 @@
     :ivar tokens: tokens of its places
     :ivar prefill_model: prefill times of the group's engines at pace 1
     :ivar streams: its running streams and the prompts that they meet
+    :ivar rejections: what it rejected from all VMs, if it is brittle
     """
 
     upstream: Upstream
@@ -186,6 +189,7 @@
     tokens: TokenMemory = field(default_factory=TokenMemory)
     prefill_model: PrefillModel = field(default_factory=default_model)
     streams: EngineStreams = field(default_factory=_untaught_streams)
+    rejections: Brittleness = field(default_factory=Brittleness)
     _cached_victim: HeldAdapter | None = None
 
     def state_dump(self) -> dict[str, Any]:
@@ -441,26 +445,26 @@
     def is_usable(self) -> bool:
         """Return whether requests may be sent to this engine now."""
         is_paused = self.silent or clock.now() < self.avoided_until
-        return not is_paused and not self.sends.status.departure.is_known()
+        if is_paused or self.sends.status.departure.is_known():
+            return False
+        return not self.rejections.wait_seconds()
 
     def is_loading_model(self) -> bool:
         """Return whether a base model is being loaded."""
         return not self.models and clock.now() < self.model_ready_at
 
-    def record_answer(self) -> None:
-        """Record that the engine responded."""
-        self.silent = False
-
-    def record_silence(self) -> None:
-        """Exclude the engine from choices until it responds again."""
-        self.silent = True
-
     def record_failure(self) -> None:
         """Pause the engine, longer with each consecutive failure."""
         self.failures += 1
         pause = doubled(_BASE_PAUSE_SECONDS, self.failures, _MAX_PAUSE_SECONDS)
         self.avoided_until = clock.now() + pause
 
+    def record_lack_of_room(self) -> None:
+        """Record that the engine had no room for a request of some VM."""
+        told = self.sends.status.brittleness
+        self.rejections.record_told(told.bears if told.is_known() else 0)
+        self.rejections.record_rejection()
+
     def record_rejection(self, rest_seconds: float) -> None:
         """Pause an engine that rejects a VM's requests and wants rest.
 
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -339,6 +339,8 @@
     async def _record_end(self, place: Place, end: PlaceEnd) -> None:
         """Record what the end of a request says about its engine."""
         engine = place.engine
+        if end.rejected:
+            engine.record_lack_of_room()
         match end.outcome:
             case PlaceOutcome.ABANDONED:
                 return
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -5,6 +5,7 @@
 import functools
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Final, Protocol
 
 from flamingovalve.errors import (
@@ -100,6 +101,9 @@
     :ivar retry_after: seconds until the upstream accepts a request, or until
         the keeper expects to grant another attempt; 0 if unknown
     :ivar is_leaving: whether the upstream said that it is leaving
+    :ivar bears: rejections per second that the upstream bears; 0 if it is not
+        brittle
+    :ivar is_rejected: whether it rejected the request for lack of room
     :ivar is_bypassed: whether the path of this VM to the upstream fails, so that
         a failure says nothing about the upstream
     """
@@ -112,6 +116,8 @@
     is_leaving: bool = False
     max_gap: float = 0
     is_bypassed: bool = False
+    bears: float = 0
+    is_rejected: bool = False
 
     def is_path_failure(self) -> bool:
         """Return whether it failed without the upstream's fault."""
@@ -137,6 +143,12 @@
     patience: float = 0
 
 
+_REFUSALS: Final = {
+    Verdict.NOT_RUN: Outcome.NOT_RUN,
+    Verdict.REJECTED: Outcome.REJECTED,
+}
+
+
 class Wire(Protocol):
     """Wire format of the calls to upstreams."""
 
@@ -208,6 +220,8 @@
         if sent.outcome is Outcome.REJECTED:
             sent.retry_after = status.rest_seconds()
         sent.is_leaving = status.departure.is_known()
+        brittleness = status.brittleness
+        sent.bears = brittleness.bears if brittleness.is_known() else 0
         sent.is_bypassed = self._client.is_bypassed(upstream)
         return sent
 
@@ -321,10 +335,10 @@
         response = Response(head.status, end_to_end(head.lines), body)
         if verdict is Verdict.SUCCESS:
             return SendResult(Outcome.DONE, response)
-        if verdict is Verdict.NOT_RUN:
-            return SendResult(Outcome.NOT_RUN)
-        if verdict is Verdict.REJECTED:
-            return SendResult(Outcome.REJECTED)
+        refusal = _REFUSALS.get(verdict)
+        if refusal is not None:
+            is_rejected = head.status == HTTPStatus.SERVICE_UNAVAILABLE
+            return SendResult(refusal, is_rejected=is_rejected)
         if verdict is Verdict.FAILURE:
             return SendResult(Outcome.FAILED, response)
         return SendResult(Outcome.BROKEN)
--- a/flamingovalve/gateway/send_limits.py
+++ b/flamingovalve/gateway/send_limits.py
@@ -82,6 +82,23 @@
             raise _held_back(upstream, wait)
         await curio.sleep(wait)
 
+    async def admit_at_brittle(
+        self, upstream: UpstreamId, patience: float
+    ) -> None:
+        """Wait until a caller's request may be rejected by an upstream.
+
+        Owners and keepers know the rejections of all VMs and grant no more
+        than an upstream bears. This bounds what is sent without them.
+
+        :param patience: longest wait in seconds
+        :raises HeldBack: if a rejection would be too many for longer
+        """
+        brittleness = self._statuses.of(upstream).brittleness
+        wait = brittleness.wait_seconds(self._keepers.vm_count())
+        if wait > patience:
+            raise _held_back(upstream, wait)
+        await curio.sleep(wait)
+
     async def announce(self, upstream: UpstreamId) -> None:
         """Tell other VMs a limit that is new to this VM."""
         rate = self._statuses.of(upstream).limit.rate()
--- a/flamingovalve/gateway/upstream_client.py
+++ b/flamingovalve/gateway/upstream_client.py
@@ -89,6 +89,8 @@
         try:
             status.check(purpose, patience)
             await curio.sleep(status.rest_seconds())
+            if purpose is Purpose.SERVE:
+                await self._limits.admit_at_brittle(upstream.id, patience)
             await self._limits.admit(upstream.id, patience)
         except HeldBack:
             self._statuses.counts.held_back += 1
--- a/flamingovalve/gateway/upstream_status.py
+++ b/flamingovalve/gateway/upstream_status.py
@@ -9,6 +9,7 @@
 
 from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.announcements import Purpose
+from flamingovalve.gateway.brittleness import Brittleness
 from flamingovalve.gateway.departures import Departure
 from flamingovalve.gateway.rate_limits import NO_LIMIT, RateLimit
 from flamingovalve.util import clock
@@ -64,6 +65,7 @@
     used_at: float = field(default_factory=clock.now)
     rests_until: float = 0
     departure: Departure = field(default_factory=Departure)
+    brittleness: Brittleness = field(default_factory=Brittleness)
 
     def record_sent(self, sent: SentRequest) -> None:
         """Record a request of this VM."""
@@ -203,6 +205,7 @@
         if announcement.rest_seconds:
             self._record_rest(sent, announcement.rest_seconds)
         self._record_departure(sent, announcement)
+        self._record_brittleness(sent, announcement)
         return self._has_new_limit(
             sent.upstream, previous_rate, sent.purpose.value
         )
@@ -221,6 +224,25 @@
                 sent=status.recent_by_purpose(),
             )
 
+    def _record_brittleness(
+        self, sent: SentRequest, announcement: Announcement
+    ) -> None:
+        brittleness = self.of(sent.upstream).brittleness
+        was_known = brittleness.is_known()
+        brittleness.record(sent, announcement)
+        if announcement.is_rejection and sent.purpose is Purpose.SERVE:
+            brittleness.record_rejection()
+        if brittleness.is_known() != was_known:
+            note(
+                logger,
+                'upstream is not brittle any more'
+                if was_known
+                else 'upstream is brittle',
+                upstream=sent.upstream,
+                bears=brittleness.bears,
+                source=sent.purpose.value,
+            )
+
     def _record_departure(
         self, sent: SentRequest, announcement: Announcement
     ) -> None:
@@ -256,6 +278,7 @@
                 'rate_limit': _json_rate(status.limit.rate()),
                 'rest_seconds': status.rest_seconds(),
                 'leaving': status.departure.is_known(),
+                'brittle': status.brittleness.is_known(),
                 'sent': status.recent_by_purpose(),
             }
             for name, status in self._by_id.items()
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -110,6 +110,8 @@
             headers.get('server-leaving', '').strip() == '1',
             _rest_seconds(head),
             is_success and is_own,
+            _decimal(headers.get('server-brittle', '')) or 0,
+            head.status == _STATUS_UNAVAILABLE and 'not-executed' in headers,
         )
 
     def keep_alive_seconds(self, head: ResponseHead) -> float | None:
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -330,6 +330,8 @@
   upstream @2 :Text $ident("UpstreamId");
   outcome @3 :CallOutcome;
   seconds @4 :Float64 $unit("seconds") $doc("Time from sending the call to the complete response, or until it was abandoned; 0 if it was not sent or got no response.");
+  bears @5 :Float64 $unit("1/second") $doc("Rejections that the upstream bears; 0 if it is not brittle.");
+  rejected @6 :Bool $doc("Whether the upstream rejected the call for lack of room.");
 }
 
 struct PromptPart $doc("A part of a prompt that other prompts may have in common.") {
@@ -379,6 +381,7 @@
   retryAfter @2 :Float64 $unit("seconds") $doc("Time until the engine accepts a request; 0 unless it was held back or rejected.");
   leaving @3 :Bool $doc("Whether the engine said that it is leaving.");
   maxGap @4 :Float64 $unit("seconds") $doc("Longest pause after an event, with the one in which an unfinished stream ended; 0 without events.");
+  rejected @5 :Bool $doc("Whether the engine rejected the request for lack of room.");
 }
 
 struct PlaceHold $doc("Reports to a new owner a place that a former owner granted.") {
--- a/standins/announcing.py
+++ b/standins/announcing.py
@@ -23,11 +23,14 @@
     :ivar rate_limit: requests per second from all VMs; None for no limit
     :ivar rest_seconds: seconds without requests that each rejection asks for;
         0 to reject nothing
+    :ivar bears: rejections per second after which it falls over; 0 if it is
+        not brittle
     """
 
     rate_limit: float | None = None
     is_leaving: bool = False
     rest_seconds: float = 0
+    bears: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +99,7 @@
                 announced.rate_limit,
                 announced.is_leaving,
                 announced.rest_seconds if rejects else 0,
+                announced.bears,
             ),
         )
         self.answers.append(answer)
@@ -144,6 +148,8 @@
         headers.append(('Server-Limit', f'{announced.rate_limit:g}'))
     if announced.is_leaving:
         headers.append(('Server-Leaving', '1'))
+    if announced.bears:
+        headers.append(('Server-Brittle', f'{announced.bears:g}'))
     if announced.rest_seconds:
         headers.append(('Retry-After', f'{announced.rest_seconds:g}'))
     return headers
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -20,6 +20,7 @@
 
 _EVENT_INTERVAL_SECONDS = 0.05
 _EVENT_COUNT = 4
+_DOWN_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +46,8 @@
     :ivar full: whether to refuse every request as not executed
     :ivar closes_every: closes the connection after one in so many responses;
         0 for never
+    :ivar falls: how often it fell over, as it had to reject too much
+    :ivar down_until: when it is back, on the virtual clock
     :ivar history: requests that arrived and what their responses announced;
         its ``announced`` is added to each response
     """
@@ -62,9 +65,14 @@
         self.history = History()
         self.closes_every = 0
         self._responses = 0
+        self.falls = 0
+        self.down_until = 0.0
+        self._rejected_at: list[float] = []
 
     async def respond(self, request: Request, responder: Responder) -> None:
         """Record the arrival of a request and announce in the response."""
+        if clock.now() < self.down_until:
+            raise ConnectionLost('the upstream has fallen over')
         arrival = self.history.record_arrival(request, responder)
         announcing = AnnouncingResponder(responder, self.history, arrival)
         if self.history.rejects_all:
@@ -72,6 +80,18 @@
             return
         await super().respond(request, announcing)
 
+    async def reject(self, responder: Responder) -> None:
+        """Reject a request for lack of room; fall over after too many."""
+        await responder.send(Response(503, [('Not-Executed', '1')]))
+        now = clock.now()
+        self._rejected_at = [at for at in self._rejected_at if at > now - 1]
+        self._rejected_at.append(now)
+        bears = self.history.announced.bears
+        if bears and len(self._rejected_at) > bears:
+            self.falls += 1
+            self.down_until = now + _DOWN_SECONDS
+            self._rejected_at.clear()
+
     async def answer(self, request: Request, responder: Responder) -> None:
         """Run one request, unless it expects another instance."""
         expected_instance = request.headers.get('expect-instance', self.name)
@@ -133,6 +153,7 @@
     :ivar order_seconds: delay before an order is executed
     :ivar dropped_orders: number of next orders to drop
     :ivar crashes: number of load orders that exceeded the adapter slots
+    :ivar most_active: requests that it has room for; 0 for no limit
     :ivar break_after: number of events after which the next run is broken
         off; 0 for never
     """
@@ -161,6 +182,8 @@
         self.dropped_orders = 0
         self.break_after = 0
         self.load_seconds = 0.25
+        self.most_active = 0
+        self.active = 0
 
     async def answer(self, request: Request, responder: Responder) -> None:
         """Answer a report or an order, or run a request."""
@@ -250,6 +273,18 @@
         ):
             await responder.send(Response(421, [('Not-Executed', '1')]))
             return
+        if self.most_active and self.active >= self.most_active:
+            await self.reject(responder)
+            return
+        self.active += 1
+        try:
+            await self._stream(request, responder, adapter)
+        finally:
+            self.active -= 1
+
+    async def _stream(
+        self, request: Request, responder: Responder, adapter: str
+    ) -> None:
         self.record_run(request)
         await responder.start(200, self.identity_headers(request))
         last_event_id = int(request.headers.get('last-event-id', 0))
--- a/standins/slotted_runner.py
+++ b/standins/slotted_runner.py
@@ -23,6 +23,7 @@
     """Runs a few calls concurrently, queues some and refuses the others.
 
     :ivar call_slots: calls that it runs concurrently
+    :ivar queue: calls that may wait for a slot
     :ivar slowness: factor on the duration of runs that start; 1 for none
     """
 
@@ -30,6 +31,7 @@
         """Create an upstream without calls; its name seeds the durations."""
         super().__init__(network, address, name)
         self.call_slots = _SLOTS
+        self.queue = _QUEUE
         self.slowness = 1.0
         self._rng = random.Random(name)
         self._free = curio.Semaphore(_SLOTS)
@@ -41,8 +43,8 @@
         responder: Responder,
     ) -> None:
         """Run one request when a slot is free, or refuse it."""
-        if self._present >= _SLOTS + _QUEUE:
-            await responder.send(Response(503, [('Not-Executed', '1')]))
+        if self._present >= _SLOTS + self.queue:
+            await self.reject(responder)
             return
         self._present += 1
         try:
--- a/tests/rig/site.py
+++ b/tests/rig/site.py
@@ -112,6 +112,7 @@
         self.vms_by_id = {vm.id: vm for vm in map(self._vm, range(vms))}
         self.caller = Caller(self, 'caller')  # type: ignore[arg-type]
         self.sent = 0
+        self.shares_calls = True
 
     @classmethod
     def started(cls, vms: int = 3, engines: int = 2, slots: int = 2) -> Site:
@@ -302,6 +303,7 @@
         settings.fleet.ack_seconds = 0.15
         settings.fleet.suspicion_seconds = 0.8
         settings.relay.connect_seconds = 0.4
+        settings.gateway.shared_calls = self.shares_calls
         settings.gateway.revoke_seconds = REVOKE_SECONDS
         settings.gateway.quota_overage = QUOTA_OVERAGE
         return settings
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -62,6 +62,9 @@
 class OpenLimits:
     """Limits that admit every request."""
 
+    async def admit_at_brittle(self, _upstream, _patience):
+        """Admit a request at once."""
+
     async def admit(self, _upstream, _patience):
         """Admit a request at once."""
 
