--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -160,7 +160,10 @@
             self.catalogue,
         )
         self.upstreams.connect(
-            settings, self.peers, self.rng, lambda: self.is_leaving
+            settings,
+            self.peers,
+            random.Random(f'paths of {settings.vm.id} {self.incarnation}'),
+            lambda: self.is_leaving,
         )
         link_to = functools.partial(self.platform.engine, self.upstreams.client)
         self.claims = GroupClaims(
--- a/tests/test_event_pauses.py
+++ b/tests/test_event_pauses.py
@@ -8,6 +8,7 @@
 
 from flamingovalve.gateway.completions import CompletionServer
 from flamingovalve.gateway.event_pauses import EventPauses
+from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.relay import EventSink, UpstreamRelay
 from tests.rig.timeline import TimedTestCase
 
@@ -68,15 +69,16 @@
         """Guards against engines that lose their callers by pauses unseen."""
         chunks = [b'data: a\n\n']
 
-        async def chunk(_timeout):
+        async def chunk(_connection, _upstream, _timeout, *, may_move):
+            self.assertFalse(may_move)
             self.advance(0.7)
             if not chunks:
                 raise curio.TaskCancelled
             return chunks.pop()
 
         async def stream(request, _upstream, _options, sink):
-            relay = UpstreamRelay(Mock(), Mock())
-            await relay._forward_events(Mock(chunk=chunk), request, sink)
+            relay = UpstreamRelay(Mock(chunk=chunk), Mock())
+            await relay._forward_events(Mock(), request, Mock(), sink)
 
         places, finder = Mock(end=AsyncMock()), Mock(take=AsyncMock())
         server = CompletionServer(
@@ -87,5 +89,7 @@
             patch.object(server, '_upstream_of'),
             self.assertRaises(curio.TaskCancelled),
         ):
-            server._send_once(Mock(priority=0), Mock(), sink).send(None)
+            request = Mock(priority=0)
+            request.route.repeat = RepeatPolicy.ONCE
+            server._send_once(request, Mock(), sink).send(None)
         self.assertAlmostEqual(places.end.await_args.args[1].max_gap, 0.7)
