--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -39,6 +39,16 @@
             self.members, MAX_NEAR, FEWEST, self.cut_off.__contains__
         )
 
+    def test_vms_that_are_cut_off_are_left_out(self):
+        """Guards against callers led to VMs without paths to upstreams."""
+        directory = self.fleet(6)
+        self.cut_off.update(('10.0.0.1:7000', '10.0.0.2:7000'))
+        listed = directory.addresses(EAST)
+        self.assertEqual(len(listed), 4)
+        self.assertNotIn('front-1', listed)
+        self.cut_off.update(self.members.by_id)
+        self.assertEqual(len(directory.addresses(EAST)), MAX_NEAR)
+
     def apply_state(
         self, number, state, domain=EAST, cores=SMALL, counter=0, link=0
     ):
