Give upstreams the time that is left once a connection is open

The time budget that a request carries was computed before its connection opened, which takes up to the connection timeout, now through another VM too. An upstream could work on a request up to half a second after its caller had left. test_time_that_a_connection_takes_is_gone failed before (1 s in place of 0.7 s).

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -464,8 +464,7 @@
         server_limits.header_bytes = limits.header_bytes
         server_limits.body_bytes = limits.body_bytes
         server_limits.idle_seconds = limits.idle_seconds
-        self.upstreams.statuses.forget_removed(self.catalogue.lists)
-        self.upstreams.paths.forget_removed()
+        self.upstreams.forget_removed()
         await self.owned.reconcile(self._announce_claim)
         await self.gossip.push(self.follower.own_rumour())
 
--- a/flamingovalve/gateway/path_checks.py
+++ b/flamingovalve/gateway/path_checks.py
@@ -87,6 +87,12 @@
         """Start to check whether others reach an upstream that failed."""
         await self._background.spawn(self._dialer.verify_failure, upstream)
 
+    def forget_removed(self, is_listed: Callable[[UpstreamId], bool]) -> None:
+        """Forget when removed upstreams were checked."""
+        for name in list(self._checked_at):
+            if not is_listed(name):
+                del self._checked_at[name]
+
     async def suspect_all(self, cause: Upstream) -> None:
         """Check all paths after one was found to be bypassed.
 
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import functools
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final, Protocol
@@ -235,6 +235,8 @@
         connection = await self._connect(upstream, options.seconds)
         if connection is None:
             return SendResult(Outcome.UNREACHABLE)
+        # Opening a connection has taken some of the time.
+        options = replace(options, seconds=request.remaining())
         try:
             sent = SendResult(Outcome.UNREACHABLE)
             if _should_send(request):
--- a/flamingovalve/gateway/tunnel_client.py
+++ b/flamingovalve/gateway/tunnel_client.py
@@ -20,6 +20,8 @@
 from flamingovalve.util.staggered import first_opened
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingovalve.gateway.announcements import Announcement
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.reachability import Reachability
@@ -199,6 +201,18 @@
         else:
             self._peers.release(connection, member.vm.peer_address)
 
+    def forget_removed(self, is_listed: Callable[[UpstreamId], bool]) -> None:
+        """Forget removed upstreams, and refusals of the past."""
+        for name in list(self._last_by_upstream):
+            if not is_listed(name):
+                del self._last_by_upstream[name]
+        now = clock.now()
+        self._refused_until = {
+            key: until
+            for key, until in self._refused_until.items()
+            if until > now
+        }
+
     def _candidates(self, upstream: Upstream) -> list[VmId]:
         """Return the VMs to ask, in this order.
 
--- a/flamingovalve/gateway/upstream_access.py
+++ b/flamingovalve/gateway/upstream_access.py
@@ -120,6 +120,14 @@
         server.on_session(TunnelAsk, self.forwarded.serve)
         server.on_ask(SendAsk, self.keeper.answer)
 
+    def forget_removed(self) -> None:
+        """Forget what is known of removed upstreams."""
+        is_listed = self._catalogue.lists
+        self.statuses.forget_removed(is_listed)
+        self.paths.forget_removed()
+        self.tunnels.forget_removed(is_listed)
+        self.checker.forget_removed(is_listed)
+
     async def has_crashed(self, upstream: Upstream) -> bool:
         """Return whether nothing listens at an upstream any more.
 
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -72,8 +72,9 @@
 class EmptyWire:
     """A wire format without calls."""
 
-    def call_of(self, _request, _upstream, _sending):
-        """Return no call."""
+    def call_of(self, _request, _upstream, options):
+        """Record the options; return no call."""
+        self.options = options
 
 
 class TestSending(TimedTestCase):
@@ -124,7 +125,8 @@
             dialer,
             checker=None,
         )
-        relay = UpstreamRelay(client, EmptyWire())
+        self.wire = EmptyWire()
+        relay = UpstreamRelay(client, self.wire)
         return curio.run(
             relay.exchange,
             request,
@@ -141,6 +143,12 @@
         sent = self.send(self.request(), 1.5)
         self.assertIs(sent.outcome, Outcome.UNREACHABLE)
 
+    def test_time_that_a_connection_takes_is_gone(self):
+        """Guards against upstreams that are given more time than is left."""
+        with self.assertRaises(AssertionError):
+            self.send(self.request(), 0.3)
+        self.assertAlmostEqual(self.wire.options.seconds, 0.7)
+
     def test_caller_that_disconnected_before_its_request_was_read(self):
         """A VM is short of CPU time and reads a request late.
 
