Look for no way to upstreams that other VMs do not reach either

A request for a crashed upstream asked up to three VMs for a way, each time, before it went to another upstream. Attempts through other VMs now take no longer than a direct connection may, and none are made for half a second after all VMs that were asked have failed.

test_dead_upstream_costs_no_detour bounds both; 26 tests pass.

--- a/flamingovalve/gateway/dialer.py
+++ b/flamingovalve/gateway/dialer.py
@@ -31,6 +31,9 @@
 _OPEN_TIME_SMOOTHING: Final = 0.1
 _RECENT_SECONDS: Final = 1.0
 _DELAYS_TO_CONFIRM: Final = 2.0
+_TUNNEL_SECONDS: Final = 0.3
+# Other VMs are asked again after this time.
+_DOWN_SECONDS: Final = 0.5
 
 
 class UpstreamDialer:
@@ -60,6 +63,7 @@
         self._tunnels = tunnels
         self._background = background
         self._confirming: set[UpstreamId] = set()
+        self._down_since: dict[UpstreamId, float] = {}
         self._usual_open_seconds = _INITIAL_OPEN_SECONDS
 
     async def connect(self, upstream: Upstream) -> UpstreamConnection:
@@ -158,6 +162,8 @@
 
     async def _open(self, upstream: Upstream) -> UpstreamConnection | None:
         """Open a connection by the path that is first to be open."""
+        if self._is_down(upstream):
+            return await self._try_directly(upstream)
         return await first_opened(
             [
                 functools.partial(self._try_directly, upstream),
@@ -197,13 +203,29 @@
     async def _try_tunnel(
         self, upstream: Upstream
     ) -> UpstreamConnection | None:
-        """Open a tunnel beside a direct connection that is not open yet."""
-        tunnelled = await self._tunnels.open(upstream, is_fresh=True)
-        if tunnelled is not None:
+        """Open a tunnel beside a direct connection that is not open yet.
+
+        No longer than a direct connection may take: if the upstream is down,
+        its requests have to go elsewhere.
+        """
+        async with curio.ignore_after(_TUNNEL_SECONDS):
+            tunnelled = await self._tunnels.open(upstream, is_fresh=True)
+            if tunnelled is None:
+                self._down_since[upstream.id] = clock.now()
+                return None
             await self._background.spawn(
                 self._confirm_bypass, upstream, tunnelled.tunnel.vm
             )
-        return tunnelled
+            return tunnelled
+        return None
+
+    def _is_down(self, upstream: Upstream) -> bool:
+        """Return whether other VMs have just failed to reach it as well."""
+        since = self._down_since.get(upstream.id, float('-inf'))
+        if clock.now() < since + _DOWN_SECONDS:
+            return self._paths.is_failing(upstream.id)
+        self._down_since.pop(upstream.id, None)
+        return False
 
     async def _confirm_bypass(self, upstream: Upstream, vm: VmId) -> None:
         """Bypass a path if it fails right after another VM reached its end.
--- a/flamingovalve/gateway/upstream_paths.py
+++ b/flamingovalve/gateway/upstream_paths.py
@@ -141,6 +141,11 @@
             worked_before=_age(path.worked_at),
         )
 
+    def is_failing(self, name: UpstreamId) -> bool:
+        """Return whether the path to an upstream fails."""
+        path = self._by_id.get(name)
+        return path is not None and path.failed_since is not None
+
     def is_bypassed(self, name: UpstreamId) -> bool:
         """Return whether another VM reached an upstream that this one didn't."""
         path = self._by_id.get(name)
@@ -219,7 +224,7 @@
     def _update_service(self, service: ServiceId) -> None:
         """Log when the last path of a service fails or the first returns."""
         upstreams = self._upstreams_of(service)
-        failed = [one.id for one in upstreams if self._fails(one.id)]
+        failed = [one.id for one in upstreams if self.is_failing(one.id)]
         is_unreachable = bool(upstreams) and len(failed) == len(upstreams)
         if is_unreachable is (service in self._unreachable):
             return
@@ -240,10 +245,6 @@
             },
         )
 
-    def _fails(self, name: UpstreamId) -> bool:
-        path = self._by_id.get(name)
-        return path is not None and path.failed_since is not None
-
 
 def failure_of(error: OSError) -> PathFailure:
     """Return the kind of failure of an attempt to connect."""
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -175,6 +175,25 @@
         self.site.links.refuse(vms, [upstream.id])
         self.assertTrue(self.site.world.ask(node, has_crashed, upstream))
 
+    def test_dead_upstream_costs_no_detour(self):
+        """Guards against calls that look for a way to a dead upstream."""
+        self.site.links.heal()
+        self.site.world.advance(1)
+        vms = list(self.site.vms_by_id)
+        self.site.links.refuse(vms, [self.site.apps[0].name])
+        vm_id = self.site.others()[1]
+        self.daemon(vm_id).network.shut_down_connections(
+            [self.site.apps[0].name]
+        )
+        before = counts_of(self.daemon(vm_id))['tunnels'].failed
+        for _request in range(10):
+            began = self.site.world.monotonic()
+            response = self.site.send(vm_id, self.site.call('/reads/1'))
+            self.assertEqual(response.status, 200)
+            self.assertLess(self.site.world.monotonic() - began, 0.1)
+        failed = counts_of(self.daemon(vm_id))['tunnels'].failed - before
+        self.assertLessEqual(failed, 6)
+
     def test_no_vm_reaches_upstreams(self):
         """Guards against VMs that pass a request round."""
         before = self.opened()
