Log how a response was delimited and how its body ended

Callers of two streams got a short body that was framed as complete.

'send' now names the framing of the upstream's response (length, chunked, or the end of its connection) and the end of its body (shown whole by its framing, unproven, inside an event, before the first one, inside a JSON value, lost); 'request' names the framing that the caller got. What is known of a body is kept in one place, flamingovalve/http/bodies.py, by the one reader of all bodies, UpstreamConnection. Calls say which kind of body they expect.

Nothing is decided by it yet: the ends are recorded, no result changes.

--- a/flamingovalve/engines/api.py
+++ b/flamingovalve/engines/api.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from flamingovalve.errors import ConnectionLost, ErrorKind, Ran, ServingError
+from flamingovalve.http.bodies import BodyKind
 from flamingovalve.http.client import UpstreamCall
 
 if TYPE_CHECKING:
@@ -135,6 +136,7 @@
         call = UpstreamCall(method, path, headers or [])
         if content is not None:
             call = UpstreamCall.from_json(method, path, content, headers)
+        call.expected = BodyKind.JSON
         seconds = self._settings.chunk_seconds
         outcome = await self._exchange(call, seconds)
         return outcome.bind(_json_object)
--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -117,6 +117,7 @@
             upstream=upstream.id,
             tried=len(request.tried),
             outcome=sent.outcome.value,
+            **_body_fields(sent),
             first_event=round(sent.first_event, 3),
             max_gap=round(sent.max_gap, 3),
             retry_after=_json_seconds(sent.retry_after),
@@ -150,6 +151,13 @@
     return error
 
 
+def _body_fields(sent: SendResult) -> dict[str, str | None]:
+    received = sent.received
+    if received is None:
+        return {'framing': None, 'body_end': None}
+    return {'framing': received.framing.value, 'body_end': received.end.value}
+
+
 def _json_seconds(seconds: float) -> float | None:
     return round(seconds, 3) if math.isfinite(seconds) else None
 
--- a/flamingovalve/gateway/front.py
+++ b/flamingovalve/gateway/front.py
@@ -75,10 +75,14 @@
             outcome = 'abandoned'
             raise
         finally:
-            self._record_outcome(request, outcome, started_at)
+            self._record_outcome(request, responder, outcome, started_at)
 
     def _record_outcome(
-        self, request: Request, outcome: str, started_at: float
+        self,
+        request: Request,
+        responder: Responder,
+        outcome: str,
+        started_at: float,
     ) -> None:
         self.in_progress -= 1
         self._metrics.record_request(outcome, clock.now() - started_at)
@@ -88,6 +92,7 @@
             id=self._platform.request_id(request),
             path=request.path,
             outcome=outcome,
+            framing=responder.framing and responder.framing.value,
             seconds=round(clock.now() - started_at, 3),
             version=self._catalogue.configuration.version,
         )
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -32,6 +32,7 @@
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.upstream_client import UpstreamClient
+    from flamingovalve.http.bodies import ReceivedBody
     from flamingovalve.http.client import (
         ResponseHead,
         UpstreamCall,
@@ -113,6 +114,8 @@
     :ivar is_rejected: whether it rejected the request for lack of room
     :ivar is_bypassed: whether the path of this VM to the upstream fails, so that
         a failure says nothing about the upstream
+    :ivar received: body of the response, as far as it was received; None
+        without a head
     """
 
     outcome: Outcome
@@ -126,6 +129,7 @@
     bears: float = 0
     is_rejected: bool = False
     is_acknowledged: bool = True
+    received: ReceivedBody | None = None
 
     def is_path_failure(self) -> bool:
         """Return whether it failed without the upstream's fault."""
@@ -281,6 +285,7 @@
         except BaseException:
             await connection.close()
             raise
+        sent.received = connection.received
         await self._dispose(connection, sent)
         return sent
 
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -10,6 +10,7 @@
 import h11
 
 from flamingovalve.errors import ConnectionLost
+from flamingovalve.http.bodies import BodyKind, ReceivedBody
 from flamingovalve.http.messages import (
     JSON_TYPE,
     HeaderList,
@@ -40,6 +41,7 @@
 
     :ivar host: value of the ``Host`` header if ``headers`` holds one; None
         adds the upstream's address as ``Host``
+    :ivar expected: kind of the body of a success
     """
 
     method: str
@@ -47,6 +49,7 @@
     headers: HeaderList
     body: bytes = b''
     host: str | None = None
+    expected: BodyKind = BodyKind.OPAQUE
 
     @classmethod
     def from_json(
@@ -65,6 +68,9 @@
         )
 
 
+_NO_CALL = UpstreamCall('GET', '/', [])
+
+
 @dataclass(slots=True)
 class ResponseHead:
     """Status and headers of a response.
@@ -84,6 +90,7 @@
     :cvar is_direct: whether it does not run through another VM
     :ivar opened_at: when it was opened, on the monotonic clock
     :ivar keep_alive_seconds: time that the upstream keeps it open while idle
+    :ivar received: body of the response to the last call; None before its head
     """
 
     is_direct: ClassVar[bool] = True
@@ -97,6 +104,8 @@
         self._network = network
         self._socket = opened
         self._protocol = h11.Connection(our_role=h11.CLIENT)
+        self._call = _NO_CALL
+        self.received: ReceivedBody | None = None
 
     async def send(self, call: UpstreamCall, seconds: float) -> None:
         """Send the request with its body.
@@ -106,6 +115,8 @@
         :raises TimeoutError: if sending took longer than ``seconds``; part
             of the request may have reached the upstream
         """
+        self._call = call
+        self.received = None
         headers = list(call.headers)
         if call.host is None:
             headers.append(('host', self.address))
@@ -141,9 +152,13 @@
             raise ConnectionLost(
                 'the upstream closed the connection before it answered'
             )
+        headers = header_map(event.headers)
+        self.received = ReceivedBody.of_response(
+            self._call.method, event.status_code, headers, self._call.expected
+        )
         return ResponseHead(
             event.status_code,
-            header_map(event.headers),
+            headers,
             header_list(event.headers.raw_items()),
         )
 
@@ -155,11 +170,20 @@
         :raises ConnectionLost: if the connection ended before the end of the
             body
         """
-        event = await self._next_event(seconds)
+        received = self._body_in_progress()
+        try:
+            event = await self._next_event(seconds)
+        except ConnectionLost:
+            received.lose()
+            raise
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            payload = bytes(event.data)
+            received.feed(payload)
+            return payload
         if isinstance(event, h11.EndOfMessage):
+            received.finish()
             return b''
+        received.lose()
         raise ConnectionLost(
             'the upstream closed the connection in the middle of its response',
         )
@@ -229,6 +253,10 @@
         """Close the connection; ignore errors of its socket."""
         await self._network.discard(self._socket)
 
+    def _body_in_progress(self) -> ReceivedBody:
+        assert self.received is not None, 'the head has not been read'
+        return self.received
+
     async def _next_event(self, seconds: float) -> Any:
         try:
             event = self._protocol.next_event()
--- a/flamingovalve/http/messages.py
+++ b/flamingovalve/http/messages.py
@@ -15,7 +15,6 @@
     from collections.abc import Iterable
 
 JSON_TYPE = 'application/json'
-EVENT_STREAM_TYPE = 'text/event-stream'
 
 HeaderList = list[tuple[str, str]]
 
--- a/flamingovalve/http/responder.py
+++ b/flamingovalve/http/responder.py
@@ -9,6 +9,7 @@
 from curio import socket
 
 from flamingovalve.errors import CallerLost
+from flamingovalve.http.bodies import Framing
 from flamingovalve.http.caller_writer import CallerWriter
 from flamingovalve.util.network import is_closed_by_peer
 
@@ -19,10 +20,15 @@
     from flamingovalve.http.server import HttpServer
 
 _CHUNKED = ('transfer-encoding', 'chunked')
+_UNCHUNKED_VERSION = b'1.0'
 
 
 class Responder:
-    """Writes the response to one request."""
+    """Writes the response to one request.
+
+    :ivar framing: how the caller finds the end of the body; None before a
+        response
+    """
 
     def __init__(
         self,
@@ -44,6 +50,7 @@
             )
         self.started = False
         self.ended = False
+        self.framing: Framing | None = None
 
     async def send(self, response: Response) -> None:
         """Write a complete response."""
@@ -52,6 +59,7 @@
             ('content-length', str(len(response.body))),
         ]
         self.started = True
+        self.framing = Framing.LENGTH
         await self._write(
             self._response_head(response.status, headers),
             h11.Data(data=response.body),
@@ -63,6 +71,7 @@
     async def start(self, status: int, headers: HeaderList) -> None:
         """Write the head of a response whose body is sent in chunks."""
         self.started = True
+        self.framing = self._stream_framing()
         await self._write(self._response_head(status, [*headers, _CHUNKED]))
 
     async def chunk(self, payload: bytes) -> None:
@@ -117,6 +126,11 @@
         """
         return CallerWatch(self._socket)
 
+    def _stream_framing(self) -> Framing:
+        if self._protocol.their_http_version == _UNCHUNKED_VERSION:
+            return Framing.CONNECTION
+        return Framing.CHUNKED
+
     def _response_head(self, status: int, headers: HeaderList) -> h11.Response:
         if self._server.is_closing:
             headers = [*headers, ('connection', 'close')]
--- a/flamingovalve/platform/store.py
+++ b/flamingovalve/platform/store.py
@@ -14,6 +14,7 @@
     Undecodable,
 )
 from flamingovalve.generated.messages import Document
+from flamingovalve.http.bodies import BodyKind
 from flamingovalve.http.client import UpstreamCall
 from flamingovalve.platform import decode
 
@@ -113,7 +114,9 @@
         seconds: float,
     ) -> dict[str, Any]:
         self.calls += 1
-        call = UpstreamCall('GET', f'{path}?{urlencode(query)}', [])
+        call = UpstreamCall(
+            'GET', f'{path}?{urlencode(query)}', [], expected=BodyKind.JSON
+        )
         try:
             response = await self._pool.exchange(self._address, call, seconds)
         except (OSError, ConnectionLost) as failed:
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -10,6 +10,7 @@
 from flamingovalve.gateway.orders import EngineReport, OrderOutcome
 from flamingovalve.gateway.relay import Verdict
 from flamingovalve.generated.ids import AdapterId, ModelId
+from flamingovalve.http.bodies import BodyKind
 from flamingovalve.http.client import UpstreamCall
 from flamingovalve.platform import decode
 from flamingovalve.util.logs import get_logger
@@ -80,6 +81,7 @@
             headers,
             request.body,
             host,
+            BodyKind.EVENTS if request.route.streams else BodyKind.OPAQUE,
         )
 
     def verdict(self, head: ResponseHead, request: InboundRequest) -> Verdict:
@@ -149,7 +151,7 @@
 
         :raises HeldBack: if it accepts no request within ``patience``
         """
-        call = UpstreamCall('GET', '/report', [])
+        call = UpstreamCall('GET', '/report', [], expected=BodyKind.JSON)
         try:
             response = await self._client.exchange(
                 self._upstream,
--- a/flamingovalve/relay/completion.py
+++ b/flamingovalve/relay/completion.py
@@ -9,9 +9,9 @@
 
 from flamingovalve.engines.queue import Ticket
 from flamingovalve.errors import ConnectionLost, ErrorKind, Ran, ServingError
+from flamingovalve.http.bodies import EVENT_STREAM_TYPE
 from flamingovalve.http.client import UpstreamCall
 from flamingovalve.http.messages import (
-    EVENT_STREAM_TYPE,
     JSON_TYPE,
     Response,
 )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -12,8 +12,8 @@
 import curio
 
 from flamingovalve.errors import ConnectionLost
+from flamingovalve.http.bodies import EVENT_STREAM_TYPE
 from flamingovalve.http.messages import (
-    EVENT_STREAM_TYPE,
     Request,
     Response,
 )
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -22,6 +22,8 @@
 class UnusedConnection:
     """A connection that fails the test if a request is sent on it."""
 
+    received = None
+
     async def send(self, _call, _seconds):
         """Fail, as no caller waits for the request."""
         raise AssertionError('a request was sent that no caller waits for')
