Pass on resumable streams whose lines end in CR LF or CR

Callers of a resumable stream got a success without any event if the lines of the upstream end in CR LF or CR, as the format of event streams allows; the stream then ended as broken. The cause: events were cut out of the bytes at two LF only, so none was ever complete. Streams that may not be resumed are passed on as they come, and were not affected; their pauses were measured as none.

Events are now split in one place, EventBuffer, by the three line ends of the format, whatever the pieces in which they arrive. What follows the last event of a complete stream, such as the LF of a CR LF, is written at its end, so that the body arrives byte for byte.

--- a/flamingovalve/gateway/event_pauses.py
+++ b/flamingovalve/gateway/event_pauses.py
@@ -5,13 +5,9 @@
 
 from __future__ import annotations
 
-from typing import Final
-
+from flamingovalve.http.bodies import EventBuffer
 from flamingovalve.util import clock
 
-_LINE_END: Final = b'\n'
-_EVENT_END: Final = b'\n\n'
-
 
 class EventPauses:
     """Measures the longest pause between two complete events of a stream.
@@ -30,19 +26,14 @@
         self._event_at: float | None = None
         self._received_at = 0.0
         self._is_writing = False
-        self._tail = b''
+        self._events = EventBuffer()
 
     def record_chunk(self, chunk_bytes: bytes) -> None:
         """Record data that has just been received from the upstream."""
         now = clock.now()
         self._received_at = now
         self._is_writing = True
-        # The two line ends after an event may arrive in different chunks.
-        has_event = _EVENT_END in chunk_bytes
-        if not has_event and chunk_bytes.startswith(_LINE_END):
-            has_event = self._tail == _LINE_END
-        self._tail = chunk_bytes[-1:]
-        if not has_event:
+        if not self._events.feed(chunk_bytes):
             return
         if self._event_at is not None:
             self.longest = max(self.longest, now - self._event_at)
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -22,6 +22,7 @@
 from flamingovalve.gateway.event_pauses import EventPauses
 from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.upstream_client import SilenceWatch
+from flamingovalve.http.bodies import EventBuffer, last_event_id
 from flamingovalve.http.messages import Response, end_to_end
 from flamingovalve.util import clock
 
@@ -41,8 +42,6 @@
     from flamingovalve.http.messages import HeaderList
     from flamingovalve.http.server import Responder
 
-_EVENT_END: Final = b'\n\n'
-
 
 class Verdict(Enum):
     """Classification of a response head with regard to its request.
@@ -476,8 +475,7 @@
         except BaseException:
             sink.pauses.record_end()
             raise
-        if sink.has_incomplete_event():
-            raise ConnectionLost('the stream ended in the middle of an event')
+        await sink.finish()
 
     async def _forward_chunks(
         self,
@@ -529,7 +527,7 @@
         self.pauses = EventPauses()
         self._responder = responder
         self._whole_events = whole_events
-        self._buffer = b''
+        self._events = EventBuffer()
 
     @property
     def started(self) -> bool:
@@ -538,7 +536,7 @@
 
     async def begin(self, status: int, headers: HeaderList) -> None:
         """Write the head, unless an earlier run of the stream has."""
-        self._buffer = b''
+        self._events = EventBuffer()
         if not self._responder.started:
             await self._responder.start(status, headers)
 
@@ -548,23 +546,21 @@
         if not self._whole_events:
             await self._responder.chunk(chunk_bytes)
             return
-        complete, end, incomplete = (self._buffer + chunk_bytes).rpartition(
-            _EVENT_END
-        )
-        self._buffer = incomplete
-        if not end:
-            return
-        await self._responder.chunk(complete + end)
-        self._record_last_event_id(complete)
+        complete = self._events.feed(chunk_bytes)
+        if complete:
+            await self._responder.chunk(complete)
+            self.last_event_id = last_event_id(complete) or self.last_event_id
 
-    def has_incomplete_event(self) -> bool:
-        """Return whether an incomplete event is buffered."""
-        return bool(self._buffer)
+    async def finish(self) -> None:
+        """Write what follows the last event of a complete stream.
 
-    def _record_last_event_id(self, events: bytes) -> None:
-        for line in events.split(b'\n'):
-            if line.startswith(b'id:'):
-                self.last_event_id = line[3:].strip().decode('latin-1')
+        :raises ConnectionLost: if the stream ended inside an event
+        """
+        if self._events.is_inside_event():
+            raise ConnectionLost('the stream ended in the middle of an event')
+        rest = self._events.take_rest()
+        if rest:
+            await self._responder.chunk(rest)
 
 
 def _unusual_seconds(request: InboundRequest) -> float:
--- a/flamingovalve/http/bodies.py
+++ b/flamingovalve/http/bodies.py
@@ -16,6 +16,8 @@
 # A line ends in CR LF, in LF or in CR; an empty line ends an event. The
 # possessive quantifier keeps one CR LF from counting as two line ends.
 _EVENT_END: Final = re.compile(rb'(?:\r\n?+|\n){2}')
+_LINE_END: Final = re.compile(rb'\r\n?+|\n')
+_ID: Final = b'id:'
 _FIELD: Final = re.compile(rb'(?:\A|[\r\n])[^:\r\n]')
 _NO_BODY: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _FIRST_SUCCESS: Final = 200
@@ -115,11 +117,25 @@
             self.has_event = _FIELD.search(complete) is not None
         return complete
 
+    def take_rest(self) -> bytes:
+        """Return what follows the last complete event, and forget it."""
+        rest = self._rest
+        self._rest = b''
+        return rest
+
     def is_inside_event(self) -> bool:
         """Return whether an event has begun and not ended."""
         return bool(self._rest.strip(_LINE_ENDS))
 
 
+def last_event_id(events: bytes) -> str | None:
+    """Return the last id in complete events; None if they have none."""
+    for line in reversed(_LINE_END.split(events)):
+        if line.startswith(_ID):
+            return line.removeprefix(_ID).strip().decode('latin-1')
+    return None
+
+
 class ReceivedBody:
     """The body of one response, as far as it has been received.
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -10,6 +10,7 @@
     EventBuffer,
     Framing,
     ReceivedBody,
+    last_event_id,
 )
 
 LINE_ENDS = (b'\n', b'\r\n', b'\r')
@@ -59,7 +60,7 @@
                     passed += buffer.feed(stream[start : start + size])
                     self.assertTrue(stream.startswith(passed))
                 self.assertFalse(buffer.is_inside_event(), (end, size))
-                self.assertIn(passed, {stream, stream.removesuffix(b'\n')})
+                self.assertEqual(passed + buffer.take_rest(), stream)
 
     def test_complete_events_only(self):
         """Guards against a part of an event that is passed on."""
@@ -72,6 +73,15 @@
             self.assertEqual(passed, first + end)
             self.assertTrue(buffer.is_inside_event())
 
+    def test_last_id(self):
+        """Guards against a stream that is resumed after the wrong event."""
+        for end in LINE_ENDS:
+            events = end.join(
+                (b'id: 1', b'', b'id:2', b'data: id: 3', b'', b'')
+            )
+            self.assertEqual(last_event_id(events), '2')
+            self.assertIsNone(last_event_id(b'data: id: 3' + end + end))
+
     def test_comments(self):
         """Guards against a comment that is taken for the first event."""
         buffer = EventBuffer()
