Check the end of every body, and return no better framing than came

Callers of streams got a short body that was framed as complete: the upstream delimited it by the end of its connection and ended in order inside an event. The class: an end is believed without asking what it proves.

UpstreamConnection, which reads all bodies, decides at each end: a stream that ends inside an event, whatever its framing, or whose connection ends before its first event, and a JSON document of our own calls that ends inside its value, are lost, like after a reset. So streams are resumed or end visibly, calls are retried or fail.

Where the bytes can't tell (any other call, an end between two events), the caller gets what the upstream gave: a body that ends with the connection, not a length or a last chunk that nobody has vouched for. Such a connection is closed with a reset unless the response is complete; the operating system does so for a killed process too, so that an end of the VM itself can't look like that of the answer. A resumable stream begun in chunks which another upstream ends without proof ends visibly. Callers of HTTP/1.0, whose streams always end with the connection, see breaks by the same means. In the product's own interface the framing travels with the answer between VMs and into the record of a call.

--- a/flamingovalve/claims/executor.py
+++ b/flamingovalve/claims/executor.py
@@ -381,7 +381,12 @@
         if not reply.status:
             raise refusals.answer_not_kept()
         headers = [('content-type', reply.content_type)]
-        return Response(reply.status, headers, reply.answer)
+        return Response(
+            reply.status,
+            headers,
+            reply.answer,
+            ends_with_connection=reply.ends_with_connection,
+        )
 
     def _unknown_outcome(
         self,
--- a/flamingovalve/claims/runner.py
+++ b/flamingovalve/claims/runner.py
@@ -144,7 +144,12 @@
             return
         self.counts.run += 1
         content_type = response.header('content-type') or ''
-        record.record_answer(response.status, content_type, response.body)
+        record.record_answer(
+            response.status,
+            content_type,
+            response.body,
+            ends_with_connection=response.ends_with_connection,
+        )
         await self._settle(record, claim, ClaimState.FINISHED)
 
     async def _settle(
@@ -192,6 +197,7 @@
             record.status,
             record.content_type,
             record.answer,
+            record.ends_with_connection,
         )
 
     async def _collect(self, record: ClaimRecord, claim: Claim) -> bool:
--- a/flamingovalve/claims/table.py
+++ b/flamingovalve/claims/table.py
@@ -42,6 +42,8 @@
     :ivar incarnation: the only process of that VM that may do so
     :ivar body_digest: digest of the body of the request; empty if unknown
     :ivar made_at: when the record was made, on the monotonic clock
+    :ivar ends_with_connection: whether nothing shows that the answer is
+        complete
     :ivar settled: set once the outcome is known
     """
 
@@ -54,6 +56,7 @@
     status: int = 0
     content_type: str = ''
     answer: bytes = b''
+    ends_with_connection: bool = False
     settled: curio.Event = field(default_factory=curio.Event)
 
     async def settle(self, state: ClaimState) -> None:
@@ -62,18 +65,29 @@
         await self.settled.set()
 
     def record_answer(
-        self, status: int, content_type: str, answer: bytes
+        self,
+        status: int,
+        content_type: str,
+        answer: bytes,
+        *,
+        ends_with_connection: bool = False,
     ) -> None:
         """Record the response of the upstream; ``answer`` is its body."""
         self.status = status
         self.content_type = content_type
         self.answer = answer
+        self.ends_with_connection = ends_with_connection
 
     def copy_from(self, reply: ClaimReply) -> None:
         """Copy what another holder knows of the key."""
         self.executor = reply.executor
         self.incarnation = reply.incarnation
-        self.record_answer(reply.status, reply.content_type, reply.answer)
+        self.record_answer(
+            reply.status,
+            reply.content_type,
+            reply.answer,
+            ends_with_connection=reply.ends_with_connection,
+        )
 
     def drop_answer(self) -> int:
         """Drop the response, but not that the call ran; return its size."""
@@ -193,7 +207,10 @@
         sender = (outcome.executor, outcome.incarnation)
         if record.state not in _SETTLED_STATES and owner == sender:
             record.record_answer(
-                outcome.status, outcome.content_type, outcome.answer
+                outcome.status,
+                outcome.content_type,
+                outcome.answer,
+                ends_with_connection=outcome.ends_with_connection,
             )
             await record.settle(outcome.state)
             self.count_answer(record)
@@ -242,4 +259,5 @@
         record.content_type,
         record.answer,
         not recorded or not body_digest or recorded == body_digest,
+        record.ends_with_connection,
     )
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -10,6 +10,7 @@
 from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.relay import EventSink, Outcome, SendOptions
 from flamingovalve.generated.messages import PlaceAsk, PlaceEnd, PlaceOutcome
+from flamingovalve.http.bodies import Framing
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.attempts import Attempts
@@ -72,6 +73,7 @@
         place_ask = self._place_ask_of(request, completion)
         sent = await self._send_with_retries(request, place_ask, sink)
         if sent.outcome is Outcome.DONE:
+            _check_end(sent, responder)
             await responder.end()
         elif sink.started:
             raise ConnectionLost('the stream broke before its last event')
@@ -166,6 +168,20 @@
         )
 
 
+def _check_end(sent: SendResult, responder: Responder) -> None:
+    """Check that a stream has shown to be as complete as its framing says.
+
+    The upstream that began a stream determines its framing, another one may
+    have completed it.
+
+    :raises ConnectionLost: if it has not
+    """
+    received = sent.received
+    is_unproven = received is not None and received.is_unproven()
+    if is_unproven and responder.framing is not Framing.CONNECTION:
+        raise ConnectionLost('nothing shows that the stream is complete')
+
+
 def _place_outcome(sent: SendResult) -> PlaceOutcome:
     """Return how a place ended, as far as it concerns its engine."""
     if sent.is_path_failure():
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -368,7 +368,9 @@
             return _unanswered(Outcome.TIMED_OUT, connection)
         except ConnectionLost:
             return _unanswered(Outcome.LOST, connection)
-        sent = self._classify(head, body, request)
+        sent = self._classify(
+            head, body, request, is_unproven=connection.is_unproven()
+        )
         sent.seconds = clock.now() - started_at
         return sent
 
@@ -377,9 +379,16 @@
         head: ResponseHead,
         body: bytes,
         request: InboundRequest,
+        *,
+        is_unproven: bool,
     ) -> SendResult:
         verdict = self._wire.verdict(head, request)
-        response = Response(head.status, end_to_end(head.lines), body)
+        response = Response(
+            head.status,
+            end_to_end(head.lines),
+            body,
+            ends_with_connection=is_unproven,
+        )
         if verdict is Verdict.SUCCESS:
             return SendResult(Outcome.DONE, response)
         refusal = _REFUSALS.get(verdict)
@@ -406,8 +415,14 @@
             )
             if self._wire.verdict(head, request) is not Verdict.SUCCESS:
                 body = await connection.body(request.remaining_timeout())
-                return self._classify(head, body, request)
-            await sink.begin(head.status, end_to_end(head.lines))
+                return self._classify(
+                    head, body, request, is_unproven=connection.is_unproven()
+                )
+            await sink.begin(
+                head.status,
+                end_to_end(head.lines),
+                ends_with_connection=connection.ends_body(),
+            )
             await self._forward_events(connection, request, upstream, sink)
         except CallerLost:
             # Not a failure of the upstream, and no other upstream can help.
@@ -534,11 +549,19 @@
         """Whether the response head has been sent to the caller."""
         return self._responder.started
 
-    async def begin(self, status: int, headers: HeaderList) -> None:
-        """Write the head, unless an earlier run of the stream has."""
+    async def begin(
+        self, status: int, headers: HeaderList, *, ends_with_connection: bool
+    ) -> None:
+        """Write the head, unless an earlier run of the stream has.
+
+        :param ends_with_connection: whether the upstream delimits the stream
+            by the end of its connection
+        """
         self._events = EventBuffer()
         if not self._responder.started:
-            await self._responder.start(status, headers)
+            await self._responder.start(
+                status, headers, ends_with_connection=ends_with_connection
+            )
 
     async def write(self, chunk_bytes: bytes) -> None:
         """Write data received from the upstream."""
@@ -552,12 +575,7 @@
             self.last_event_id = last_event_id(complete) or self.last_event_id
 
     async def finish(self) -> None:
-        """Write what follows the last event of a complete stream.
-
-        :raises ConnectionLost: if the stream ended inside an event
-        """
-        if self._events.is_inside_event():
-            raise ConnectionLost('the stream ended in the middle of an event')
+        """Write what follows the last event of a complete stream."""
         rest = self._events.take_rest()
         if rest:
             await self._responder.chunk(rest)
--- a/flamingovalve/http/bodies.py
+++ b/flamingovalve/http/bodies.py
@@ -8,6 +8,8 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
+from flamingovalve.errors import ConnectionLost
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -89,6 +91,13 @@
     LOST = 'lost'
 
 
+_EARLY_REASONS: Final = {
+    BodyEnd.INSIDE_EVENT: 'the stream ended in the middle of an event',
+    BodyEnd.BEFORE_EVENT: 'the stream ended before its first event',
+    BodyEnd.INSIDE_JSON: 'the body ended in the middle of its JSON value',
+}
+
+
 class EventBuffer:
     """Splits a stream into complete events.
 
@@ -182,8 +191,18 @@
             self._json += received
 
     def finish(self) -> None:
-        """Record the end of the body, as its framing shows it."""
+        """Record the end of the body, as its framing shows it.
+
+        :raises ConnectionLost: if the bytes show that the body is incomplete
+        """
         self.end = self._find_end()
+        reason = _EARLY_REASONS.get(self.end)
+        if reason is not None:
+            raise ConnectionLost(reason)
+
+    def is_unproven(self) -> bool:
+        """Return whether nothing shows that the body is complete."""
+        return self.end is BodyEnd.UNPROVEN
 
     def lose(self) -> None:
         """Record that the connection broke before the end of the body."""
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -10,7 +10,7 @@
 import h11
 
 from flamingovalve.errors import ConnectionLost
-from flamingovalve.http.bodies import BodyKind, ReceivedBody
+from flamingovalve.http.bodies import BodyKind, Framing, ReceivedBody
 from flamingovalve.http.messages import (
     JSON_TYPE,
     HeaderList,
@@ -168,7 +168,7 @@
         :returns: the part, empty once the body is complete
         :raises TimeoutError: if no data was received for ``seconds``
         :raises ConnectionLost: if the connection ended before the end of the
-            body
+            body, or the bytes show that the body is incomplete
         """
         received = self._body_in_progress()
         try:
@@ -197,6 +197,15 @@
             part = await self.chunk(seconds)
         return b''.join(parts)
 
+    def ends_body(self) -> bool:
+        """Return whether the last body is delimited by the connection's end."""
+        received = self.received
+        return received is not None and received.framing is Framing.CONNECTION
+
+    def is_unproven(self) -> bool:
+        """Return whether nothing shows that the last body is complete."""
+        return self.received is not None and self.received.is_unproven()
+
     def is_reusable(self) -> bool:
         """Prepare for another call; return whether one can be made."""
         states = self._protocol.states
@@ -393,4 +402,9 @@
         await connection.send(call, seconds)
         head = await connection.head(seconds)
         body = await connection.body(seconds)
-        return Response(head.status, list(head.headers.items()), body)
+        return Response(
+            head.status,
+            list(head.headers.items()),
+            body,
+            ends_with_connection=connection.is_unproven(),
+        )
--- a/flamingovalve/http/messages.py
+++ b/flamingovalve/http/messages.py
@@ -109,11 +109,16 @@
 
 @dataclass
 class Response:
-    """One complete HTTP response."""
+    """One HTTP response.
+
+    :ivar ends_with_connection: whether its body is delimited by the end of the
+        connection, as nothing shows that it is complete
+    """
 
     status: int
     headers: HeaderList = field(default_factory=list)
     body: bytes = b''
+    ends_with_connection: bool = False
 
     @classmethod
     def from_json(
--- a/flamingovalve/http/responder.py
+++ b/flamingovalve/http/responder.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import struct
+from typing import TYPE_CHECKING, Final
 
 import curio
 import h11
@@ -21,6 +22,19 @@
 
 _CHUNKED = ('transfer-encoding', 'chunked')
 _UNCHUNKED_VERSION = b'1.0'
+_LINGER: Final = struct.Struct('ii')
+
+
+def _protocol_without_chunks() -> h11.Connection:
+    """Return a protocol whose next body ends with its connection.
+
+    The library frames bodies like that only for callers of HTTP/1.0.
+    """
+    protocol = h11.Connection(our_role=h11.SERVER)
+    protocol.receive_data(b'GET / HTTP/1.0\r\n\r\n')
+    protocol.next_event()
+    protocol.next_event()
+    return protocol
 
 
 class Responder:
@@ -53,7 +67,14 @@
         self.framing: Framing | None = None
 
     async def send(self, response: Response) -> None:
-        """Write a complete response."""
+        """Write a whole response."""
+        if response.ends_with_connection:
+            await self.start(
+                response.status, response.headers, ends_with_connection=True
+            )
+            await self.chunk(response.body)
+            await self.end()
+            return
         headers = [
             *response.headers,
             ('content-length', str(len(response.body))),
@@ -68,11 +89,28 @@
         await self.flush()
         self.ended = True
 
-    async def start(self, status: int, headers: HeaderList) -> None:
-        """Write the head of a response whose body is sent in chunks."""
+    async def start(
+        self,
+        status: int,
+        headers: HeaderList,
+        *,
+        ends_with_connection: bool = False,
+    ) -> None:
+        """Write the head of a response whose body is sent in parts.
+
+        :param ends_with_connection: whether the body is delimited by the end
+            of the connection, as its source may end without saying so
+        :raises CallerLost: if the caller has gone
+        """
         self.started = True
+        if ends_with_connection:
+            self._protocol = _protocol_without_chunks()
         self.framing = self._stream_framing()
-        await self._write(self._response_head(status, [*headers, _CHUNKED]))
+        if self.framing is Framing.CONNECTION:
+            self._reset_on_close(is_on=True)
+        else:
+            headers = [*headers, _CHUNKED]
+        await self._write(self._response_head(status, headers))
 
     async def chunk(self, payload: bytes) -> None:
         """Write one chunk of the body."""
@@ -84,6 +122,13 @@
         await self.flush()
         self.ended = True
 
+    def complete_connection(self) -> None:
+        """Let the connection end in order after a complete response.
+
+        :raises CallerLost: if the caller has gone
+        """
+        self._reset_on_close(is_on=False)
+
     async def flush(self) -> None:
         """Wait until the caller has been sent all that was written.
 
@@ -126,6 +171,20 @@
         """
         return CallerWatch(self._socket)
 
+    def _reset_on_close(self, *, is_on: bool) -> None:
+        """Choose how the connection ends when its socket is closed.
+
+        The operating system also closes the sockets of a killed process.
+        """
+        try:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                _LINGER.pack(is_on, 0),
+            )
+        except OSError as error:
+            raise CallerLost(str(error)) from error
+
     def _stream_framing(self) -> Framing:
         if self._protocol.their_http_version == _UNCHUNKED_VERSION:
             return Framing.CONNECTION
--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -11,6 +11,7 @@
 from curio import socket
 
 from flamingovalve.errors import ConnectionLost, ErrorKind, Ran, ServingError
+from flamingovalve.http.bodies import Framing
 from flamingovalve.http.caller_writer import resume
 from flamingovalve.http.held_data import HeldData
 from flamingovalve.http.messages import (
@@ -217,6 +218,10 @@
             )
             return False
         await self._handle_request(request, responder)
+        if responder.ended and responder.framing is Framing.CONNECTION:
+            responder.complete_connection()
+            await self._drain_input()
+            return False
         return self._prepare_next_request(responder)
 
     def _limits(self) -> LimitSettings:
--- a/flamingovalve/peer/server.py
+++ b/flamingovalve/peer/server.py
@@ -59,8 +59,17 @@
     async def send(self, response: Response) -> None:
         """Write one whole response."""
 
-    async def start(self, status: int, headers: HeaderList) -> None:
-        """Write the head of a response whose body comes in chunks."""
+    async def start(
+        self,
+        status: int,
+        headers: HeaderList,
+        *,
+        ends_with_connection: bool = False,
+    ) -> None:
+        """Write the head of a response whose body comes in chunks.
+
+        :param ends_with_connection: whether nothing shows that it is complete
+        """
 
     async def chunk(self, payload: bytes) -> None:
         """Write one chunk of the body."""
@@ -89,15 +98,26 @@
 
     async def send(self, response: Response) -> None:
         """Write one whole response."""
-        await self.start(response.status, response.headers)
+        await self.start(
+            response.status,
+            response.headers,
+            ends_with_connection=response.ends_with_connection,
+        )
         await self.chunk(response.body)
         await self.end()
 
-    async def start(self, status: int, headers: HeaderList) -> None:
+    async def start(
+        self,
+        status: int,
+        headers: HeaderList,
+        *,
+        ends_with_connection: bool = False,
+    ) -> None:
         """Write the head of a response whose body comes in chunks."""
         self.started = True
         wire_headers = [Header(name, text) for name, text in headers]
-        await self._connection.send(ResponseHead(int(status), wire_headers))
+        head = ResponseHead(int(status), wire_headers, ends_with_connection)
+        await self._connection.send(head)
 
     async def chunk(self, payload: bytes) -> None:
         """Write one chunk of the body."""
--- a/flamingovalve/relay/completion.py
+++ b/flamingovalve/relay/completion.py
@@ -299,7 +299,13 @@
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             raise _upstream_failed_error(self.owner.engine.id, f'{head.status}')
         headers = [('content-type', JSON_TYPE), *self._response_headers()]
-        await self._sink.send(Response(head.status, headers, body))
+        response = Response(
+            head.status,
+            headers,
+            body,
+            ends_with_connection=connection.is_unproven(),
+        )
+        await self._sink.send(response)
 
     # -- Recovery
 
--- a/flamingovalve/relay/services.py
+++ b/flamingovalve/relay/services.py
@@ -151,7 +151,12 @@
             for name in _RELAYED_HEADERS
             if name in head.headers
         ]
-        return Response(head.status, headers, body)
+        return Response(
+            head.status,
+            headers,
+            body,
+            ends_with_connection=connection.is_unproven(),
+        )
 
     async def _try_once(
         self,
--- a/flamingovalve/routing/forward.py
+++ b/flamingovalve/routing/forward.py
@@ -144,8 +144,7 @@
         headers = _header_list(head.headers)
         streamed = work.stream and _is_stream(headers)
         if not streamed:
-            body = await _receive_body(connection)
-            await sink.send(Response(head.status, headers, body))
+            await sink.send(await _receive_rest(connection, head))
             return
         if not sink.started:
             await sink.start(head.status, headers)
@@ -175,8 +174,18 @@
 
 async def _receive_response(connection: PeerConnection) -> Response:
     head = await _receive(connection, ResponseHead)
-    body = await _receive_body(connection)
-    return Response(head.status, _header_list(head.headers), body)
+    return await _receive_rest(connection, head)
+
+
+async def _receive_rest(
+    connection: PeerConnection, head: ResponseHead
+) -> Response:
+    return Response(
+        head.status,
+        _header_list(head.headers),
+        await _receive_body(connection),
+        ends_with_connection=head.ends_with_connection,
+    )
 
 
 async def _receive_body(connection: PeerConnection) -> bytes:
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -206,6 +206,7 @@
 struct ResponseHead $doc("Status and headers of an answer.") {
   status @0 :UInt32;
   headers @1 :List(Header);
+  endsWithConnection @2 :Bool = false $doc("Whether nothing shows that the body is complete.");
 }
 
 struct Chunk $doc("A part of an answer's body.") {
@@ -232,6 +233,7 @@
   status @4 :UInt32;
   contentType @5 :Text;
   answer @6 :Data;
+  endsWithConnection @7 :Bool = false $doc("Whether nothing shows that the answer is complete.");
 }
 
 struct SealAsk $doc("Asks a holder to seal an unclaimed key, so that it never runs.") {
@@ -249,6 +251,7 @@
   contentType @5 :Text;
   answer @6 :Data;
   sameBody @7 :Bool = true;
+  endsWithConnection @8 :Bool = false $doc("Whether nothing shows that the answer is complete.");
 }
 
 struct TakeoverAsk $doc("Asks the deputy of the sender whether it has taken over an engine.") {
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from flamingovalve.errors import ConnectionLost
 from flamingovalve.http.bodies import (
     BodyEnd,
     BodyKind,
@@ -13,6 +14,7 @@
     last_event_id,
 )
 
+EARLY = {BodyEnd.INSIDE_EVENT, BodyEnd.BEFORE_EVENT, BodyEnd.INSIDE_JSON}
 LINE_ENDS = (b'\n', b'\r\n', b'\r')
 
 
@@ -21,10 +23,20 @@
     received = ReceivedBody(framing, kind)
     for part in parts:
         received.feed(part)
-    received.finish()
+    finish(received)
     return received
 
 
+def finish(received):
+    """End a body; check that a body that shows to be cut off is lost."""
+    try:
+        received.finish()
+    except ConnectionLost:
+        assert received.end in EARLY, received.end
+    else:
+        assert received.end in {BodyEnd.WHOLE, BodyEnd.UNPROVEN}, received.end
+
+
 class TestFraming(unittest.TestCase):
     """How the end of a response is found."""
 
@@ -136,5 +148,5 @@
         )
         for response, expected in cases:
             received = ReceivedBody.of_response(*response)
-            received.finish()
+            finish(received)
             self.assertIs(received.end, expected)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -7,9 +7,8 @@
 import unittest
 
 from flamingovalve.errors import ConnectionLost
-from flamingovalve.generated.settings import RelaySettings
 from flamingovalve.http.bodies import BodyKind, Framing
-from flamingovalve.http.client import ConnectionPool, UpstreamCall
+from flamingovalve.http.client import UpstreamCall
 from tests.rig.broken_answers import (
     EARLY_ENDINGS,
     Ending,
@@ -169,6 +168,8 @@
                 then = Manner(framing=framing)
                 received = self.ask('/reviews/1', first, default=then)
                 self.check_whole(received)
+                # The retry budget is that of a few seconds.
+                self.site.world.advance(2)
 
     def test_retried_after_chunks(self):
         """Guards against chunks that end where no upstream has said so."""
@@ -293,7 +294,6 @@
         self.site = Site(3)
         self.addCleanup(self.site.close)
         self.manners = Manners(applies=lambda request: request.method == 'GET')
-        self.pool = ConnectionPool(self.site.caller.network, RelaySettings())
 
     def read(self, expected):
         """Return the answer of the store, or the exception."""
@@ -301,17 +301,16 @@
             'GET', '/kv-range?PathPrefix=op/', [], expected=expected
         )
         address = self.site.store.address
-        return self.site.world.ask(
-            self.site.caller.node, self.pool.exchange, address, call, 5
-        )
+        return self.site.wait(self.site.caller.start(address, call, 5))
 
     def test_part_of_an_answer(self):
         """Guards against a part of a document that is read as all of it."""
         self.manners.install(self.site.store)
         self.assertEqual(self.read(BodyKind.JSON).status, OK)
         self.manners.default = Manner(Ending.INSIDE_LATER)
-        with self.assertRaises(ConnectionLost):
-            self.read(BodyKind.JSON)
+        self.assertIsInstance(self.read(BodyKind.JSON), ConnectionLost)
+        # The same bytes may be all that another reader expects.
+        self.assertEqual(self.read(BodyKind.OPAQUE).status, OK)
 
     def test_site_without_lengths(self):
         """Guards against a site that needs lengths to work."""
@@ -388,7 +387,7 @@
         )
         for ending, vm_id in plays:
             self.manners.default = Manner(ending)
-            paid = pay_call(f'pay-{vm_id}-{ending.name}')
+            paid = pay_call(self.fleet.permit(vm_id))
             status = pay_call('')
             status.target = '/v1/services/orders/status'
             # The repeat gets the recorded answer, at another VM as well.
