Log the software version that each attempt of a stream ran at

Callers got streams with events of two software versions of a back end.

'send' now names the version of the upstream (software), the attempt that began the stream (resumed_id) and the event after which the upstream was to go on (resumed_after). Nothing is decided by them.

--- a/flamingovalve/gateway/inbound.py
+++ b/flamingovalve/gateway/inbound.py
@@ -6,14 +6,14 @@
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.gateway.model import NO_WORKSPACE
-from flamingovalve.generated.ids import ServiceId, WorkspaceId
+from flamingovalve.generated.ids import RequestId, ServiceId, WorkspaceId
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from flamingovalve.gateway.model import Route
-    from flamingovalve.generated.ids import AdapterId, ModelId, RequestId
+    from flamingovalve.generated.ids import AdapterId, ModelId
     from flamingovalve.generated.messages import PromptPart
     from flamingovalve.http.messages import HeaderList
 
@@ -66,6 +66,10 @@
     :ivar tokens: prompt and output tokens as counted by the caller; None if
         it sent no counts
     :ivar service: service of the route that was chosen for this request
+    :ivar resumed_id: earlier request that brought the first event of the stream
+        that this one resumes; empty if its caller names none
+    :ivar resumed_after: id of the last event that the caller has received; empty
+        for a new stream
     :ivar tried: upstreams that may have run it
     :ivar refused_by: upstreams that did not run it
     :ivar accepted_after: seconds after which an upstream that has held it
@@ -91,6 +95,8 @@
     tokens: int | None = None
     service: ServiceId = ServiceId('')
     completion: Completion | None = None
+    resumed_id: RequestId = RequestId('')
+    resumed_after: str = ''
     tried: list[str] = field(default_factory=list)
     refused_by: list[str] = field(default_factory=list)
     accepted_after: float = float('inf')
--- a/flamingovalve/gateway/model.py
+++ b/flamingovalve/gateway/model.py
@@ -222,6 +222,7 @@
 
     :ivar born: when its process started, in milliseconds by its own clock; 0 if
         unknown
+    :ivar software: version of its software; empty if unknown
     """
 
     id: UpstreamId
@@ -231,6 +232,7 @@
     state: UpstreamState
     slots: int
     born: int = 0
+    software: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -115,6 +115,8 @@
         a failure says nothing about the upstream
     :ivar received: body of the response, as far as it was received; None
         without a head
+    :ivar resumed_after: id of the event after which it was to resume the stream;
+        empty for a stream from the start
     """
 
     outcome: Outcome
@@ -129,6 +131,7 @@
     is_rejected: bool = False
     is_acknowledged: bool = True
     received: ReceivedBody | None = None
+    resumed_after: str = ''
 
     def is_path_failure(self) -> bool:
         """Return whether it failed without the upstream's fault."""
@@ -257,6 +260,7 @@
         brittleness = status.brittleness
         sent.bears = brittleness.bears if brittleness.is_known() else 0
         sent.is_bypassed = self._client.is_bypassed(upstream)
+        sent.resumed_after = options.resume_after or request.resumed_after
         return sent
 
     async def _send_admitted(
--- a/flamingovalve/platform/decode.py
+++ b/flamingovalve/platform/decode.py
@@ -240,6 +240,7 @@
         state=model.UpstreamState(raw['State']),
         slots=_integer(raw['Slots']),
         born=_start_time(raw.get('born')),
+        software=_optional_string(raw.get('Version')),
     )
 
 
--- a/flamingovalve/platform/ingress.py
+++ b/flamingovalve/platform/ingress.py
@@ -17,6 +17,8 @@
     from flamingovalve.http.messages import HeaderList, Request
 
 _ID_HEADER: Final = 'attempt-id'
+_RESUMED_HEADER: Final = 'resumes'
+_LAST_EVENT_HEADER: Final = 'last-event-id'
 _BUDGET_HEADER: Final = 'time-budget-ms'
 _MODEL_HEADER: Final = 'model'
 _TOKENS_HEADER: Final = 'token-counts'
@@ -98,6 +100,8 @@
         priority=route.priority,
         tokens=_total_tokens(request),
         completion=_completion(request) if route.streams else None,
+        resumed_id=RequestId(request.headers.get(_RESUMED_HEADER, '')),
+        resumed_after=request.headers.get(_LAST_EVENT_HEADER, ''),
     )
 
 
