Hold streams to the software version that began them

A request now remembers the upstream of the first event that it passed on. The VM tells three others by the hash of the attempt, at once in several failure domains; holders tell again whoever takes the place of a VM that ended. A return is looked up here, then asked of those three, then of all; or its version is the only one that has served for as long as a stream can be taken up. The ask for a place names the version, the owner and the fallback offer no other engine, and the sender checks the engine in its own catalogue. An engine whose report states another start time than its entry takes up no stream. What can't be known, or has no upstream, is refused at once with 503, which is true: it has not run. While one version serves, no stream is told of.

--- a/flamingovalve/errors.py
+++ b/flamingovalve/errors.py
@@ -41,6 +41,7 @@
     NOT_OWNER = ('not_owner', 503)
     NO_GOOD_PLACE = ('no_good_place', 503)
     NO_UPSTREAM = ('no_upstream', 503)
+    STREAM_NOT_RESUMABLE = ('stream_not_resumable', 503)
     UPSTREAM_UNREACHABLE = ('upstream_unreachable', 502)
     UPSTREAM_FAILED = ('upstream_failed', 502)
     UPSTREAM_CRASHED = ('upstream_crashed', 502)
--- a/flamingovalve/gateway/admission.py
+++ b/flamingovalve/gateway/admission.py
@@ -126,7 +126,7 @@
         if not _slots(engines):
             return _refusal(
                 ask,
-                'no engine of this group answers yet',
+                _no_engine_reason(ask),
                 _NO_ENGINE_RETRY_SECONDS,
             )
         place_seconds = self._place_wait(ask, waiting, engines)
@@ -201,6 +201,12 @@
         )
 
 
+def _no_engine_reason(ask: PlaceAsk) -> str:
+    if ask.pins_software:
+        return f'no engine of version {ask.software!r} answers'
+    return 'no engine of this group answers yet'
+
+
 def _slots(engines: list[EngineLedger]) -> int:
     return sum(engine.slots() for engine in engines)
 
--- a/flamingovalve/gateway/call_access.py
+++ b/flamingovalve/gateway/call_access.py
@@ -18,6 +18,7 @@
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.keepers import KeeperClient
     from flamingovalve.gateway.relay import UpstreamRelay
+    from flamingovalve.gateway.stream_versions import StreamVersions
     from flamingovalve.gateway.upstream_status import UpstreamStatuses
     from flamingovalve.generated.settings import Settings
     from flamingovalve.peer.server import PeerServer
@@ -54,10 +55,20 @@
             is_shared=settings.gateway.shared_calls,
         )
 
-    def server(self, relay: UpstreamRelay, attempts: Attempts) -> CallServer:
+    def server(
+        self,
+        relay: UpstreamRelay,
+        attempts: Attempts,
+        versions: StreamVersions,
+    ) -> CallServer:
         """Return a server that sends calls through ``relay``."""
         return CallServer(
-            self._catalogue, self._balancer, relay, attempts, self.client
+            self._catalogue,
+            self._balancer,
+            relay,
+            attempts,
+            self.client,
+            versions,
         )
 
     def serve_peers(self, server: PeerServer) -> None:
--- a/flamingovalve/gateway/calls.py
+++ b/flamingovalve/gateway/calls.py
@@ -18,6 +18,7 @@
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.relay import SendResult, UpstreamRelay
+    from flamingovalve.gateway.stream_versions import StreamVersions
     from flamingovalve.http.server import Responder
 
 _NEUTRAL_OUTCOMES: Final = frozenset(
@@ -35,6 +36,7 @@
         relay: UpstreamRelay,
         attempts: Attempts,
         client: CallClient,
+        versions: StreamVersions,
     ) -> None:
         """Serve through the upstreams in ``catalogue``.
 
@@ -45,8 +47,9 @@
         self._relay = relay
         self._attempts = attempts
         self._client = client
+        self._versions = versions
         self._hedges = Hedges(
-            catalogue.upstreams, client, attempts, self._send_once
+            self._upstreams_of, client, attempts, self._send_once
         )
 
     async def serve(
@@ -90,7 +93,7 @@
         :param last: result of the attempt before; None for the first one
         :returns: None if there is none, or not in time for another attempt
         """
-        upstreams = self._catalogue.upstreams(request.service)
+        upstreams = self._upstreams_of(request)
         try:
             return await self._client.choose(request, upstreams)
         except ServingError as refusal:
@@ -100,6 +103,10 @@
             last.retry_after = max(last.retry_after, refusal.retry_after or 0)
             return None
 
+    def _upstreams_of(self, request: InboundRequest) -> list[Upstream]:
+        upstreams = self._catalogue.upstreams(request.service)
+        return self._versions.allowed(request, upstreams)
+
     async def _send_once(
         self,
         request: InboundRequest,
--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -13,6 +13,7 @@
     Upstream,
     UpstreamState,
 )
+from flamingovalve.gateway.software_history import SoftwareHistory
 from flamingovalve.generated.ids import UpstreamId
 from flamingovalve.generated.messages import Document
 from flamingovalve.util import clock
@@ -83,6 +84,7 @@
 
     :ivar revision: highest revision that was received
     :ivar changed_revision: highest revision that changed the catalogue
+    :ivar software: software versions of the services
     :ivar store_unreachable_at: time of the last failed call to the store, on
         the monotonic clock
     """
@@ -97,6 +99,7 @@
         self.revision = 0
         self.changed_revision = 0
         self.store_unreachable_at = float('-inf')
+        self.software = SoftwareHistory()
         self._decode = decode
         self._known_by_key: dict[str, _KnownDocument] = {}
         self._upstreams_by_id: dict[UpstreamId, _KnownUpstream] = {}
@@ -282,6 +285,9 @@
     def _apply_upstream(self, upstream: Upstream) -> None:
         self._lists_valid_until = float('-inf')
         known = self._upstreams_by_id.get(upstream.id)
+        self.software.add(upstream)
+        if known is not None:
+            self.software.remove(known.upstream)
         self._upstreams_by_id[upstream.id] = _KnownUpstream(upstream)
         if known is None or known.upstream.state is not upstream.state:
             logger.info(
@@ -299,6 +305,7 @@
         self._lists_valid_until = float('-inf')
         if not lapsed:
             del self._upstreams_by_id[name]
+            self.software.remove(known.upstream)
             logger.info('upstream {} was removed', name)
             return
         known.lapses_at = min(
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.errors import ConnectionLost
@@ -20,6 +21,7 @@
     from flamingovalve.gateway.place_finder import PlaceFinder
     from flamingovalve.gateway.places import PlaceClient, PlaceLease
     from flamingovalve.gateway.relay import SendResult, UpstreamRelay
+    from flamingovalve.gateway.stream_versions import StreamVersions
     from flamingovalve.generated.ids import DomainId
     from flamingovalve.http.server import Responder
 
@@ -47,14 +49,19 @@
         attempts: Attempts,
         finder: PlaceFinder,
         places: PlaceClient,
+        versions: StreamVersions,
     ) -> None:
-        """Serve from a VM in the failure domain ``domain``."""
+        """Serve from a VM in the failure domain ``domain``.
+
+        :param versions: holds streams to the version that began them
+        """
         self._domain = domain
         self._catalogue = catalogue
         self._relay = relay
         self._attempts = attempts
         self._finder = finder
         self._places = places
+        self._versions = versions
 
     async def serve(
         self,
@@ -90,6 +97,8 @@
     ) -> SendResult:
         sent = await self._send_once(request, place_ask, sink)
         for _attempt in range(1, MAX_SENDS):
+            if not self._versions.may_go_on(request):
+                break
             if not self._attempts.may_retry(request, sent):
                 break
             sent = await self._send_once(request, place_ask, sink)
@@ -101,11 +110,15 @@
         place_ask: PlaceAsk,
         sink: EventSink,
     ) -> SendResult:
+        _pin(request, place_ask)
         lease = await self._finder.take(request, place_ask)
         sink.pauses = EventPauses()
         end = PlaceEnd(PlaceOutcome.ABANDONED)
         try:
             upstream = self._upstream_of(request, lease)
+            sink.listener = functools.partial(
+                self._versions.record, request, upstream, lease.grant.born
+            )
             options = self._options_of(request, lease, sink)
             sent = await self._relay.stream(request, upstream, options, sink)
             end = PlaceEnd(
@@ -144,7 +157,8 @@
         request: InboundRequest,
         lease: PlaceLease,
     ) -> Upstream:
-        for upstream in self._catalogue.upstreams(request.service):
+        upstreams = self._catalogue.upstreams(request.service)
+        for upstream in self._versions.allowed(request, upstreams):
             if upstream.id == lease.grant.upstream:
                 return upstream
         raise no_upstream(request.service)
@@ -168,6 +182,14 @@
         )
 
 
+def _pin(request: InboundRequest, place_ask: PlaceAsk) -> None:
+    """Ask for engines of the version that began the stream."""
+    origin = request.origin
+    if origin is not None:
+        place_ask.pins_software = True
+        place_ask.software = origin.software
+
+
 def _check_end(sent: SendResult, responder: Responder) -> None:
     """Check that a stream has shown to be as complete as its framing says.
 
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -34,6 +34,7 @@
 from flamingovalve.gateway.shards import Shards
 from flamingovalve.gateway.side_answers import AuxiliaryEndpoints
 from flamingovalve.gateway.state import counts_of, gauges_of, state_of
+from flamingovalve.gateway.stream_versions import StreamVersions
 from flamingovalve.gateway.upstream_access import UpstreamAccess
 from flamingovalve.gateway.watchers import Watchers
 from flamingovalve.generated import messages
@@ -222,6 +223,13 @@
             KeeperClient(self.members, self.peers, self.gossip.probe_now),
             self.background,
         )
+        self.versions = StreamVersions(
+            self.members,
+            self.peers,
+            self.catalogue,
+            self.follower.confirmation.age,
+            self.background,
+        )
         self.completions = CompletionServer(
             domain,
             self.catalogue,
@@ -229,14 +237,16 @@
             attempts,
             self.finder,
             self.places,
+            self.versions,
         )
         self.server = RequestServer(
             self.catalogue,
             retry_budget,
-            self.calls.server(relay, attempts),
+            self.calls.server(relay, attempts, self.versions),
             self.completions,
             self.quarantine,
             self.upstreams.statuses,
+            self.versions,
             self.rng,
         )
 
@@ -292,6 +302,8 @@
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
         self.peer_server.on_ask(messages.CreditAsk, self.quota_keeper.answer)
         self.upstreams.serve_peers(self.peer_server)
+        on_session(messages.StreamOriginsTell, self.versions.accept)
+        self.peer_server.on_ask(messages.StreamOriginAsk, self.versions.answer)
         handlers = GossipHandlers(
             self.follower,
             self.quarantine,
@@ -364,6 +376,7 @@
         await spawn(self.directory.delay.measure_forever)
         await spawn(self.owned.reconcile_forever, self._announce_claim)
         await spawn(self.upstreams.checker.check_forever)
+        await spawn(self.versions.maintain_forever)
         await self._accept_callers()
 
     async def begin_leaving(self) -> None:
@@ -468,6 +481,7 @@
         server_limits.body_bytes = limits.body_bytes
         server_limits.idle_seconds = limits.idle_seconds
         self.upstreams.forget_removed()
+        await self.versions.update()
         await self.owned.reconcile(self._announce_claim)
         await self.gossip.push(self.follower.own_rumour())
 
--- a/flamingovalve/gateway/fallback_placement.py
+++ b/flamingovalve/gateway/fallback_placement.py
@@ -74,8 +74,11 @@
         upstream = self._least_used(request, ask)
         if upstream is None:
             return None
-        version = self._reports_by_id[upstream.id].resident.get(ask.adapter, 0)
-        grant = PlaceGrant(upstream.id, upstream.address, version)
+        report = self._reports_by_id[upstream.id]
+        version = report.resident.get(ask.adapter, 0)
+        grant = PlaceGrant(
+            upstream.id, upstream.address, version, born=report.born
+        )
         lease = PlaceLease(ask, grant)
         self._leases.add(lease)
         note(
@@ -132,6 +135,11 @@
             return False
         if upstream.id in request.tried or upstream.id in request.refused_by:
             return False
+        if ask.pins_software and not (
+            upstream.software == ask.software
+            and upstream.is_process(report.born)
+        ):
+            return False
         if not ask.adapter:
             return True
         wanted = self._catalogue.wanted_version(ask.model, ask.adapter)
--- a/flamingovalve/gateway/group.py
+++ b/flamingovalve/gateway/group.py
@@ -153,6 +153,7 @@
             ledger
             for ledger in self.usable()
             if ledger.upstream.id not in ask.avoided
+            and _has_software(ledger, ask)
         ]
 
     def choose(self, ask: PlaceAsk) -> dispatch.Choice | None:
@@ -268,3 +269,16 @@
         return {
             name for ledger in self.ledgers() for name in ledger.traits.models
         }
+
+
+def _has_software(engine: EngineLedger, ask: PlaceAsk) -> bool:
+    """Return whether an engine has the software version that ``ask`` needs.
+
+    The entry of an engine that has restarted may name an older version.
+    """
+    if not ask.pins_software:
+        return True
+    upstream = engine.upstream
+    return upstream.software == ask.software and upstream.is_process(
+        engine.born
+    )
--- a/flamingovalve/gateway/hedges.py
+++ b/flamingovalve/gateway/hedges.py
@@ -21,7 +21,6 @@
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.relay import SendResult
-    from flamingovalve.generated.ids import ServiceId
 
     SendCall = Callable[[InboundRequest, CallChoice], Awaitable[SendResult]]
 
@@ -37,14 +36,14 @@
 
     def __init__(
         self,
-        upstreams_of: Callable[[ServiceId], list[Upstream]],
+        upstreams_of: Callable[[InboundRequest], list[Upstream]],
         client: CallClient,
         attempts: Attempts,
         send: SendCall,
     ) -> None:
         """Send calls with ``send``; choose second upstreams with ``client``.
 
-        :param upstreams_of: returns the upstreams of a service
+        :param upstreams_of: returns the upstreams that may run a request
         """
         self._upstreams_of = upstreams_of
         self._client = client
@@ -92,7 +91,7 @@
         """
         if not self._attempts.may_hedge(request):
             return None
-        upstreams = self._upstreams_of(request.service)
+        upstreams = self._upstreams_of(request)
         excluded = {*request.tried, *request.refused_by, first.upstream.id}
         second = await self._client.ask(request, upstreams, excluded)
         if not isinstance(second, CallChoice):
--- a/flamingovalve/gateway/inbound.py
+++ b/flamingovalve/gateway/inbound.py
@@ -14,7 +14,7 @@
 
     from flamingovalve.gateway.model import Route
     from flamingovalve.generated.ids import AdapterId, ModelId
-    from flamingovalve.generated.messages import PromptPart
+    from flamingovalve.generated.messages import PromptPart, StreamOrigin
     from flamingovalve.http.messages import HeaderList
 
 _MIN_TIMEOUT_SECONDS: Final = 0.001
@@ -70,6 +70,7 @@
         that this one resumes; empty if its caller names none
     :ivar resumed_after: id of the last event that the caller has received; empty
         for a new stream
+    :ivar origin: what began the stream; None before the first event of a new one
     :ivar tried: upstreams that may have run it
     :ivar refused_by: upstreams that did not run it
     :ivar accepted_after: seconds after which an upstream that has held it
@@ -97,6 +98,7 @@
     completion: Completion | None = None
     resumed_id: RequestId = RequestId('')
     resumed_after: str = ''
+    origin: StreamOrigin | None = None
     tried: list[str] = field(default_factory=list)
     refused_by: list[str] = field(default_factory=list)
     accepted_after: float = float('inf')
--- a/flamingovalve/gateway/model.py
+++ b/flamingovalve/gateway/model.py
@@ -234,6 +234,13 @@
     born: int = 0
     software: str = ''
 
+    def is_process(self, born: int) -> bool:
+        """Return whether it describes the process that started at ``born``.
+
+        :param born: start time as the process reports it; 0 if unknown
+        """
+        return not born or not self.born or born == self.born
+
 
 @dataclass(frozen=True, slots=True)
 class AdapterVersion:
--- a/flamingovalve/gateway/place_finder.py
+++ b/flamingovalve/gateway/place_finder.py
@@ -8,6 +8,7 @@
 
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway.places import OwnerUnavailable
+from flamingovalve.gateway.stream_versions import version_gone
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
 
@@ -151,9 +152,31 @@
     ) -> list[GroupId]:
         """Return the groups to ask; those with a responsive owner go first."""
         ranked = self._shards.preference(request.service, ask)
+        if ask.pins_software:
+            ranked = self._with_software(request, ask, ranked)
         ranked.sort(key=self._is_silent)
         return ranked[:_MAX_GROUPS_ASKED]
 
+    def _with_software(
+        self, request: InboundRequest, ask: PlaceAsk, groups: list[GroupId]
+    ) -> list[GroupId]:
+        """Return the groups with an engine of the version that is needed.
+
+        :raises ServingError: if there is none
+        """
+        engines = self._shards.engines(request.service)
+        holding = [
+            group
+            for group in groups
+            if any(
+                one.software == ask.software and one.id not in request.tried
+                for one in engines.get(group, ())
+            )
+        ]
+        if not holding:
+            raise version_gone(ask.software)
+        return holding
+
     def _is_silent(self, group: GroupId) -> bool:
         owner = self._claims.owner(group)
         if owner is None:
--- a/flamingovalve/gateway/places.py
+++ b/flamingovalve/gateway/places.py
@@ -318,7 +318,13 @@
     upstream = place.engine.upstream
     held = place.engine.held.get(place.ask.adapter)
     version = held.version if held is not None else 0
-    return PlaceGrant(upstream.id, upstream.address, version, place.yields)
+    return PlaceGrant(
+        upstream.id,
+        upstream.address,
+        version,
+        place.yields,
+        place.engine.born,
+    )
 
 
 def _not_owner_error(group: GroupId) -> ServingError:
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -524,6 +524,10 @@
 _KEEP_ALIVE_SHARE: Final = 0.8
 
 
+async def _ignore_events() -> None:
+    """Do nothing; the default of a sink."""
+
+
 class EventSink:
     """Writes the events of a stream to a caller.
 
@@ -534,6 +538,7 @@
     :ivar first_event_at: time of the first data, on the monotonic clock; 0
         for none
     :ivar pauses: pauses between the events of the current upstream
+    :ivar listener: called before complete events are written to the caller
     """
 
     def __init__(self, responder: Responder, *, whole_events: bool) -> None:
@@ -544,6 +549,7 @@
         self.last_event_id = ''
         self.first_event_at = 0.0
         self.pauses = EventPauses()
+        self.listener: Callable[[], Awaitable[None]] = _ignore_events
         self._responder = responder
         self._whole_events = whole_events
         self._events = EventBuffer()
@@ -575,6 +581,7 @@
             return
         complete = self._events.feed(chunk_bytes)
         if complete:
+            await self.listener()
             await self._responder.chunk(complete)
             self.last_event_id = last_event_id(complete) or self.last_event_id
 
--- a/flamingovalve/gateway/serving.py
+++ b/flamingovalve/gateway/serving.py
@@ -16,7 +16,9 @@
     from flamingovalve.gateway.model import UpstreamService
     from flamingovalve.gateway.quarantine import CrashQuarantine
     from flamingovalve.gateway.retries import FleetRetryBudget
+    from flamingovalve.gateway.stream_versions import StreamVersions
     from flamingovalve.gateway.upstream_status import UpstreamStatuses
+    from flamingovalve.generated.ids import ServiceId
     from flamingovalve.http.server import Responder
 
 
@@ -31,11 +33,13 @@
         completions: CompletionServer,
         quarantine: CrashQuarantine,
         statuses: UpstreamStatuses,
+        versions: StreamVersions,
         rng: random.Random,
     ) -> None:
         """Serve through ``calls`` or ``completions``, by service type.
 
         :param statuses: what upstreams announce
+        :param versions: finds what began the streams that callers take up
         """
         self._catalogue = catalogue
         self._budget = budget
@@ -43,6 +47,7 @@
         self._completions = completions
         self._quarantine = quarantine
         self._statuses = statuses
+        self._versions = versions
         self._rng = rng
 
     async def serve(
@@ -55,6 +60,7 @@
         :raises ServingError: if it cannot be served or is quarantined
         """
         self._quarantine.admit(request)
+        await self._versions.resolve(request)
         service = self._choose_service(request)
         request.service = service.name
         self._check_accepted(request)
@@ -77,9 +83,14 @@
 
     def _choose_service(self, request: InboundRequest) -> UpstreamService:
         weighted_services = request.route.services
+        origin = request.origin
+        if origin is not None:
+            return self._service_named(origin.service)
         names = [share.service for share in weighted_services]
         weights = [share.weight for share in weighted_services]
-        name = self._rng.choices(names, weights)[0]
+        return self._service_named(self._rng.choices(names, weights)[0])
+
+    def _service_named(self, name: ServiceId) -> UpstreamService:
         service = self._catalogue.configuration.services_by_name.get(name)
         if service is None:
             raise no_upstream(name)
--- /dev/null
+++ b/flamingovalve/gateway/stream_versions.py
@@ -0,0 +1,505 @@
+"""Finds the software version that began a stream, and holds it to that.
+
+Addresses services whose upstreams have several software versions: a stream goes
+on at another upstream only if that one has the version that began it, and the VM
+at which its caller takes it up has mostly never seen it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import curio
+
+from flamingovalve.errors import (
+    ConnectionLost,
+    ErrorKind,
+    ServingError,
+    WrongPeer,
+)
+from flamingovalve.gateway.model import RepeatPolicy
+from flamingovalve.gateway.stream_origins import StreamOrigins
+from flamingovalve.generated.ids import VmId
+from flamingovalve.generated.messages import (
+    MemberState,
+    StreamOrigin,
+    StreamOriginAsk,
+    StreamOriginReply,
+    StreamOriginsTell,
+)
+from flamingovalve.peer.client import PeerUnreachable
+from flamingovalve.util import clock, hashing
+from flamingovalve.util.logs import get_logger, note
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from flamingovalve.gateway.catalogue import Catalogue
+    from flamingovalve.gateway.inbound import InboundRequest
+    from flamingovalve.gateway.model import Upstream
+    from flamingovalve.gateway.stream_origins import KnownOrigin
+    from flamingovalve.generated.ids import ServiceId
+    from flamingovalve.generated.messages import Hello
+    from flamingovalve.membership.members import Member, MemberTable
+    from flamingovalve.peer.client import PeerPool
+    from flamingovalve.peer.connection import PeerConnection
+    from flamingovalve.util.tasks import TaskSet
+
+logger = get_logger(__name__)
+
+# VMs that are told of a stream, beside the one that began it.
+_KEEPERS: Final = 3
+# A few exchanges between failure domains.
+_ASK_SECONDS: Final = 0.12
+_TELL_SECONDS: Final = 0.5
+# A caller takes a stream up within the time that it would have waited for it.
+_MEMORY_PER_TIMEOUT: Final = 2.0
+_MIN_MEMORY_SECONDS: Final = 5.0
+_MAINTENANCE_SECONDS: Final = 0.5
+# Origins that are handled without a pause for other tasks.
+_SLICE: Final = 50
+# Documents that were confirmed this recently list every version at which a stream
+# can have begun and been broken off.
+_FRESH_SECONDS: Final = 0.5
+_RETRY_SECONDS: Final = 0.3
+_UNANSWERED: Final = (
+    curio.TaskTimeout,
+    PeerUnreachable,
+    ConnectionLost,
+    WrongPeer,
+)
+
+
+@dataclass
+class StreamVersionCounts:
+    """Counters of the origins of streams.
+
+    :ivar told: messages with origins sent to other VMs
+    :ivar asked: origins that other VMs were asked for
+    :ivar unknown: streams refused because no VM knew their version
+    :ivar gone: streams refused because their version had no upstream
+    """
+
+    told: int = 0
+    asked: int = 0
+    unknown: int = 0
+    gone: int = 0
+
+
+@dataclass(slots=True)
+class _Finding:
+    """What was found out of the origin of a stream.
+
+    :ivar source: how the version was found; empty if it was not
+    :ivar vm: VM that knew it, if another one did
+    :ivar asked: VMs that were asked
+    :ivar replies: what they replied
+    """
+
+    source: str = ''
+    vm: str = ''
+    asked: int = 0
+    replies: list[StreamOriginReply] | None = None
+
+
+class StreamVersions:
+    """Records which version began which stream, and finds it again.
+
+    While a service has had one version only for as long as a stream can be taken
+    up, nothing is told.
+    """
+
+    def __init__(
+        self,
+        members: MemberTable,
+        peers: PeerPool,
+        catalogue: Catalogue,
+        confirmation_age: Callable[[], float],
+        background: TaskSet,
+    ) -> None:
+        """Tell and ask ``members`` through ``peers``.
+
+        :param confirmation_age: returns the seconds since ``catalogue`` was last
+            known to be current
+        :param background: runs the messages that nobody waits for
+        """
+        self.counts = StreamVersionCounts()
+        self.origins = StreamOrigins()
+        self._members = members
+        self._peers = peers
+        self._catalogue = catalogue
+        self._confirmation_age = confirmation_age
+        self._background = background
+        self._sole: set[ServiceId] = set()
+        self._processes: frozenset[tuple[str, int]] = frozenset()
+
+    # -- Streams that begin
+
+    async def record(
+        self, request: InboundRequest, upstream: Upstream, born: int
+    ) -> None:
+        """Record that the first event of a stream has come from an upstream.
+
+        :param born: start time of the upstream's process by its last report; 0
+            if unknown
+        """
+        if request.origin is not None:
+            return
+        request.origin = StreamOrigin(
+            request.id, upstream.service, upstream.software
+        )
+        if not upstream.is_process(born):
+            # It has restarted, and its entry may name an older version.
+            request.origin.known = False
+            return
+        known = self.origins.add(request.origin)
+        if self._is_settled(upstream.service):
+            return
+        keepers = self._keepers(known)
+        await self._tell_all(keepers, [known])
+        note(
+            logger,
+            'stream began',
+            id=request.id,
+            upstream=upstream.id,
+            software=upstream.software,
+            told=[member.vm.id for member in keepers],
+        )
+
+    # -- Streams that are taken up
+
+    async def resolve(self, request: InboundRequest) -> None:
+        """Find the origin of a stream that a caller takes up.
+
+        Sets ``request.origin``; leaves it for a new stream.
+
+        :raises ServingError: if the stream cannot go on
+        """
+        if not _is_return(request):
+            return
+        started_at = clock.now()
+        finding = await self._find(request)
+        origin = request.origin
+        note(
+            logger,
+            'stream is taken up',
+            id=request.id,
+            resumed_id=request.resumed_id,
+            resumed_after=request.resumed_after,
+            software=origin.software if origin else None,
+            service=origin.service if origin else None,
+            source=finding.source or None,
+            vm=finding.vm,
+            asked=finding.asked,
+            answered=len(finding.replies or ()),
+            seconds=round(clock.now() - started_at, 3),
+        )
+        if origin is None:
+            self.counts.unknown += 1
+            is_answered = finding.asked == len(finding.replies or ())
+            raise _unknown_version(None if is_answered else _RETRY_SECONDS)
+        self.check_served(request)
+
+    def check_served(self, request: InboundRequest) -> None:
+        """Check that a stream can go on at its version.
+
+        :raises ServingError: if no upstream of the version takes requests
+        """
+        if request.origin is None:
+            return
+        if not self.may_go_on(request):
+            self.counts.gone += 1
+            raise version_gone(request.origin.software)
+
+    def may_go_on(self, request: InboundRequest) -> bool:
+        """Return whether some upstream may run a request next."""
+        origin = request.origin
+        if origin is None:
+            return True
+        if not origin.known or origin.service not in _services(request):
+            return False
+        upstreams = self._catalogue.upstreams(origin.service)
+        return any(
+            one.software == origin.software and one.id not in request.tried
+            for one in upstreams
+        )
+
+    def allowed(
+        self, request: InboundRequest, upstreams: list[Upstream]
+    ) -> list[Upstream]:
+        """Return the upstreams that may run a request."""
+        origin = request.origin
+        if origin is None:
+            return upstreams
+        return [one for one in upstreams if one.software == origin.software]
+
+    async def _find(self, request: InboundRequest) -> _Finding:
+        known = self.origins.find(request.resumed_id)
+        if known is not None:
+            request.origin = known.to_message()
+            return _Finding('own')
+        finding = _Finding(replies=[])
+        nearest = self._others_by_rank(request.resumed_id)
+        for members in (nearest[:_KEEPERS], nearest[_KEEPERS:]):
+            await self._ask_members(request, members, finding)
+            if request.origin is not None:
+                self.origins.add(request.origin)
+                finding.source = 'vm'
+                return finding
+            self._settle(request, finding)
+            if request.origin is not None:
+                return finding
+        return finding
+
+    async def _ask_members(
+        self,
+        request: InboundRequest,
+        members: list[Member],
+        finding: _Finding,
+    ) -> None:
+        """Ask VMs at once, until one of them knows the origin."""
+        services = _services(request)
+        ask = StreamOriginAsk(request.resumed_id, services[0])
+        finding.asked += len(members)
+        self.counts.asked += bool(members)
+        async with curio.TaskGroup(wait=None) as group:
+            for member in members:
+                await group.spawn(self._ask, member, ask)
+            async for task in group:
+                reply = task.result
+                if reply is None:
+                    continue
+                finding.replies.append(reply)
+                if reply.origin.known:
+                    request.origin = reply.origin
+                    finding.vm = reply.vm
+                    return
+
+    async def _ask(
+        self, member: Member, ask: StreamOriginAsk
+    ) -> StreamOriginReply | None:
+        """Return the reply of a VM; None if there is none in time."""
+        try:
+            async with curio.timeout_after(_ASK_SECONDS):
+                _process, reply = await self._peers.ask(
+                    member.vm.peer_address, member.vm.id, ask, _ASK_SECONDS
+                )
+        except _UNANSWERED as error:
+            logger.info('{} did not answer: {!r}', member.vm.id, error)
+            return None
+        return reply if isinstance(reply, StreamOriginReply) else None
+
+    def _settle(self, request: InboundRequest, finding: _Finding) -> None:
+        """Take the only version of a service for the origin, if that is sure.
+
+        It is, if all that answer list the same version and nothing else, and one
+        of them has done so for longer than a stream can be taken up.
+        """
+        services = _services(request)
+        own = self._catalogue.software.sole(services[0])
+        if own is None or len(services) > 1:
+            return
+        replies = finding.replies or []
+        if any(reply.sole_software != own.software for reply in replies):
+            return
+        if not all(reply.is_sole for reply in replies):
+            return
+        if not replies and self._confirmation_age() > _FRESH_SECONDS:
+            return
+        seconds = [own.seconds, *(reply.sole_seconds for reply in replies)]
+        if max(seconds) >= self._memory_seconds(services[0]):
+            request.origin = StreamOrigin(
+                request.resumed_id, services[0], own.software
+            )
+            finding.source = 'sole'
+
+    # -- Other VMs
+
+    async def answer(
+        self, ask: StreamOriginAsk, _hello: Hello
+    ) -> StreamOriginReply:
+        """Return what this VM knows of the origin of a stream."""
+        known = self.origins.find(ask.request_id)
+        reply = StreamOriginReply(self._members.own_id)
+        reply.origin.known = known is not None
+        if known is not None:
+            reply.origin = known.to_message()
+        sole = self._catalogue.software.sole(ask.service)
+        if sole is not None:
+            reply.is_sole = True
+            reply.sole_software = sole.software
+            reply.sole_seconds = sole.seconds
+        return reply
+
+    async def accept(
+        self, tell: StreamOriginsTell, connection: PeerConnection
+    ) -> None:
+        """Record the origins that another VM tells of."""
+        hello = connection.remote
+        for origin in tell.origins:
+            known = self.origins.add(origin)
+            known.told.add((hello.vm, hello.incarnation))
+
+    async def maintain_forever(self) -> None:
+        """Forget old origins, and tell of the others where they are missing."""
+        while True:
+            await curio.sleep(_MAINTENANCE_SECONDS)
+            self._forget_old()
+            await self.update()
+            await self._replace_keepers()
+
+    def _forget_old(self) -> None:
+        now = clock.now()
+        self.origins.forget(
+            known
+            for known in self.origins.all()
+            if now - known.began_at > self._memory_seconds(known.service)
+        )
+
+    async def update(self) -> None:
+        """Tell of streams that began before their service had a second version."""
+        services = self._catalogue.configuration.services_by_name
+        sole = {one for one in services if self._is_settled(one)}
+        for service in self._sole - sole:
+            await self._tell_of(self.origins.of_service(service))
+        self._sole = sole
+
+    async def _replace_keepers(self) -> None:
+        """Tell VMs that replace those that ended, or that have restarted."""
+        processes = frozenset(
+            (member.vm.id, member.incarnation)
+            for member in self._members.present()
+        )
+        if processes == self._processes:
+            return
+        self._processes = processes
+        await self._tell_of(
+            known
+            for known in self.origins.all()
+            if not self._is_settled(known.service)
+        )
+
+    async def _tell_of(self, origins: Iterable[KnownOrigin]) -> None:
+        by_keeper: dict[VmId, list[KnownOrigin]] = {}
+        for number, known in enumerate(origins):
+            if number % _SLICE == _SLICE - 1:
+                await curio.sleep(0)
+            for member in self._keepers(known):
+                if (member.vm.id, member.incarnation) not in known.told:
+                    by_keeper.setdefault(member.vm.id, []).append(known)
+        for vm, missing in by_keeper.items():
+            keeper = self._members.by_id.get(vm)
+            if keeper is not None:
+                await self._tell_all([keeper], missing)
+
+    async def _tell_all(
+        self, members: list[Member], origins: list[KnownOrigin]
+    ) -> None:
+        message = StreamOriginsTell([one.to_message() for one in origins])
+        for member in members:
+            process = (member.vm.id, member.incarnation)
+            for known in origins:
+                known.told.add(process)
+            self.counts.told += 1
+            await self._background.spawn(self._tell, member, message, origins)
+
+    async def _tell(
+        self,
+        member: Member,
+        message: StreamOriginsTell,
+        origins: list[KnownOrigin],
+    ) -> None:
+        process = (member.vm.id, member.incarnation)
+        try:
+            async with curio.timeout_after(_TELL_SECONDS):
+                await self._peers.tell(
+                    member.vm.peer_address, member.vm.id, message
+                )
+        except _UNANSWERED as error:
+            logger.info('{} was not told: {!r}', member.vm.id, error)
+            for known in origins:
+                known.told.discard(process)
+            # The next round tries again, or finds another VM.
+            self._processes = frozenset()
+
+    def _keepers(self, known: KnownOrigin) -> list[Member]:
+        return self._others_by_rank(known.request_id)[:_KEEPERS]
+
+    def _others_by_rank(self, name: str) -> list[Member]:
+        """Return the other VMs, those in front that keep an origin."""
+        by_id = {
+            member.vm.id: member
+            for member in self._members.present()
+            if self._is_reachable(member)
+        }
+        ranked = hashing.first(f'stream {name}', by_id, len(by_id))
+        return _spread([by_id[VmId(vm_id)] for vm_id in ranked])
+
+    def _is_reachable(self, member: Member) -> bool:
+        if member.vm.id == self._members.own_id:
+            return False
+        return member.direct and member.state is MemberState.ALIVE
+
+    # -- Versions
+
+    def _is_settled(self, service: ServiceId) -> bool:
+        """Return whether one version began every stream that is in progress."""
+        sole = self._catalogue.software.sole(service)
+        if sole is None:
+            return False
+        return sole.seconds >= self._memory_seconds(service)
+
+    def _memory_seconds(self, service: ServiceId) -> float:
+        """Return for how long a stream of a service can be taken up."""
+        timeouts = [
+            route.timeout
+            for routes in self._catalogue.configuration.routes_by_host.values()
+            for route in routes
+            if route.streams
+            and any(share.service == service for share in route.services)
+        ]
+        longest = max(timeouts, default=0) * _MEMORY_PER_TIMEOUT
+        return max(longest, _MIN_MEMORY_SECONDS)
+
+
+def _spread(ranked: list[Member]) -> list[Member]:
+    """Move the first VM of each failure domain to the front.
+
+    A failure domain that is lost takes all of its VMs with it.
+    """
+    firsts: dict[str, Member] = {}
+    for member in ranked:
+        firsts.setdefault(member.vm.failure_domain, member)
+    front = list(firsts.values())
+    return [*front, *(one for one in ranked if one not in front)]
+
+
+def _is_return(request: InboundRequest) -> bool:
+    if request.route.repeat is not RepeatPolicy.RESUMABLE:
+        return False
+    return bool(request.resumed_id) or request.resumed_after not in {'', '0'}
+
+
+def _services(request: InboundRequest) -> list[ServiceId]:
+    """Return the services that a route may send a request to."""
+    shares = request.route.services
+    return [one.service for one in shares if one.weight > 0]
+
+
+def _unknown_version(retry_after: float | None) -> ServingError:
+    return ServingError(
+        ErrorKind.STREAM_NOT_RESUMABLE,
+        'no VM that answers knows the software version that began the stream; '
+        'begin it again',
+        retry_after=retry_after,
+    )
+
+
+def version_gone(software: str) -> ServingError:
+    """Return the error for a stream whose version has no upstream."""
+    return ServingError(
+        ErrorKind.STREAM_NOT_RESUMABLE,
+        f'no upstream of version {software!r}, which began the stream, accepts '
+        'requests; begin it again',
+    )
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -370,6 +370,8 @@
   mayDecline @13 :Bool $doc("Whether another group can be asked instead.");
   workspace @14 :Text $ident("WorkspaceId") $doc("Workspace of the caller; empty if its route needs no key.");
   maxEventGap @15 :Float64 $unit("seconds") $doc("Target of the longest pause between two events; 0 for none.");
+  pinsSoftware @16 :Bool $doc("Whether only engines of one software version may run it.");
+  software @17 :Text $doc("That version.");
 }
 
 struct PlaceGrant $doc("The engine on which a place was granted, with the adapter loaded.") {
@@ -377,6 +379,7 @@
   address @1 :Text;
   version @2 :UInt32 $doc("Version of the adapter on that engine; 0 if none was announced.");
   yields @3 :Bool $doc("Whether the engine should prefill the requests that can still be in time first.");
+  born @4 :UInt64 $doc("Start time of the engine's process by its last report, in milliseconds by its own clock; 0 if unknown.");
 }
 
 enum PlaceOutcome $doc("How the use of a place ended.") {
@@ -403,6 +406,31 @@
   upstream @1 :Text $ident("UpstreamId");
 }
 
+struct StreamOrigin $doc("The service and the software version that began a stream.") {
+  requestId @0 :Text $ident("RequestId") $doc("Attempt that brought the first event.");
+  service @1 :Text $ident("ServiceId");
+  software @2 :Text $doc("Version of the software; empty if its upstreams name none.");
+  age @3 :Float64 $unit("seconds") $doc("Time since the first event.");
+  known @4 :Bool = true $doc("Whether the version is known.");
+}
+
+struct StreamOriginsTell $doc("Tells a keeper which versions began some streams.") {
+  origins @0 :List(StreamOrigin);
+}
+
+struct StreamOriginAsk $doc("Asks which version began a stream.") {
+  requestId @0 :Text $ident("RequestId");
+  service @1 :Text $ident("ServiceId") $doc("Service whose versions are asked for beside.");
+}
+
+struct StreamOriginReply $doc("What a VM knows of the origin of a stream.") {
+  vm @0 :Text $ident("VmId");
+  origin @1 :StreamOrigin;
+  isSole @2 :Bool $doc("Whether the VM lists one version of the service only.");
+  soleSoftware @3 :Text $doc("That version.");
+  soleSeconds @4 :Float64 $unit("seconds") $doc("For how long it has listed no other one.");
+}
+
 struct TunnelAsk $doc("Asks another VM for a connection to an upstream.") {
   upstream @0 :Text $ident("UpstreamId");
   service @1 :Text $ident("ServiceId");
@@ -473,5 +501,8 @@
     tunnelClosed @33 :TunnelClosed;
     tunnelEnd @34 :TunnelEnd;
     tunnelEnded @35 :TunnelEnded;
+    streamOriginsTell @36 :StreamOriginsTell;
+    streamOriginAsk @37 :StreamOriginAsk;
+    streamOriginReply @38 :StreamOriginReply;
   }
 }
