Send no request to an engine that has just refused for lack of its model

Callers got 503 'no upstream accepted the request' while another engine could have served them: an engine that had restarted under its id refused at once, and the owner granted it again, up to five times in a millisecond, as its last report still listed the model and the prompt. It learned from refusals about adapters alone.

The owner now leaves such an engine out until its next report, which it asks for at once. The test failed before with 503. A refusal for lack of room is none for lack of a model, and changes nothing here.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -354,6 +354,7 @@
             ledger.silent = True
             return
         ledger.silent = False
+        ledger.lacks_model = False
         if ledger.born and report.born != ledger.born:
             self._context.counts.restarts += 1
             logger.warning('upstream {} restarted', ledger.upstream.id)
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -150,6 +150,8 @@
     :ivar failing: exponentially weighted share of failed requests
     :ivar silent: whether it did not respond to the last request for a report,
         and is excluded from choices until it does
+    :ivar lacks_model: whether it refused a request for a base model since its
+        last report, and is excluded from choices until the next one
     :ivar model_ready_at: when a base model being loaded should be ready
     :ivar at_hand: models that it can load without the weight store
     :ivar fence: fencing number of the next order; ``NO_FENCE`` until found
@@ -178,6 +180,7 @@
     failures: int = 0
     failing: float = 0
     silent: bool = False
+    lacks_model: bool = False
     model_ready_at: float = 0
     at_hand: frozenset[ModelId] = frozenset()
     fence: int = NO_FENCE
@@ -445,6 +448,7 @@
     def is_usable(self) -> bool:
         """Return whether requests may be sent to this engine now."""
         is_paused = self.silent or clock.now() < self.avoided_until
+        is_paused = is_paused or self.lacks_model
         if is_paused or self.sends.status.departure.is_known():
             return False
         return not self.rejections.wait_seconds()
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -344,8 +344,10 @@
         match end.outcome:
             case PlaceOutcome.ABANDONED:
                 return
-            case PlaceOutcome.REFUSED:
+            case PlaceOutcome.REFUSED if place.ask.adapter:
                 await self._mark_adapter_missing(place)
+            case PlaceOutcome.REFUSED:
+                await self._mark_model_missing(place, end)
             case PlaceOutcome.DEFERRED:
                 engine.sends.hold_back(end.retry_after)
             case PlaceOutcome.REJECTED:
@@ -367,6 +369,15 @@
         if engine is not None:
             await engine.report_now.set()
 
+    async def _mark_model_missing(self, place: Place, end: PlaceEnd) -> None:
+        """Send no requests to an engine that lacks its base model.
+
+        Its next report says which models it has.
+        """
+        if not end.rejected:
+            place.engine.lacks_model = True
+            await self._request_report(place)
+
     async def _mark_adapter_missing(self, place: Place) -> None:
         """Send no requests for an adapter to an engine that lacks it."""
         engine = self.engines.engines_by_id.get(place.engine.upstream.id)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -261,6 +261,25 @@
         self.assertEqual(received.status, 200)
 
 
+class TestLostModels(VersionsTestCase):
+    """Engines that no longer hold what their last report says."""
+
+    def test_other_engine_serves(self):
+        """Guards against an engine that is granted again while it refuses."""
+        site = self.start(('v1', 'v1'), breaks=0)
+        for _request in range(4):
+            site.send('vm-0', site.chat(path=site.route))
+        # It has read the prompt, so that it is preferred.
+        engine = max(site.engines, key=lambda one: len(one.headers_seen))
+        site.advance(1)
+        engine.models.clear()
+        call = site.chat(path=site.route)
+        name = dict(call.headers)['Attempt-Id']
+        self.assertEqual(site.send('vm-0', call).status, 200)
+        arrivals = [one.request_id for one in engine.history.arrivals]
+        self.assertEqual(arrivals.count(name), 1)
+
+
 def play(seed):
     """Play the faults of one seed; return violations and the site."""
     faults = VersionFaults(seed)
