Let requests pass one that waits for an engine of its version

A stream that is taken up may wait for a place on the engines of its version while those of another version are free. It now goes on to the next if the first one is held to a version.

--- a/flamingovalve/gateway/place_queue.py
+++ b/flamingovalve/gateway/place_queue.py
@@ -171,6 +171,9 @@
         for waiter in self._waiting.of_adapter(adapter):
             waiter.update_times()
             choice = self._engines.choose(waiter.ask)
+            if choice is None and waiter.ask.pins_software:
+                # Other requests may use engines of other versions.
+                continue
             if choice is None or choice.load:
                 return
             await self._grant(waiter, choice)
