Bound how often a VM asks all others for the origin of a stream

A caller may name any attempt that it takes up, and one that nobody knows took a question to every VM: 134 messages a return in a fleet of 135. The test failed before: 100 returns at one VM were all asked of all (not_asked did not exist).

--- a/flamingovalve/gateway/stream_versions.py
+++ b/flamingovalve/gateway/stream_versions.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import curio
@@ -31,6 +31,7 @@
 from flamingovalve.peer.client import PeerUnreachable
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger, note
+from flamingovalve.util.rates import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -55,6 +56,10 @@
 # A few exchanges between failure domains.
 _ASK_SECONDS: Final = 0.12
 _TELL_SECONDS: Final = 0.5
+# Origins for which a VM asks all others. A caller may name any attempt, and each
+# takes a message to every VM.
+_WIDE_ASKS_PER_SECOND: Final = 10.0
+_WIDE_ASKS_BURST: Final = 40.0
 # A caller takes a stream up within the time that it would have waited for it.
 _MEMORY_PER_TIMEOUT: Final = 2.0
 _MIN_MEMORY_SECONDS: Final = 5.0
@@ -79,12 +84,14 @@
 
     :ivar told: messages with origins sent to other VMs
     :ivar asked: origins that other VMs were asked for
+    :ivar not_asked: origins that not all VMs were asked for, as too many were
     :ivar unknown: streams refused because no VM knew their version
     :ivar gone: streams refused because their version had no upstream
     """
 
     told: int = 0
     asked: int = 0
+    not_asked: int = 0
     unknown: int = 0
     gone: int = 0
 
@@ -97,12 +104,18 @@
     :ivar vm: VM that knew it, if another one did
     :ivar asked: VMs that were asked
     :ivar replies: what they replied
+    :ivar is_limited: whether not all were asked, as too many are at present
     """
 
     source: str = ''
     vm: str = ''
     asked: int = 0
-    replies: list[StreamOriginReply] | None = None
+    replies: list[StreamOriginReply] = field(default_factory=list)
+    is_limited: bool = False
+
+    def is_final(self) -> bool:
+        """Return whether another try would find out no more."""
+        return self.asked == len(self.replies) and not self.is_limited
 
 
 class StreamVersions:
@@ -133,6 +146,7 @@
         self._catalogue = catalogue
         self._confirmation_age = confirmation_age
         self._background = background
+        self._wide_asks = TokenBucket(_WIDE_ASKS_PER_SECOND, _WIDE_ASKS_BURST)
         self._configuration = EMPTY
         self._timeouts: dict[ServiceId, float] = {}
         self._sole: set[ServiceId] = set()
@@ -196,13 +210,14 @@
             source=finding.source or None,
             vm=finding.vm,
             asked=finding.asked,
-            answered=len(finding.replies or ()),
+            answered=len(finding.replies),
             seconds=round(clock.now() - started_at, 3),
         )
         if origin is None:
             self.counts.unknown += 1
-            is_answered = finding.asked == len(finding.replies or ())
-            raise _unknown_version(None if is_answered else _RETRY_SECONDS)
+            raise _unknown_version(
+                None if finding.is_final() else _RETRY_SECONDS
+            )
         self.check_served(request)
 
     def check_served(self, request: InboundRequest) -> None:
@@ -243,18 +258,17 @@
         if known is not None:
             request.origin = known.to_message()
             return _Finding('own')
-        finding = _Finding(replies=[])
+        finding = _Finding()
         nearest = self._nearest(request.resumed_id)
+        await self._ask_members(request, nearest, finding)
+        if request.origin is not None:
+            return finding
+        if self._wide_asks.take():
+            self.counts.not_asked += 1
+            finding.is_limited = True
+            return finding
         others = [one for one in self._reachable() if one not in nearest]
-        for members in (nearest, others):
-            await self._ask_members(request, members, finding)
-            if request.origin is not None:
-                self.origins.add(request.origin)
-                finding.source = 'vm'
-                return finding
-            self._settle(request, finding)
-            if request.origin is not None:
-                return finding
+        await self._ask_members(request, others, finding)
         return finding
 
     async def _ask_members(
@@ -263,23 +277,35 @@
         members: list[Member],
         finding: _Finding,
     ) -> None:
-        """Ask VMs at once, until one of them knows the origin."""
-        services = _services(request)
-        ask = StreamOriginAsk(request.resumed_id, services[0])
+        """Ask VMs at once, until one of them knows the origin.
+
+        Sets ``request.origin`` if they settle it.
+        """
+        ask = StreamOriginAsk(request.resumed_id, _services(request)[0])
         finding.asked += len(members)
         self.counts.asked += bool(members)
         async with curio.TaskGroup(wait=None) as group:
             for member in members:
                 await group.spawn(self._ask, member, ask)
             async for task in group:
-                reply = task.result
-                if reply is None:
+                if task.result is None:
                     continue
-                finding.replies.append(reply)
-                if reply.origin.known:
-                    request.origin = reply.origin
-                    finding.vm = reply.vm
+                finding.replies.append(task.result)
+                if task.result.origin.known:
+                    self._learn(request, task.result, finding)
                     return
+        self._settle(request, finding)
+
+    def _learn(
+        self,
+        request: InboundRequest,
+        reply: StreamOriginReply,
+        finding: _Finding,
+    ) -> None:
+        request.origin = reply.origin
+        self.origins.add(reply.origin)
+        finding.source = 'vm'
+        finding.vm = reply.vm
 
     async def _ask(
         self, member: Member, ask: StreamOriginAsk
@@ -305,7 +331,7 @@
         own = self._catalogue.software.sole(services[0])
         if own is None or len(services) > 1:
             return
-        replies = finding.replies or []
+        replies = finding.replies
         if any(reply.sole_software != own.software for reply in replies):
             return
         if not all(reply.is_sole for reply in replies):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -225,6 +225,17 @@
             self.assertEqual(self.runs, 0)
             self.assertLess(self.seconds, 0.5)
 
+    def test_many_unknown_attempts(self):
+        """Guards against callers whose returns flood all VMs with questions."""
+        self.start(breaks=0, vms=6)
+        for number in range(100):
+            self.assertEqual(self.take_up('vm-0', f'any-{number}').status, 503)
+        counts = self.site.vms_by_id['vm-0'].daemon.versions.counts
+        self.assertGreater(counts.not_asked, 40)
+        known = self.site.begin_stream()
+        self.site.advance(1)
+        self.assertEqual(self.take_up('vm-0', known.began).status, 200)
+
     def test_version_that_is_gone(self):
         """Guards against a wait for a version that has left."""
         site = self.start(breaks=0)
