Hold streams of plain services to their version too

A route of streams may lead to a plain service, whose answers are returned whole. Its returns were held to a version only if another VM had recorded one, which nobody did: with two versions they were refused, although both served. The VM records the upstream of the answer that it returns; the choice of upstreams and of hedges was held to the version already. test_stream_of_a_plain_service failed before with stream_not_resumable.

--- a/flamingovalve/gateway/calls.py
+++ b/flamingovalve/gateway/calls.py
@@ -7,6 +7,7 @@
 from flamingovalve.errors import ServingError
 from flamingovalve.gateway.attempts import MAX_SENDS, final_error, no_upstream
 from flamingovalve.gateway.hedges import Hedges
+from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.relay import Outcome, SendOptions
 from flamingovalve.util import clock
 
@@ -131,6 +132,8 @@
         self._record(upstream, sent)
         await self._client.end(request, choice, sent)
         await self._attempts.record(request, upstream, sent)
+        if sent.outcome is Outcome.DONE and _is_resumable(request):
+            await self._versions.record(request, upstream, 0)
         return sent
 
     def _record(self, upstream: Upstream, sent: SendResult) -> None:
@@ -144,3 +147,7 @@
                 Outcome.TIMED_OUT,
             }
             self._balancer.failed(upstream.id, unreachable=is_unresponsive)
+
+
+def _is_resumable(request: InboundRequest) -> bool:
+    return request.route.repeat is RepeatPolicy.RESUMABLE
--- a/tests/rig/version_play.py
+++ b/tests/rig/version_play.py
@@ -80,6 +80,20 @@
         await responder.end()
 
 
+class VersionedApp(PlatformRunnerStandIn):
+    """A plain upstream that answers with one event."""
+
+    software = 'v1'
+
+    async def run_request(self, request: Request, responder: Responder) -> None:
+        """Run one request."""
+        self.record_run(request)
+        await curio.sleep(self.run_seconds)
+        event = f'id: 1\ndata: {self.software}\n\n'.encode()
+        headers = self.identity_headers(request)
+        await responder.send(Response(200, headers, event))
+
+
 @dataclass
 class Try:
     """One attempt of a client.
@@ -128,6 +142,7 @@
     :ivar cut_off: VMs that do not reach all other VMs and the store
     """
 
+    app_kind = VersionedApp
     route: ClassVar[str] = '/reviews/1'
 
     def __init__(
@@ -198,6 +213,14 @@
         self.register(engine)
         return engine
 
+    def add_app(self, version: str) -> PlatformRunnerStandIn:
+        """Start a plain upstream of a version."""
+        app = super()._stand_in(f'app-{len(self.apps)}', VersionedApp)
+        app.software = version
+        self.apps.append(app)
+        self.register(app)
+        return app
+
     def drain(self, engine: VersionedEngine) -> None:
         """Let an engine leave: it drains, and then ends."""
         if engine not in self.engines:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -236,6 +236,29 @@
         self.site.advance(1)
         self.assertEqual(self.take_up('vm-0', known.began).status, 200)
 
+    def test_stream_of_a_plain_service(self):
+        """Guards against a version that only engines are held to."""
+        site = self.start(breaks=0)
+        other = site.add_app('v1.1')
+        route = {
+            'Name': 'events',
+            'PathPrefix': '/events/',
+            'Kind': 'streaming',
+            'Service': 'app',
+            'MaxAttempts': 2,
+            'Resumable': True,
+        }
+        site.publish(Routes=[site._route(route)])
+        site.advance(2)
+        for path in range(8):
+            call = site.call(f'/events/{path}')
+            began = dict(call.headers)['Attempt-Id']
+            body = site.send('vm-0', call).body
+            again = site.call(f'/events/{path}')
+            again.headers += [('Resumes', began), ('Last-Event-Id', '1')]
+            self.assertEqual(site.send('vm-1', again).body, body)
+        self.assertTrue(other.runs_by_request)
+
     def test_version_that_is_gone(self):
         """Guards against a wait for a version that has left."""
         site = self.start(breaks=0)
