Take the only version for a stream's only if the documents are current

A return could be resolved to a wrong version, and go on there, at VMs that were cut off from the store and the others together: all that were asked agreed that one version serves, and none knew of the one that had come since. The agreement of VMs was taken for current knowledge; only without any reply was the age of the documents asked for.

A VM now takes the only version if its own documents are confirmed within 1.5 s, renewing them at a watcher first, and if they still agree then. Telling and asking other VMs is a module of its own, origin_keepers, and the failures of an exchange between VMs are named once, in peer/client, for the three modules that listed them.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -227,7 +227,8 @@
             self.members,
             self.peers,
             self.catalogue,
-            self.follower.confirmation.age,
+            self.follower.confirmation,
+            self.follower.renew_confirmation,
             self.background,
         )
         self.completions = CompletionServer(
--- a/flamingovalve/gateway/keepers.py
+++ b/flamingovalve/gateway/keepers.py
@@ -6,10 +6,9 @@
 
 import curio
 
-from flamingovalve.errors import ConnectionLost, WrongPeer
 from flamingovalve.generated.messages import MemberState
 from flamingovalve.membership.members import largest
-from flamingovalve.peer.client import PeerUnreachable
+from flamingovalve.peer.client import UNANSWERED
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger
 
@@ -27,12 +26,6 @@
 _MAX_KEEPERS_ASKED: Final = 2
 # A keeper that did not respond is skipped for this long.
 _SKIP_SECONDS: Final = 1.0
-_UNANSWERED: Final = (
-    curio.TaskTimeout,
-    PeerUnreachable,
-    ConnectionLost,
-    WrongPeer,
-)
 
 
 class KeeperClient:
@@ -100,7 +93,7 @@
                     message,
                     seconds,
                 )
-        except _UNANSWERED as error:
+        except UNANSWERED as error:
             logger.info('keeper {} did not answer: {!r}', vm, error)
             self._skipped_until[vm] = clock.now() + _SKIP_SECONDS
             await self._probe(vm)
@@ -115,7 +108,7 @@
         try:
             async with curio.timeout_after(_ASK_SECONDS):
                 await self._peers.tell(member.vm.peer_address, vm, message)
-        except _UNANSWERED as error:
+        except UNANSWERED as error:
             logger.debug('keeper {} was not told: {!r}', vm, error)
 
     def _is_reachable(self, member: Member) -> bool:
--- a/flamingovalve/gateway/stream_versions.py
+++ b/flamingovalve/gateway/stream_versions.py
@@ -12,34 +12,28 @@
 
 import curio
 
-from flamingovalve.errors import (
-    ConnectionLost,
-    ErrorKind,
-    ServingError,
-    WrongPeer,
-)
+from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway.model import EMPTY, RepeatPolicy
+from flamingovalve.gateway.origin_keepers import OriginKeepers
 from flamingovalve.gateway.stream_origins import StreamOrigins
-from flamingovalve.generated.ids import VmId
 from flamingovalve.generated.messages import (
-    MemberState,
     StreamOrigin,
     StreamOriginAsk,
     StreamOriginReply,
     StreamOriginsTell,
 )
-from flamingovalve.peer.client import PeerUnreachable
-from flamingovalve.util import clock, hashing
+from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
 from flamingovalve.util.rates import TokenBucket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Awaitable, Callable
 
     from flamingovalve.gateway.catalogue import Catalogue
+    from flamingovalve.gateway.confirmation import Confirmation
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Configuration, Upstream
-    from flamingovalve.gateway.stream_origins import KnownOrigin, Process
+    from flamingovalve.gateway.stream_origins import KnownOrigin
     from flamingovalve.generated.ids import ServiceId
     from flamingovalve.generated.messages import Hello
     from flamingovalve.membership.members import Member, MemberTable
@@ -49,13 +43,6 @@
 
 logger = get_logger(__name__)
 
-# VMs that are told of a stream, beside the one that began it, and those from
-# which they are taken.
-_KEEPERS: Final = 3
-_RANKED: Final = 9
-# A few exchanges between failure domains.
-_ASK_SECONDS: Final = 0.12
-_TELL_SECONDS: Final = 0.5
 # Origins for which a VM asks all others. A caller may name any attempt, and each
 # takes a message to every VM.
 _WIDE_ASKS_PER_SECOND: Final = 10.0
@@ -64,36 +51,11 @@
 _MEMORY_PER_TIMEOUT: Final = 2.0
 _MIN_MEMORY_SECONDS: Final = 5.0
 _MAINTENANCE_SECONDS: Final = 0.5
-# Origins that are handled without a pause for other tasks.
-_SLICE: Final = 50
-# Documents that were confirmed this recently list every version at which a stream
-# can have begun and been broken off.
-_FRESH_SECONDS: Final = 0.5
+# Documents of this age list nearly every version at which a stream can have begun
+# and been broken off. A renewal may take half a second.
+_FRESH_SECONDS: Final = 1.0
+_MAX_AGE_SECONDS: Final = 1.5
 _RETRY_SECONDS: Final = 0.3
-_UNANSWERED: Final = (
-    curio.TaskTimeout,
-    PeerUnreachable,
-    ConnectionLost,
-    WrongPeer,
-)
-
-
-@dataclass
-class StreamVersionCounts:
-    """Counters of the origins of streams.
-
-    :ivar told: messages with origins sent to other VMs
-    :ivar asked: origins that other VMs were asked for
-    :ivar not_asked: origins that not all VMs were asked for, as too many were
-    :ivar unknown: streams refused because no VM knew their version
-    :ivar gone: streams refused because their version had no upstream
-    """
-
-    told: int = 0
-    asked: int = 0
-    not_asked: int = 0
-    unknown: int = 0
-    gone: int = 0
 
 
 @dataclass(slots=True)
@@ -130,27 +92,27 @@
         members: MemberTable,
         peers: PeerPool,
         catalogue: Catalogue,
-        confirmation_age: Callable[[], float],
+        confirmation: Confirmation,
+        renew_confirmation: Callable[[float], Awaitable[None]],
         background: TaskSet,
     ) -> None:
         """Tell and ask ``members`` through ``peers``.
 
-        :param confirmation_age: returns the seconds since ``catalogue`` was last
-            known to be current
+        :param confirmation: when ``catalogue`` was last known to be current
+        :param renew_confirmation: finds out whether it is, given an age in
+            seconds to reach
         :param background: runs the messages that nobody waits for
         """
-        self.counts = StreamVersionCounts()
         self.origins = StreamOrigins()
-        self._members = members
-        self._peers = peers
+        self._keepers = OriginKeepers(members, peers, self.origins, background)
+        self.counts = self._keepers.counts
         self._catalogue = catalogue
-        self._confirmation_age = confirmation_age
-        self._background = background
+        self._confirmation = confirmation
+        self._renew_confirmation = renew_confirmation
         self._wide_asks = TokenBucket(_WIDE_ASKS_PER_SECOND, _WIDE_ASKS_BURST)
         self._configuration = EMPTY
         self._timeouts: dict[ServiceId, float] = {}
         self._sole: set[ServiceId] = set()
-        self._processes: frozenset[Process] = frozenset()
 
     # -- Streams that begin
 
@@ -174,8 +136,8 @@
         known = self.origins.add(request.origin)
         if self._is_settled(upstream.service):
             return
-        keepers = self._nearest(request.id)
-        await self._tell_all(keepers, [known])
+        keepers = self._keepers.nearest(request.id)
+        await self._keepers.tell_all(keepers, [known])
         note(
             logger,
             'stream began',
@@ -259,7 +221,7 @@
             request.origin = known.to_message()
             return _Finding('own')
         finding = _Finding()
-        nearest = self._nearest(request.resumed_id)
+        nearest = self._keepers.nearest(request.resumed_id)
         await self._ask_members(request, nearest, finding)
         if request.origin is not None:
             return finding
@@ -267,7 +229,8 @@
             self.counts.not_asked += 1
             finding.is_limited = True
             return finding
-        others = [one for one in self._reachable() if one not in nearest]
+        reachable = self._keepers.reachable()
+        others = [one for one in reachable if one not in nearest]
         await self._ask_members(request, others, finding)
         return finding
 
@@ -286,7 +249,7 @@
         self.counts.asked += bool(members)
         async with curio.TaskGroup(wait=None) as group:
             for member in members:
-                await group.spawn(self._ask, member, ask)
+                await group.spawn(self._keepers.ask, member, ask)
             async for task in group:
                 if task.result is None:
                     continue
@@ -294,7 +257,7 @@
                 if task.result.origin.known:
                     self._learn(request, task.result, finding)
                     return
-        self._settle(request, finding)
+        await self._settle(request, finding)
 
     def _learn(
         self,
@@ -307,44 +270,43 @@
         finding.source = 'vm'
         finding.vm = reply.vm
 
-    async def _ask(
-        self, member: Member, ask: StreamOriginAsk
-    ) -> StreamOriginReply | None:
-        """Return the reply of a VM; None if there is none in time."""
-        try:
-            async with curio.timeout_after(_ASK_SECONDS):
-                _process, reply = await self._peers.ask(
-                    member.vm.peer_address, member.vm.id, ask, _ASK_SECONDS
-                )
-        except _UNANSWERED as error:
-            logger.info('{} did not answer: {!r}', member.vm.id, error)
-            return None
-        return reply if isinstance(reply, StreamOriginReply) else None
-
-    def _settle(self, request: InboundRequest, finding: _Finding) -> None:
+    async def _settle(self, request: InboundRequest, finding: _Finding) -> None:
         """Take the only version of a service for the origin, if that is sure.
 
-        It is, if all that answer list the same version and nothing else, and one
-        of them has done so for longer than a stream can be taken up.
+        It is, if the documents of this VM are current, and all VMs that answer
+        agree.
         """
         services = _services(request)
-        own = self._catalogue.software.sole(services[0])
-        if own is None or len(services) > 1:
+        software = self._agreed(services[0], finding.replies)
+        if software is None or len(services) > 1:
             return
-        replies = finding.replies
-        if any(reply.sole_software != own.software for reply in replies):
+        if self._confirmation.age() > _FRESH_SECONDS:
+            await self._renew_confirmation(_FRESH_SECONDS)
+        if self._confirmation.age() > _MAX_AGE_SECONDS:
             return
-        if not all(reply.is_sole for reply in replies):
-            return
-        if not replies and self._confirmation_age() > _FRESH_SECONDS:
-            return
-        seconds = [own.seconds, *(reply.sole_seconds for reply in replies)]
-        if max(seconds) >= self._memory_seconds(services[0]):
+        if self._agreed(services[0], finding.replies) == software:
             request.origin = StreamOrigin(
-                request.resumed_id, services[0], own.software
+                request.resumed_id, services[0], software
             )
             finding.source = 'sole'
 
+    def _agreed(
+        self, service: ServiceId, replies: list[StreamOriginReply]
+    ) -> str | None:
+        """Return the only version that this VM and others list; None for none.
+
+        One of them must have listed it alone for longer than a stream can be
+        taken up.
+        """
+        own = self._catalogue.software.sole(service)
+        if own is None or not all(reply.is_sole for reply in replies):
+            return None
+        if any(reply.sole_software != own.software for reply in replies):
+            return None
+        seconds = [own.seconds, *(reply.sole_seconds for reply in replies)]
+        is_long = max(seconds) >= self._memory_seconds(service)
+        return own.software if is_long else None
+
     # -- Other VMs
 
     async def answer(
@@ -352,7 +314,7 @@
     ) -> StreamOriginReply:
         """Return what this VM knows of the origin of a stream."""
         known = self.origins.find(ask.request_id)
-        reply = StreamOriginReply(self._members.own_id)
+        reply = StreamOriginReply(self._keepers.own_id)
         reply.origin.known = known is not None
         if known is not None:
             reply.origin = known.to_message()
@@ -377,7 +339,7 @@
             await curio.sleep(_MAINTENANCE_SECONDS)
             self._forget_old()
             await self.update()
-            await self._replace_keepers()
+            await self._keepers.replace_ended(self._is_kept)
 
     def _forget_old(self) -> None:
         now = clock.now()
@@ -392,89 +354,15 @@
         services = self._catalogue.configuration.services_by_name
         sole = {one for one in services if self._is_settled(one)}
         for service in self._sole - sole:
-            await self._tell_of(self.origins.of_service(service))
+            origins = self.origins.of_service(service)
+            await self._keepers.tell_missing(origins)
         self._sole = sole
 
-    async def _replace_keepers(self) -> None:
-        """Tell VMs that replace those that ended, or that have restarted.
-
-        The VM that told others does so, and they do once it has ended.
-        """
-        processes = frozenset(
-            (member.vm.id, member.incarnation)
-            for member in self._members.present()
-        )
-        if processes == self._processes:
-            return
-        self._processes = processes
-        await self._tell_of(
-            known
-            for known in self.origins.all()
-            if _lacks_keepers(known, processes)
-            and not self._is_settled(known.service)
-        )
-
-    async def _tell_of(self, origins: Iterable[KnownOrigin]) -> None:
-        by_keeper: dict[VmId, list[KnownOrigin]] = {}
-        for number, known in enumerate(origins):
-            if number % _SLICE == _SLICE - 1:
-                await curio.sleep(0)
-            for member in self._nearest(known.request_id):
-                if (member.vm.id, member.incarnation) not in known.told:
-                    by_keeper.setdefault(member.vm.id, []).append(known)
-        for vm, missing in by_keeper.items():
-            keeper = self._members.by_id.get(vm)
-            if keeper is not None:
-                await self._tell_all([keeper], missing)
-
-    async def _tell_all(
-        self, members: list[Member], origins: list[KnownOrigin]
-    ) -> None:
-        message = StreamOriginsTell([one.to_message() for one in origins])
-        for member in members:
-            process = (member.vm.id, member.incarnation)
-            for known in origins:
-                known.told.add(process)
-            self.counts.told += 1
-            await self._background.spawn(self._tell, member, message, origins)
-
-    async def _tell(
-        self,
-        member: Member,
-        message: StreamOriginsTell,
-        origins: list[KnownOrigin],
-    ) -> None:
-        process = (member.vm.id, member.incarnation)
-        try:
-            async with curio.timeout_after(_TELL_SECONDS):
-                await self._peers.tell(
-                    member.vm.peer_address, member.vm.id, message
-                )
-        except _UNANSWERED as error:
-            logger.info('{} was not told: {!r}', member.vm.id, error)
-            for known in origins:
-                known.told.discard(process)
-            # The next round tries again, or finds another VM.
-            self._processes = frozenset()
-
-    def _nearest(self, name: str) -> list[Member]:
-        """Return the other VMs that keep the origin of an attempt."""
-        by_id = {member.vm.id: member for member in self._reachable()}
-        ranked = hashing.first(f'stream {name}', by_id, _RANKED)
-        return _spread([by_id[VmId(vm_id)] for vm_id in ranked])[:_KEEPERS]
-
-    def _reachable(self) -> list[Member]:
-        """Return the other VMs that answer directly."""
-        return [
-            member
-            for member in self._members.present()
-            if member.direct
-            and member.state is MemberState.ALIVE
-            and member.vm.id != self._members.own_id
-        ]
-
     # -- Versions
 
+    def _is_kept(self, known: KnownOrigin) -> bool:
+        return not self._is_settled(known.service)
+
     def _is_settled(self, service: ServiceId) -> bool:
         """Return whether one version began every stream that is in progress."""
         sole = self._catalogue.software.sole(service)
@@ -503,25 +391,6 @@
     return timeouts
 
 
-def _spread(ranked: list[Member]) -> list[Member]:
-    """Move the first VM of each failure domain to the front.
-
-    A failure domain that is lost takes all of its VMs with it.
-    """
-    firsts: dict[str, Member] = {}
-    for member in ranked:
-        firsts.setdefault(member.vm.failure_domain, member)
-    front = list(firsts.values())
-    return [*front, *(one for one in ranked if one not in front)]
-
-
-def _lacks_keepers(known: KnownOrigin, processes: frozenset[Process]) -> bool:
-    """Return whether this VM should tell others of an origin."""
-    if known.teller in processes:
-        return False
-    return len(known.told & processes) < _KEEPERS
-
-
 def _is_return(request: InboundRequest) -> bool:
     if request.route.repeat is not RepeatPolicy.RESUMABLE:
         return False
--- a/flamingovalve/gateway/tunnel_client.py
+++ b/flamingovalve/gateway/tunnel_client.py
@@ -8,12 +8,12 @@
 
 import curio
 
-from flamingovalve.errors import ConnectionLost, WrongPeer
+from flamingovalve.errors import ConnectionLost
 from flamingovalve.generated import messages
 from flamingovalve.generated.ids import VmId
 from flamingovalve.http.client import UpstreamConnection
 from flamingovalve.membership.members import largest
-from flamingovalve.peer.client import PeerUnreachable
+from flamingovalve.peer.client import UNANSWERED
 from flamingovalve.peer.connection import SILENCE_SECONDS
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger, note
@@ -42,12 +42,6 @@
 _END_SECONDS: Final = 1.0
 # A VM that has refused a connection to a service is asked last for this long.
 _REFUSED_SECONDS: Final = 1.0
-_UNANSWERED: Final = (
-    curio.TaskTimeout,
-    PeerUnreachable,
-    ConnectionLost,
-    WrongPeer,
-)
 
 
 @dataclass
@@ -193,7 +187,7 @@
         member = self._members.by_id.get(tunnel.vm)
         try:
             connection = await tunnel.end(end)
-        except _UNANSWERED:
+        except UNANSWERED:
             await tunnel.close()
             return
         if member is None:
@@ -258,7 +252,7 @@
         try:
             async with curio.timeout_after(_OPEN_SECONDS):
                 connection = await self._ask(vm, ask)
-        except _UNANSWERED as error:
+        except UNANSWERED as error:
             reason = repr(error)
         except _Refused as refused:
             reason = str(refused)
--- a/flamingovalve/peer/client.py
+++ b/flamingovalve/peer/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 import curio
 
@@ -44,6 +44,15 @@
         self.ended = ended
 
 
+# How an exchange with another VM fails.
+UNANSWERED: Final = (
+    curio.TaskTimeout,
+    PeerUnreachable,
+    ConnectionLost,
+    WrongPeer,
+)
+
+
 class PeerPool:
     """A pool of connections to other VMs, by their address."""
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -225,6 +225,30 @@
             self.assertEqual(self.runs, 0)
             self.assertLess(self.seconds, 0.5)
 
+    def test_vms_that_agree_on_an_old_version(self):
+        """Guards against VMs that agree, as all of them are cut off."""
+        site = self.start(('v1', 'v1'), vms=6, breaks=0)
+        site.advance(MEMORY_SECONDS)
+        behind = ['vm-0', 'vm-1']
+        ahead = [vm_id for vm_id in site.vms_by_id if vm_id not in behind]
+        site.links.partition(behind, ['store', *ahead])
+        site.advance(3)
+        for _engine in range(2):
+            site.add_engine('v1.1')
+        site.advance(3)
+        for engine in site.engines:
+            engine.full = engine.software == 'v1'
+        call = site.chat(path=site.route)
+        self.assertIn(b'v1.1', site.send(ahead[0], call).body)
+        began = dict(call.headers)['Attempt-Id']
+        for engine in site.engines:
+            engine.full = False
+        for vm_id in behind:
+            self.assertEqual(self.take_up(vm_id, began).status, 503)
+            self.assertEqual(self.runs, 0)
+        for vm_id in ahead:
+            self.assertEqual(self.take_up(vm_id, began).status, 200)
+
     def test_many_unknown_attempts(self):
         """Guards against callers whose returns flood all VMs with questions."""
         self.start(breaks=0, vms=6)
