--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -425,7 +425,7 @@
             await sink.begin(
                 head.status,
                 end_to_end(head.lines),
-                ends_with_connection=connection.ends_body(),
+                ends_with_connection=connection.body_ends_with_connection(),
             )
             await self._forward_events(connection, request, upstream, sink)
         except CallerLost:
--- a/flamingovalve/gateway/stream_versions.py
+++ b/flamingovalve/gateway/stream_versions.py
@@ -13,8 +13,9 @@
 import curio
 
 from flamingovalve.errors import ErrorKind, ServingError
-from flamingovalve.gateway.model import EMPTY, RepeatPolicy
+from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.origin_keepers import OriginKeepers
+from flamingovalve.gateway.stream_memory import StreamMemory
 from flamingovalve.gateway.stream_origins import StreamOrigins
 from flamingovalve.generated.messages import (
     StreamOrigin,
@@ -32,7 +33,7 @@
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.confirmation import Confirmation
     from flamingovalve.gateway.inbound import InboundRequest
-    from flamingovalve.gateway.model import Configuration, Upstream
+    from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.stream_origins import KnownOrigin
     from flamingovalve.generated.ids import ServiceId
     from flamingovalve.generated.messages import Hello
@@ -47,9 +48,6 @@
 # takes a message to every VM.
 _WIDE_ASKS_PER_SECOND: Final = 10.0
 _WIDE_ASKS_BURST: Final = 40.0
-# A caller takes a stream up within the time that it would have waited for it.
-_MEMORY_PER_TIMEOUT: Final = 2.0
-_MIN_MEMORY_SECONDS: Final = 5.0
 _MAINTENANCE_SECONDS: Final = 0.5
 # Documents of this age list nearly every version at which a stream can have begun
 # and been broken off. A renewal may take half a second.
@@ -110,8 +108,7 @@
         self._confirmation = confirmation
         self._renew_confirmation = renew_confirmation
         self._wide_asks = TokenBucket(_WIDE_ASKS_PER_SECOND, _WIDE_ASKS_BURST)
-        self._configuration = EMPTY
-        self._timeouts: dict[ServiceId, float] = {}
+        self._memory = StreamMemory(catalogue)
         self._sole: set[ServiceId] = set()
 
     # -- Streams that begin
@@ -180,18 +177,9 @@
             raise _unknown_version(
                 None if finding.is_final() else _RETRY_SECONDS
             )
-        self.check_served(request)
-
-    def check_served(self, request: InboundRequest) -> None:
-        """Check that a stream can go on at its version.
-
-        :raises ServingError: if no upstream of the version takes requests
-        """
-        if request.origin is None:
-            return
         if not self.may_go_on(request):
             self.counts.gone += 1
-            raise version_gone(request.origin.software)
+            raise version_gone(origin.software)
 
     def may_go_on(self, request: InboundRequest) -> bool:
         """Return whether some upstream may run a request next."""
@@ -304,7 +292,7 @@
         if any(reply.sole_software != own.software for reply in replies):
             return None
         seconds = [own.seconds, *(reply.sole_seconds for reply in replies)]
-        is_long = max(seconds) >= self._memory_seconds(service)
+        is_long = max(seconds) >= self._memory.seconds(service)
         return own.software if is_long else None
 
     # -- Other VMs
@@ -346,7 +334,7 @@
         self.origins.forget(
             known
             for known in self.origins.all()
-            if now - known.began_at > self._memory_seconds(known.service)
+            if now - known.began_at > self._memory.seconds(known.service)
         )
 
     async def update(self) -> None:
@@ -368,27 +356,7 @@
         sole = self._catalogue.software.sole(service)
         if sole is None:
             return False
-        return sole.seconds >= self._memory_seconds(service)
-
-    def _memory_seconds(self, service: ServiceId) -> float:
-        """Return for how long a stream of a service can be taken up."""
-        configuration = self._catalogue.configuration
-        if configuration is not self._configuration:
-            self._configuration = configuration
-            self._timeouts = _stream_timeouts(configuration)
-        longest = self._timeouts.get(service, 0) * _MEMORY_PER_TIMEOUT
-        return max(longest, _MIN_MEMORY_SECONDS)
-
-
-def _stream_timeouts(configuration: Configuration) -> dict[ServiceId, float]:
-    """Return the longest time-out in seconds of the streams of each service."""
-    timeouts: dict[ServiceId, float] = {}
-    for routes in configuration.routes_by_host.values():
-        for route in routes:
-            for share in route.services if route.streams else ():
-                known = timeouts.get(share.service, 0)
-                timeouts[share.service] = max(known, route.timeout)
-    return timeouts
+        return sole.seconds >= self._memory.seconds(service)
 
 
 def _is_return(request: InboundRequest) -> bool:
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -197,7 +197,7 @@
             part = await self.chunk(seconds)
         return b''.join(parts)
 
-    def ends_body(self) -> bool:
+    def body_ends_with_connection(self) -> bool:
         """Return whether the last body is delimited by the connection's end."""
         received = self.received
         return received is not None and received.framing is Framing.CONNECTION
