--- a/tests/test_event_pauses.py
+++ b/tests/test_event_pauses.py
@@ -82,7 +82,13 @@
 
         places, finder = Mock(end=AsyncMock()), Mock(take=AsyncMock())
         server = CompletionServer(
-            'east', Mock(), Mock(stream=stream), Mock(), finder, places
+            'east',
+            Mock(),
+            Mock(stream=stream),
+            Mock(),
+            finder,
+            places,
+            Mock(),
         )
         sink = EventSink(AsyncMock(), whole_events=False)
         with (
