Log and count what each VM decides about retries, and by which share

Operators could not tell from logs or metrics, for any ten seconds, how many requests and repeats a VM had counted for a service, what its share of the retry budget was and why, or which sends repeated a request and drew on nothing: 'retry' named only the outcome and whether it was granted, hedges were not logged there, and sends after attempts that never left the VM were not logged at all.

'retry' now names the service, the requests and retries counted in the window, the repeats allowed and the number of VMs that share the slack, also for hedges, and marks exempt sends. The counters retry_budget_requests, granted, refused and exempt are exported. No decision changes.

--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Final
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any, Final
 
 import curio
 
@@ -24,7 +25,7 @@
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.quarantine import CrashQuarantine
     from flamingovalve.gateway.relay import SendResult
-    from flamingovalve.gateway.retries import FleetRetryBudget
+    from flamingovalve.gateway.retries import BudgetDecision, FleetRetryBudget
     from flamingovalve.generated.ids import ServiceId
 
 logger = get_logger(__name__)
@@ -36,6 +37,9 @@
 _NOT_ACCEPTED_OUTCOMES: Final = frozenset(
     (Outcome.HELD_BACK, Outcome.REJECTED),
 )
+_NOT_SENT_OUTCOMES: Final = frozenset(
+    (Outcome.UNREACHABLE, Outcome.HELD_BACK),
+)
 # Mostly long enough for another upstream of the service to register.
 _NO_UPSTREAM_SECONDS: Final = 0.5
 _MIN_RETRY_SECONDS: Final = 0.1
@@ -61,22 +65,16 @@
             return False
         if request.remaining() <= 0:
             return False
-        if last.outcome in {Outcome.UNREACHABLE, Outcome.HELD_BACK}:
+        if last.outcome in _NOT_SENT_OUTCOMES:
+            self._budget.counts.exempt += 1
+            _log_retry(request, last.outcome, None)
             return True
         has_run = last.outcome not in NOT_RUN_OUTCOMES
         if has_run and not self._quarantine.may_retry(request):
             return False
-        is_granted = self._budget.take(request.service)
-        note(
-            logger,
-            'retry',
-            id=request.id,
-            after=last.outcome.value,
-            tried=len(request.tried),
-            granted=is_granted,
-            left=round(request.remaining(), 3),
-        )
-        return is_granted
+        decision = self._budget.take(request.service)
+        _log_retry(request, last.outcome, decision)
+        return decision.granted
 
     def may_hedge(self, request: InboundRequest) -> bool:
         """Return whether a request in progress may run at one more upstream."""
@@ -89,7 +87,9 @@
 
     def take_hedge(self, request: InboundRequest) -> bool:
         """Use the retry budget for a hedge; return whether it allows one."""
-        return self._budget.take(request.service)
+        decision = self._budget.take(request.service)
+        _log_retry(request, None, decision)
+        return decision.granted
 
     async def record(
         self,
@@ -136,6 +136,34 @@
         )
 
 
+def _log_retry(
+    request: InboundRequest,
+    after: Outcome | None,
+    decision: BudgetDecision | None,
+) -> None:
+    """Log whether a request may be sent again.
+
+    :param after: outcome of the attempt before; None for a hedge
+    :param decision: None if the send draws on no budget
+    """
+    facts: dict[str, Any] = {'granted': True}
+    if decision is not None:
+        facts = asdict(decision)
+        facts['allowed'] = round(decision.allowed, 3)
+    note(
+        logger,
+        'retry',
+        id=request.id,
+        service=request.service,
+        after=None if after is None else after.value,
+        tried=len(request.tried),
+        refused_by=len(request.refused_by),
+        left=round(request.remaining(), 3),
+        is_exempt=decision is None,
+        **facts,
+    )
+
+
 def final_error(request: InboundRequest, sent: SendResult) -> ServingError:
     """Return the error for a request whose last attempt is ``sent``.
 
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -202,7 +202,7 @@
             settings.gateway,
             self.upstreams.reachability.is_cut_off_from_any,
         )
-        retry_budget = FleetRetryBudget(
+        self.retry_budget = FleetRetryBudget(
             settings.gateway,
             lambda: len(self.members.present()),
         )
@@ -211,7 +211,7 @@
             self.upstreams.ends.find,
             self.upstreams.paths.worked_at,
         )
-        attempts = Attempts(retry_budget, self.quarantine)
+        attempts = Attempts(self.retry_budget, self.quarantine)
         relay = UpstreamRelay(
             self.upstreams.client, self.platform.wire, self.quarantine
         )
@@ -242,7 +242,7 @@
         )
         self.server = RequestServer(
             self.catalogue,
-            retry_budget,
+            self.retry_budget,
             self.calls.server(relay, attempts, self.versions),
             self.completions,
             self.quarantine,
--- a/flamingovalve/gateway/state.py
+++ b/flamingovalve/gateway/state.py
@@ -23,6 +23,7 @@
         'quota': daemon.quotas.counts,
         'owner': daemon.owned.total_counts(),
         'quarantine': daemon.quarantine.counts,
+        'retry_budget': daemon.retry_budget.counts,
         'stream_versions': daemon.versions.counts,
         **daemon.upstreams.counts(),
         **daemon.calls.counts(),
