Keep the retry budget of all VMs also while they do not see each other

Callers of other requests met upstreams that were busy with repeats.

Cause: FleetRetryBudget divided the budget by the VMs present at the moment of a retry. A VM that sees no other, as in a partition or right after a start, spent half of the whole budget; a process that started had forgotten what its predecessor had spent; a floor of one retry for each VM and window exceeded a slack below the number of VMs. Beside that, a retry was paid when it was decided and could arrive in a later window, and after a hedge that reached no upstream a retry was free although the first send had arrived.

The ratio is now paid by the requests that a VM has counted itself, which needs no agreement. The slack is divided by all VMs that may be alive (FleetCensus), silent ones included; the share of a process grows from nothing, and only where it reaches a majority of its seeds. Credit is reserved when a retry is decided, checked again and spent when it is sent (RetryPermit). What a VM lacks it borrows from others, which book it as spent, so that uneven traffic and shares below one retry can be used.

test_hedges_stay_within_the_retry_budget set ratio and slack to 0 on one VM and expected one hedge, which is one more than such a budget allows: it held the floor. It now sets them on all VMs, as their settings are alike, and expects none.

--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -4,7 +4,7 @@
 
 import math
 from dataclasses import asdict
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, Self
 
 import curio
 
@@ -25,7 +25,7 @@
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.quarantine import CrashQuarantine
     from flamingovalve.gateway.relay import SendResult
-    from flamingovalve.gateway.retries import BudgetDecision, FleetRetryBudget
+    from flamingovalve.gateway.retries import FleetRetryBudget, RetryPermit
     from flamingovalve.generated.ids import ServiceId
 
 logger = get_logger(__name__)
@@ -37,9 +37,6 @@
 _NOT_ACCEPTED_OUTCOMES: Final = frozenset(
     (Outcome.HELD_BACK, Outcome.REJECTED),
 )
-_NOT_SENT_OUTCOMES: Final = frozenset(
-    (Outcome.UNREACHABLE, Outcome.HELD_BACK),
-)
 # Mostly long enough for another upstream of the service to register.
 _NO_UPSTREAM_SECONDS: Final = 0.5
 _MIN_RETRY_SECONDS: Final = 0.1
@@ -57,24 +54,9 @@
         self._budget = budget
         self._quarantine = quarantine
 
-    def may_retry(self, request: InboundRequest, last: SendResult) -> bool:
-        """Return whether a request may be sent again after ``last``."""
-        if not may_send_again(request, last.outcome):
-            return False
-        if len(request.tried) >= request.route.max_upstreams:
-            return False
-        if request.remaining() <= 0:
-            return False
-        if last.outcome in _NOT_SENT_OUTCOMES:
-            self._budget.counts.exempt += 1
-            _log_retry(request, last.outcome, None)
-            return True
-        has_run = last.outcome not in NOT_RUN_OUTCOMES
-        if has_run and not self._quarantine.may_retry(request):
-            return False
-        decision = self._budget.take(request.service)
-        _log_retry(request, last.outcome, decision)
-        return decision.granted
+    def of(self, request: InboundRequest) -> RequestPermits:
+        """Return the permits of a request, to be used as a context."""
+        return RequestPermits(request, self._budget, self._quarantine)
 
     def may_hedge(self, request: InboundRequest) -> bool:
         """Return whether a request in progress may run at one more upstream."""
@@ -85,11 +67,13 @@
             and self._quarantine.may_hedge(request)
         )
 
-    def take_hedge(self, request: InboundRequest) -> bool:
-        """Use the retry budget for a hedge; return whether it allows one."""
-        decision = self._budget.take(request.service)
-        _log_retry(request, None, decision)
-        return decision.granted
+    async def reserve_hedge(
+        self, request: InboundRequest
+    ) -> RetryPermit | None:
+        """Reserve a hedge; None if the retry budget does not allow one."""
+        permit = await self._budget.reserve(request.service)
+        _log_retry(request, None, permit, self._budget)
+        return permit
 
     async def record(
         self,
@@ -136,20 +120,85 @@
         )
 
 
+class RequestPermits:
+    """The permits of a request for its sends, one after the other.
+
+    A context that returns the credit of a send that is not made.
+
+    :ivar permit: permits the next send
+    """
+
+    def __init__(
+        self,
+        request: InboundRequest,
+        budget: FleetRetryBudget,
+        quarantine: CrashQuarantine,
+    ) -> None:
+        """Permit the first send."""
+        self.permit = budget.first_permit(request.service)
+        self._request = request
+        self._budget = budget
+        self._quarantine = quarantine
+
+    def __enter__(self) -> Self:
+        """Return the permits."""
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        """Return unused credit."""
+        self.permit.release()
+
+    async def may_retry(self, last: SendResult) -> bool:
+        """Obtain the permit for another send after ``last``.
+
+        :returns: whether the request may be sent again
+        """
+        request = self._request
+        if not self._may_run_elsewhere(last):
+            return False
+        if not self.permit.is_spent:
+            self._budget.counts.exempt += 1
+            _log_retry(request, last.outcome, self.permit, None)
+            return True
+        has_run = last.outcome not in NOT_RUN_OUTCOMES
+        if has_run and not self._quarantine.may_retry(request):
+            return False
+        permit = await self._budget.reserve(request.service)
+        _log_retry(request, last.outcome, permit, self._budget)
+        if permit is None:
+            return False
+        self.permit = permit
+        return True
+
+    def _may_run_elsewhere(self, last: SendResult) -> bool:
+        request = self._request
+        return (
+            may_send_again(request, last.outcome)
+            and len(request.tried) < request.route.max_upstreams
+            and request.remaining() > 0
+        )
+
+
+def last_sent(previous: SendResult, latest: SendResult) -> SendResult:
+    """Return the result of the last send that the retry budget allowed."""
+    is_sent = latest.outcome is not Outcome.OVER_BUDGET
+    return latest if is_sent else previous
+
+
 def _log_retry(
     request: InboundRequest,
     after: Outcome | None,
-    decision: BudgetDecision | None,
+    permit: RetryPermit | None,
+    budget: FleetRetryBudget | None,
 ) -> None:
     """Log whether a request may be sent again.
 
     :param after: outcome of the attempt before; None for a hedge
-    :param decision: None if the send draws on no budget
+    :param budget: None if the send draws on no budget
     """
-    facts: dict[str, Any] = {'granted': True}
-    if decision is not None:
-        facts = asdict(decision)
-        facts['allowed'] = round(decision.allowed, 3)
+    facts: dict[str, Any] = {}
+    if budget is not None:
+        facts = asdict(budget.state(request.service))
     note(
         logger,
         'retry',
@@ -159,7 +208,8 @@
         tried=len(request.tried),
         refused_by=len(request.refused_by),
         left=round(request.remaining(), 3),
-        is_exempt=decision is None,
+        granted=permit is not None,
+        is_exempt=budget is None,
         **facts,
     )
 
--- a/flamingovalve/gateway/call_client.py
+++ b/flamingovalve/gateway/call_client.py
@@ -30,6 +30,7 @@
     from flamingovalve.gateway.keepers import KeeperClient
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.relay import SendResult
+    from flamingovalve.gateway.retries import RetryPermit
     from flamingovalve.generated.ids import DomainId, ServiceId, VmId
     from flamingovalve.util.tasks import TaskSet
 
@@ -50,6 +51,7 @@
     Outcome.REJECTED: CallOutcome.ABANDONED,
     Outcome.HELD_BACK: CallOutcome.ABANDONED,
     Outcome.QUARANTINED: CallOutcome.ABANDONED,
+    Outcome.OVER_BUDGET: CallOutcome.ABANDONED,
     Outcome.UNREACHABLE: CallOutcome.TIMED_OUT,
     Outcome.TIMED_OUT: CallOutcome.TIMED_OUT,
 }
@@ -86,6 +88,7 @@
         the call earlier
     :ivar sent_at: when this VM began to send the call, on the monotonic
         clock; None before
+    :ivar permit: permission to send the call, by the retry budget
     """
 
     upstream: Upstream
@@ -93,6 +96,7 @@
     expected: float = 0
     is_overdue: bool = False
     sent_at: float | None = None
+    permit: RetryPermit | None = None
 
     def seconds(self) -> float:
         """Return the time since the call was sent; 0 before."""
--- a/flamingovalve/gateway/calls.py
+++ b/flamingovalve/gateway/calls.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.errors import ServingError
-from flamingovalve.gateway.attempts import MAX_SENDS, final_error, no_upstream
+from flamingovalve.gateway.attempts import (
+    MAX_SENDS,
+    final_error,
+    last_sent,
+    no_upstream,
+)
 from flamingovalve.gateway.hedges import Hedges
 from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.relay import Outcome, SendOptions
@@ -23,7 +28,12 @@
     from flamingovalve.http.server import Responder
 
 _NEUTRAL_OUTCOMES: Final = frozenset(
-    (Outcome.HELD_BACK, Outcome.REJECTED, Outcome.QUARANTINED),
+    (
+        Outcome.HELD_BACK,
+        Outcome.REJECTED,
+        Outcome.QUARANTINED,
+        Outcome.OVER_BUDGET,
+    ),
 )
 
 
@@ -75,13 +85,16 @@
         request: InboundRequest,
     ) -> SendResult | None:
         sent: SendResult | None = None
-        for _attempt in range(MAX_SENDS):
-            choice = await self._choose(request, sent)
-            if choice is None:
-                break
-            sent = await self._hedges.send(request, choice)
-            if not self._attempts.may_retry(request, sent):
-                break
+        with self._attempts.of(request) as permits:
+            for _attempt in range(MAX_SENDS):
+                choice = await self._choose(request, sent)
+                if choice is None:
+                    break
+                choice.permit = permits.permit
+                latest = await self._hedges.send(request, choice)
+                sent = last_sent(sent or latest, latest)
+                if not await permits.may_retry(latest):
+                    break
         return sent
 
     async def _choose(
@@ -115,7 +128,9 @@
     ) -> SendResult:
         upstream = choice.upstream
         options = SendOptions(
-            request.remaining(), patience=request.send_patience()
+            request.remaining(),
+            patience=request.send_patience(),
+            permit=choice.permit,
         )
         self._balancer.started(upstream.id)
         choice.sent_at = clock.now()
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.errors import ConnectionLost
-from flamingovalve.gateway.attempts import MAX_SENDS, final_error, no_upstream
+from flamingovalve.gateway.attempts import (
+    MAX_SENDS,
+    final_error,
+    last_sent,
+    no_upstream,
+)
 from flamingovalve.gateway.event_pauses import EventPauses
 from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.relay import EventSink, Outcome, SendOptions
@@ -14,7 +19,7 @@
 from flamingovalve.http.bodies import Framing
 
 if TYPE_CHECKING:
-    from flamingovalve.gateway.attempts import Attempts
+    from flamingovalve.gateway.attempts import Attempts, RequestPermits
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.inbound import Completion, InboundRequest
     from flamingovalve.gateway.model import Upstream
@@ -35,6 +40,7 @@
     Outcome.HELD_BACK: PlaceOutcome.DEFERRED,
     Outcome.REJECTED: PlaceOutcome.REJECTED,
     Outcome.QUARANTINED: PlaceOutcome.ABANDONED,
+    Outcome.OVER_BUDGET: PlaceOutcome.ABANDONED,
 }
 
 
@@ -95,13 +101,18 @@
         place_ask: PlaceAsk,
         sink: EventSink,
     ) -> SendResult:
-        sent = await self._send_once(request, place_ask, sink)
-        for _attempt in range(1, MAX_SENDS):
-            if not self._versions.may_go_on(request):
-                break
-            if not self._attempts.may_retry(request, sent):
-                break
-            sent = await self._send_once(request, place_ask, sink)
+        with self._attempts.of(request) as permits:
+            latest = await self._send_once(request, place_ask, sink, permits)
+            sent = latest
+            for _attempt in range(1, MAX_SENDS):
+                if not self._versions.may_go_on(request):
+                    break
+                if not await permits.may_retry(latest):
+                    break
+                latest = await self._send_once(
+                    request, place_ask, sink, permits
+                )
+                sent = last_sent(sent, latest)
         return sent
 
     async def _send_once(
@@ -109,6 +120,7 @@
         request: InboundRequest,
         place_ask: PlaceAsk,
         sink: EventSink,
+        permits: RequestPermits,
     ) -> SendResult:
         _pin(request, place_ask)
         lease = await self._finder.take(request, place_ask)
@@ -119,7 +131,7 @@
             sink.listener = functools.partial(
                 self._versions.record, request, upstream, lease.grant.born
             )
-            options = self._options_of(request, lease, sink)
+            options = self._options_of(request, lease, sink, permits)
             sent = await self._relay.stream(request, upstream, options, sink)
             end = PlaceEnd(
                 _place_outcome(sent),
@@ -140,6 +152,7 @@
         request: InboundRequest,
         lease: PlaceLease,
         sink: EventSink,
+        permits: RequestPermits,
     ) -> SendOptions:
         priority = request.priority
         if lease.grant.yields:
@@ -150,6 +163,7 @@
             lease.grant.version,
             sink.last_event_id,
             request.send_patience(),
+            permits.permit,
         )
 
     def _upstream_of(
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -28,7 +28,7 @@
 from flamingovalve.gateway.quota_keeper import QuotaKeeper
 from flamingovalve.gateway.quotas import QuotaClient
 from flamingovalve.gateway.relay import UpstreamRelay
-from flamingovalve.gateway.retries import FleetRetryBudget
+from flamingovalve.gateway.retry_access import RetryAccess
 from flamingovalve.gateway.revocation import RevocationGuard
 from flamingovalve.gateway.serving import RequestServer
 from flamingovalve.gateway.shards import Shards
@@ -202,16 +202,19 @@
             settings.gateway,
             self.upstreams.reachability.is_cut_off_from_any,
         )
-        self.retry_budget = FleetRetryBudget(
-            settings.gateway,
-            lambda: len(self.members.present()),
+        self.retries = RetryAccess.from_config(
+            settings,
+            self.members,
+            KeeperClient(self.members, self.peers, self.gossip.probe_now),
+            [VmId(seed) for seed in self._seeds()],
+            self.started_at,
         )
         self.quarantine = CrashQuarantine(
             settings.relay.quarantine_seconds,
             self.upstreams.ends.find,
             self.upstreams.paths.worked_at,
         )
-        attempts = Attempts(self.retry_budget, self.quarantine)
+        attempts = Attempts(self.retries.budget, self.quarantine)
         relay = UpstreamRelay(
             self.upstreams.client, self.platform.wire, self.quarantine
         )
@@ -242,7 +245,7 @@
         )
         self.server = RequestServer(
             self.catalogue,
-            self.retry_budget,
+            self.retries.budget,
             self.calls.server(relay, attempts, self.versions),
             self.completions,
             self.quarantine,
@@ -303,6 +306,7 @@
         self.peer_server.on_ask(messages.DocumentsAsk, self.follower.answer)
         self.peer_server.on_ask(messages.CreditAsk, self.quota_keeper.answer)
         self.upstreams.serve_peers(self.peer_server)
+        self.retries.serve_peers(self.peer_server)
         on_session(messages.StreamOriginsTell, self.versions.accept)
         self.peer_server.on_ask(messages.StreamOriginAsk, self.versions.answer)
         handlers = GossipHandlers(
@@ -371,13 +375,17 @@
 
     async def _start(self) -> None:
         spawn = self.background.spawn
-        await spawn(self.gossip.receive_forever)
-        await spawn(self.gossip.probe_forever)
-        await spawn(self.follower.follow_forever)
-        await spawn(self.directory.delay.measure_forever)
+        for work in (
+            self.gossip.receive_forever,
+            self.gossip.probe_forever,
+            self.follower.follow_forever,
+            self.directory.delay.measure_forever,
+            self.upstreams.checker.check_forever,
+            self.versions.maintain_forever,
+            self.retries.census.maintain_forever,
+        ):
+            await spawn(work)
         await spawn(self.owned.reconcile_forever, self._announce_claim)
-        await spawn(self.upstreams.checker.check_forever)
-        await spawn(self.versions.maintain_forever)
         await self._accept_callers()
 
     async def begin_leaving(self) -> None:
@@ -389,6 +397,7 @@
         if self.is_leaving:
             return
         self.is_leaving = True
+        self.retries.census.leave()
         logger.info(
             'this VM is leaving; in_progress={}', self.front.in_progress
         )
@@ -446,17 +455,17 @@
             settings.vm.http_address,
             settings.vm.peer_address,
         )
-        seeds = [
-            _with_port(seed, settings.fleet.seed_port)
-            for seed in settings.fleet.seeds
-        ]
         self.members.open(
             own_vm,
-            seeds,
+            self._seeds(),
             settings.vm.cpu_share * settings.vm.cpu_speed,
             settings.vm.link_mbps,
         )
 
+    def _seeds(self) -> list[str]:
+        fleet = self.settings.fleet
+        return [_with_port(seed, fleet.seed_port) for seed in fleet.seeds]
+
     def _side_addresses(self) -> list[str]:
         platform = self.settings.platform
         addresses = [
--- a/flamingovalve/gateway/hedges.py
+++ b/flamingovalve/gateway/hedges.py
@@ -62,18 +62,21 @@
         if choice.keeper is None or not self._attempts.may_hedge(request):
             return await self._send(request, choice)
         delay = self._client.delays.delay(request.service, choice.expected)
-        # Leaving the group cancels the send that is not waited for any more.
-        async with curio.TaskGroup(wait=None) as group:
-            first = await group.spawn(self._send, request, choice)
-            async with curio.ignore_after(delay):
-                await first.wait()
-            second = None
-            if not first.terminated:
-                second = await self._choose_second(request, choice, first)
-            if second is not None:
-                await group.spawn(self._send, request, second)
-            sent, winner = await _first_response(group)
-            choice.is_overdue = winner is not first
+        second = None
+        try:
+            # Leaving the group cancels the send that is not waited for any more.
+            async with curio.TaskGroup(wait=None) as group:
+                first = await group.spawn(self._send, request, choice)
+                async with curio.ignore_after(delay):
+                    await first.wait()
+                if not first.terminated:
+                    second = await self._choose_second(request, choice, first)
+                if second is not None:
+                    await group.spawn(self._send, request, second)
+                sent, winner = await _first_response(group)
+                choice.is_overdue = winner is not first
+        finally:
+            _release(second)
         if second is not None:
             self._record(request, (choice, second), is_won=winner is not first)
         return sent
@@ -96,7 +99,10 @@
         second = await self._client.ask(request, upstreams, excluded)
         if not isinstance(second, CallChoice):
             return None
-        if sending.terminated or not self._attempts.take_hedge(request):
+        if not sending.terminated:
+            second.permit = await self._attempts.reserve_hedge(request)
+        if second.permit is None or sending.terminated:
+            _release(second)
             await self._client.end(request, second)
             return None
         self._client.delays.record_hedge(request.service)
@@ -122,6 +128,12 @@
         )
 
 
+def _release(choice: CallChoice | None) -> None:
+    """Return the credit of a hedge that was not sent."""
+    if choice is not None and choice.permit is not None:
+        choice.permit.release()
+
+
 async def _first_response(
     group: curio.TaskGroup,
 ) -> tuple[SendResult, curio.Task]:
@@ -135,5 +147,6 @@
         following = await group.next_done()
         if following is None:
             break
-        task = following
+        if following.result.outcome is not Outcome.OVER_BUDGET:
+            task = following
     return task.result, task
--- a/flamingovalve/gateway/keepers.py
+++ b/flamingovalve/gateway/keepers.py
@@ -60,13 +60,16 @@
 
     def keepers(self, name: str) -> list[VmId]:
         """Return the VMs to ask for the rate ``name``, in this order."""
-        reachable = [
+        vm_ids = [member.vm.id for member in largest(self.reachable())]
+        return hashing.first(name, vm_ids, _MAX_KEEPERS_ASKED)
+
+    def reachable(self) -> list[Member]:
+        """Return the VMs that can be asked, including this one."""
+        return [
             member
             for member in self._members.present()
             if self._is_reachable(member)
         ]
-        vm_ids = [member.vm.id for member in largest(reachable)]
-        return hashing.first(name, vm_ids, _MAX_KEEPERS_ASKED)
 
     def skipped_count(self) -> int:
         """Return the number of keepers that are skipped at present."""
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -32,6 +32,7 @@
     from flamingovalve.gateway.announcements import Announcement, SentRequest
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
+    from flamingovalve.gateway.retries import RetryPermit
     from flamingovalve.gateway.upstream_client import UpstreamClient
     from flamingovalve.http.bodies import ReceivedBody
     from flamingovalve.http.client import (
@@ -71,6 +72,7 @@
     HELD_BACK = 'held_back'
     REJECTED = 'rejected'
     QUARANTINED = 'quarantined'
+    OVER_BUDGET = 'over_budget'
 
 
 NOT_RUN_OUTCOMES: Final = frozenset(
@@ -80,6 +82,15 @@
         Outcome.HELD_BACK,
         Outcome.REJECTED,
         Outcome.QUARANTINED,
+        Outcome.OVER_BUDGET,
+    ),
+)
+_FINAL_OUTCOMES: Final = frozenset(
+    (
+        Outcome.DONE,
+        Outcome.TIMED_OUT,
+        Outcome.QUARANTINED,
+        Outcome.OVER_BUDGET,
     ),
 )
 _CONNECTION_UNUSABLE_AFTER: Final = frozenset(
@@ -148,6 +159,7 @@
     :ivar resume_after: id of the last event that the caller has received;
         empty for a stream from the start
     :ivar patience: longest wait in seconds for an upstream with a rate limit
+    :ivar permit: permission to send the request, by the retry budget
     """
 
     seconds: float
@@ -155,6 +167,7 @@
     version: int = 0
     resume_after: str = ''
     patience: float = 0
+    permit: RetryPermit | None = None
 
 
 _REFUSALS: Final = {
@@ -277,6 +290,9 @@
         if refusal:
             await self._client.release(connection)
             return SendResult(Outcome.QUARANTINED, retry_after=refusal)
+        if options.permit is not None and not await options.permit.reserve():
+            await self._client.release(connection)
+            return SendResult(Outcome.OVER_BUDGET)
         # Opening a connection has taken some of the time.
         options = replace(options, seconds=request.remaining())
         try:
@@ -323,14 +339,21 @@
         options: SendOptions,
     ) -> ResponseHead:
         call = self._wire.call_of(request, upstream, options)
-        sent = await self._client.send(
-            connection,
-            upstream,
-            Purpose.SERVE,
-            call,
-            request.remaining_timeout(),
-            request.id,
-        )
+        try:
+            sent = await self._client.send(
+                connection,
+                upstream,
+                Purpose.SERVE,
+                call,
+                request.remaining_timeout(),
+                request.id,
+            )
+        except HeldBack:
+            raise
+        except BaseException:
+            _record_sent(options)
+            raise
+        _record_sent(options)
         head = await self._client.head(
             connection,
             upstream,
@@ -631,9 +654,14 @@
     return len(request.tried) + 1 < request.route.max_upstreams
 
 
+def _record_sent(options: SendOptions) -> None:
+    if options.permit is not None:
+        options.permit.record_sent()
+
+
 def may_send_again(request: InboundRequest, outcome: Outcome) -> bool:
     """Return whether another upstream may run a request after ``outcome``."""
-    if outcome in {Outcome.DONE, Outcome.TIMED_OUT, Outcome.QUARANTINED}:
+    if outcome in _FINAL_OUTCOMES:
         return False
     if outcome in NOT_RUN_OUTCOMES:
         return True
--- a/flamingovalve/gateway/retries.py
+++ b/flamingovalve/gateway/retries.py
@@ -1,27 +1,35 @@
-"""The retry budget of the fleet, divided among its VMs.
+"""The retry budget of the fleet, of which each VM has a share.
 
 When upstreams fail for all VMs, each retry adds load to an overloaded service.
-No VM knows how often the others retry, so each uses a share of the budget
-according to the number of VMs.
+VMs that do not see each other spend independently, so each draws on the
+requests that it has counted itself and on its share of the slack.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
-
-from flamingovalve.util import clock
+from typing import TYPE_CHECKING
+
+from flamingovalve.gateway.retry_ledger import RetryLedger
+from flamingovalve.gateway.retry_loans import (
+    LOAN_SECONDS,
+    ROUNDING_ERROR,
+    Loan,
+    total,
+)
+from flamingovalve.generated.messages import RetryLoanReply
+from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from flamingovalve.gateway.fleet_census import FleetCensus
+    from flamingovalve.gateway.retry_loans import RetryLoans
     from flamingovalve.generated.ids import ServiceId
+    from flamingovalve.generated.messages import Hello, RetryLoanAsk
     from flamingovalve.generated.settings import GatewaySettings
 
-# In a network partition each side counts too few VMs and takes too large a
-# share; half of the budget keeps two equal sides within the whole.
-_PARTITION_SAFETY_SHARE: Final = 0.5
+logger = get_logger(__name__)
 
 
 @dataclass(slots=True)
@@ -32,83 +40,181 @@
     :ivar refused: repeats that exceeded the budget
     :ivar exempt: sends after attempts that have not reached an upstream,
         which draw on no budget
+    :ivar lent: credit lent to other VMs, in retries
     """
 
     requests: int = 0
     granted: int = 0
     refused: int = 0
     exempt: int = 0
+    lent: float = 0
 
 
 @dataclass(frozen=True, slots=True)
-class BudgetDecision:
-    """Whether a repeat is within the budget, with what led to it.
+class BudgetState:
+    """The budget of a service at this VM.
 
-    :ivar requests: requests for the service in the window, at this VM
-    :ivar retries: repeats in the window before this one, at this VM
+    :ivar requests: requests in the window
+    :ivar spent: credit spent in the window or reserved, in retries
     :ivar allowed: repeats that this VM may send in the window
     :ivar vms: VMs among which the slack is divided
+    :ivar has_share: whether this VM has its share of the slack
     """
 
-    granted: bool
     requests: int
-    retries: int
+    spent: float
     allowed: float
     vms: int
+    has_share: bool
+
+
+class RetryPermit:
+    """Permission to send a request once.
+
+    Its credit is reserved until the request is sent, and then spent.
+
+    :ivar is_spent: whether the request has been sent
+    """
+
+    def __init__(
+        self,
+        ledger: RetryLedger,
+        lenders: RetryLoans,
+        service: ServiceId,
+        share: Callable[[], float],
+        cost: int = 1,
+    ) -> None:
+        """Create a permit that has reserved no credit.
+
+        :param share: returns the share of this VM in the slack of all VMs
+        :param cost: 0 for the first send of a request, which is no repeat
+        """
+        self.is_spent = False
+        self._ledger = ledger
+        self._lenders = lenders
+        self._service = service
+        self._share = share
+        self._cost = cost
+        self._own = 0.0
+        self._loans: list[Loan] = []
+
+    async def reserve(self) -> bool:
+        """Reserve the credit; return whether there is enough.
+
+        Called again right before the request is sent: less may be allowed by
+        then, as requests wait for a place and VMs pause.
+        """
+        self._return_own()
+        available = max(self._ledger.available(self._share()), 0)
+        self._own = min(available, max(self._cost - total(self._loans), 0))
+        self._ledger.reserved += self._own
+        try:
+            await self._borrow_missing()
+        except BaseException:
+            self.release()
+            raise
+        if self._missing() <= ROUNDING_ERROR:
+            return True
+        self.release()
+        return False
+
+    def record_sent(self) -> None:
+        """Spend the credit, as the request has been sent."""
+        own = self._own
+        self._return_own()
+        if own:
+            self._ledger.spend(own)
+        self.is_spent = True
+
+    def release(self) -> None:
+        """Return credit of this VM that was not spent; loans expire."""
+        self._return_own()
+        self._loans = []
+
+    async def _borrow_missing(self) -> None:
+        missing = self._missing()
+        if missing > ROUNDING_ERROR:
+            self._loans += await self._lenders.borrow(self._service, missing)
+
+    def _missing(self) -> float:
+        return self._cost - self._own - total(self._loans)
+
+    def _return_own(self) -> None:
+        self._ledger.reserved -= self._own
+        self._own = 0.0
 
 
 class FleetRetryBudget:
-    """Limits the retries of each service within a sliding window."""
+    """Limits the repeats to each service within a sliding window."""
 
     def __init__(
         self,
         settings: GatewaySettings,
-        vm_count: Callable[[], int],
+        census: FleetCensus,
+        lenders: RetryLoans,
     ) -> None:
-        """Divide the budget by the number of VMs that ``vm_count`` returns."""
+        """Spend the share of ``census`` and what ``lenders`` lend."""
         self.counts = RetryCounts()
         self._settings = settings
-        self._vm_count = vm_count
-        self._request_times_by_service: dict[ServiceId, deque[float]] = {}
-        self._retry_times_by_service: dict[ServiceId, deque[float]] = {}
+        self._census = census
+        self._lenders = lenders
+        self._ledger_by_service: dict[ServiceId, RetryLedger] = {}
 
     def record_request(self, service: ServiceId) -> None:
         """Count a request for a service."""
         self.counts.requests += 1
-        self._recent(self._request_times_by_service, service).append(
-            clock.now()
+        self._ledger(service).record_request()
+
+    def first_permit(self, service: ServiceId) -> RetryPermit:
+        """Return the permit for the first send of a request."""
+        return self._permit(service, cost=0)
+
+    async def reserve(self, service: ServiceId) -> RetryPermit | None:
+        """Reserve one repeat; None if it exceeds the budget."""
+        permit = self._permit(service)
+        is_granted = await permit.reserve()
+        self.counts.granted += is_granted
+        self.counts.refused += not is_granted
+        return permit if is_granted else None
+
+    def state(self, service: ServiceId) -> BudgetState:
+        """Return the budget of a service at this VM."""
+        ledger = self._ledger(service)
+        return BudgetState(
+            ledger.request_count(),
+            ledger.spent() + ledger.reserved,
+            ledger.allowed(self._census.share()),
+            self._census.count(),
+            self._census.has_share,
         )
 
-    def take(self, service: ServiceId) -> BudgetDecision:
-        """Use one retry of the budget if it is available."""
-        settings = self._settings
-        retry_times = self._recent(self._retry_times_by_service, service)
-        requests = len(self._recent(self._request_times_by_service, service))
-        vms = max(1, self._vm_count())
-        slack = settings.retry_slack / vms
-        allowed = (
-            slack + settings.retry_ratio * requests
-        ) * _PARTITION_SAFETY_SHARE
-        decision = BudgetDecision(
-            len(retry_times) + 1 <= max(1, allowed),
-            requests,
-            len(retry_times),
-            allowed,
-            vms,
+    async def lend(self, ask: RetryLoanAsk, remote: Hello) -> RetryLoanReply:
+        """Lend another VM the credit that it lacks, as far as there is any."""
+        ledger = self._ledger(ask.service)
+        available = max(ledger.available(self._census.share()), 0)
+        granted = min(available, ask.wanted) if available >= ask.least else 0
+        if granted:
+            ledger.spend(granted, LOAN_SECONDS)
+            self.counts.lent += granted
+        note(
+            logger,
+            'loan of retry credit',
+            service=ask.service,
+            vm=remote.vm,
+            wanted=round(ask.wanted, 3),
+            available=round(available, 3),
+            granted=round(granted, 3),
         )
-        if decision.granted:
-            retry_times.append(clock.now())
-        self.counts.granted += decision.granted
-        self.counts.refused += not decision.granted
-        return decision
-
-    def _recent(
-        self,
-        times_by_service: dict[ServiceId, deque[float]],
-        service: ServiceId,
-    ) -> deque[float]:
-        times = times_by_service.setdefault(service, deque())
-        oldest = clock.now() - self._settings.retry_window_seconds
-        while times and times[0] < oldest:
-            times.popleft()
-        return times
+        return RetryLoanReply(granted, available - granted)
+
+    def _permit(self, service: ServiceId, cost: int = 1) -> RetryPermit:
+        ledger = self._ledger(service)
+        share = self._census.share
+        return RetryPermit(ledger, self._lenders, service, share, cost)
+
+    def _ledger(self, service: ServiceId) -> RetryLedger:
+        ledger = self._ledger_by_service.get(service)
+        if ledger is None:
+            ledger = RetryLedger(self._settings)
+            self._ledger_by_service[service] = ledger
+        return ledger
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -463,6 +463,29 @@
   reused @0 :Bool;
 }
 
+struct RetryLoanAsk $doc("Asks another VM for unused credit of its retry budget.") {
+  service @0 :Text $ident("ServiceId");
+  wanted @1 :Float64 $unit("retries") $doc("Credit that the asking VM lacks.");
+  least @2 :Float64 $unit("retries") $doc("Nothing is lent if there is less than this.");
+}
+
+struct RetryLoanReply $doc("Lends credit of the retry budget, which the lender has booked as spent.") {
+  granted @0 :Float64 $unit("retries") $doc("At most what was wanted.");
+  available @1 :Float64 $unit("retries") $doc("What the lender has left.");
+}
+
+struct FleetCensusAsk $doc("Asks which VMs are out of touch and may be alive.") {
+}
+
+struct SilentVm $doc("A VM that is out of touch and may be alive.") {
+  vm @0 :Text $ident("VmId");
+  seconds @1 :Float64 $unit("seconds") $doc("For how much longer it counts.");
+}
+
+struct FleetCensusReply $doc("The VMs that the sender does not reach and that may be alive.") {
+  silent @0 :List(SilentVm);
+}
+
 struct Frame $doc("One message on a connection between two VMs.") {
   union {
     hello @0 :Hello;
@@ -504,5 +527,9 @@
     streamOriginsTell @36 :StreamOriginsTell;
     streamOriginAsk @37 :StreamOriginAsk;
     streamOriginReply @38 :StreamOriginReply;
+    retryLoanAsk @39 :RetryLoanAsk;
+    retryLoanReply @40 :RetryLoanReply;
+    fleetCensusAsk @41 :FleetCensusAsk;
+    fleetCensusReply @42 :FleetCensusReply;
   }
 }
--- a/tests/test_shared_calls.py
+++ b/tests/test_shared_calls.py
@@ -267,15 +267,16 @@
 
     def test_hedges_stay_within_the_retry_budget(self):
         """Guards against doubling the calls to a slow service."""
-        settings = self.daemon('vm-0').settings.gateway
-        settings.retry_ratio = 0
-        settings.retry_slack = 0
+        for vm_id in self.site.vms_by_id:
+            settings = self.daemon(vm_id).settings.gateway
+            settings.retry_ratio = 0
+            settings.retry_slack = 0
         self.check_prompt_service(['vm-0'], 24)
         for app in self.site.apps:
             app.run_seconds = 0.3
         for _call in range(8):
             self.read('vm-0')
-        self.assertEqual(self.hedged(), 1)
+        self.assertEqual(self.hedged(), 0)
 
     def test_hedges_stay_within_the_attempts_of_the_route(self):
         """Guards against more runs than the operator allows."""
@@ -316,7 +317,7 @@
         request = Mock(id='call', service='app', tried=[], refused_by=[])
         request.remaining.return_value = 1
         curio.run(hedges.send, request, CallChoice(upstream('up-0'), 'vm-0', 1))
-        attempts.take_hedge.assert_not_called()
+        attempts.reserve_hedge.assert_not_called()
         client.end.assert_awaited_once_with(request, second)
 
 
