Let VMs share rates without a keeper with those that fell silent

In a partition each part divided by itself alone, so that all parts together used as many times the share as there are parts.

Divides by the VMs that may be alive, as has_quorum and the shares of keepers do already. test_keepers failed before (2 VMs instead of 3). A process that has just started still knows few others; it starts with empty buckets.

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -193,7 +193,7 @@
             FallbackPlacement(
                 self.catalogue,
                 link_to,
-                lambda: len(self.members.present()),
+                self.members.possible_count,
             ),
             self.upstreams.statuses,
         )
--- a/flamingovalve/gateway/keepers.py
+++ b/flamingovalve/gateway/keepers.py
@@ -51,8 +51,11 @@
         self._skipped_until: dict[VmId, float] = {}
 
     def vm_count(self) -> int:
-        """Return the number of VMs that share a rate without a keeper."""
-        return max(len(self._members.present()), 1)
+        """Return the number of VMs that share a rate without a keeper.
+
+        Counts silent ones, which may still use their share.
+        """
+        return max(self._members.possible_count(), 1)
 
     def is_here(self, vm: VmId) -> bool:
         """Return whether a keeper is this VM."""
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -205,6 +205,10 @@
         visible = possible.intersection(self.present_ids())
         return len(visible) / max(len(possible), 1)
 
+    def possible_count(self) -> int:
+        """Return the number of VMs that may be alive, seen or not."""
+        return len(self._possibly_alive_ids())
+
     def _possibly_alive_ids(self) -> set[VmId]:
         return {
             vm_id
