Name messages between VMs and resumed streams in the field's terms

Messages without a reply are notices, VMs are notified, streams are resumed. No decision changes; the first send of a request skips the budget's arithmetic.

--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -54,7 +54,7 @@
         self._budget = budget
         self._quarantine = quarantine
 
-    def of(self, request: InboundRequest) -> RequestPermits:
+    def permits_for(self, request: InboundRequest) -> RequestPermits:
         """Return the permits of a request, to be used as a context."""
         return RequestPermits(request, self._budget, self._quarantine)
 
--- a/flamingovalve/gateway/call_client.py
+++ b/flamingovalve/gateway/call_client.py
@@ -235,7 +235,7 @@
         if self._keepers.is_here(vm):
             self._keeper.end(end)
         else:
-            await self._background.spawn(self._keepers.tell, vm, end)
+            await self._background.spawn(self._keepers.notify, vm, end)
 
     def _keeper_of(self, service: ServiceId) -> VmId | None:
         if not self._is_shared:
--- a/flamingovalve/gateway/calls.py
+++ b/flamingovalve/gateway/calls.py
@@ -85,7 +85,7 @@
         request: InboundRequest,
     ) -> SendResult | None:
         sent: SendResult | None = None
-        with self._attempts.of(request) as permits:
+        with self._attempts.permits_for(request) as permits:
             for _attempt in range(MAX_SENDS):
                 choice = await self._choose(request, sent)
                 if choice is None:
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -101,11 +101,11 @@
         place_ask: PlaceAsk,
         sink: EventSink,
     ) -> SendResult:
-        with self._attempts.of(request) as permits:
+        with self._attempts.permits_for(request) as permits:
             latest = await self._send_once(request, place_ask, sink, permits)
             sent = latest
             for _attempt in range(1, MAX_SENDS):
-                if not self._versions.may_go_on(request):
+                if not self._versions.may_resume(request):
                     break
                 if not await permits.may_retry(latest):
                     break
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -307,7 +307,7 @@
         self.peer_server.on_ask(messages.CreditAsk, self.quota_keeper.answer)
         self.upstreams.serve_peers(self.peer_server)
         self.retries.serve_peers(self.peer_server)
-        on_session(messages.StreamOriginsTell, self.versions.accept)
+        on_session(messages.StreamOriginsNotice, self.versions.accept)
         self.peer_server.on_ask(messages.StreamOriginAsk, self.versions.answer)
         handlers = GossipHandlers(
             self.follower,
--- a/flamingovalve/gateway/keepers.py
+++ b/flamingovalve/gateway/keepers.py
@@ -100,22 +100,22 @@
                     seconds,
                 )
         except UNANSWERED as error:
-            logger.info('keeper {} did not answer: {!r}', vm, error)
+            logger.info('VM {} did not answer: {!r}', vm, error)
             self._skipped_until[vm] = clock.now() + _SKIP_SECONDS
             await self._probe(vm)
             return None
         return reply
 
-    async def tell(self, vm: VmId, message: Any) -> None:
+    async def notify(self, vm: VmId, message: Any) -> None:
         """Send a remote keeper a message that has no reply."""
         member = self._members.by_id.get(vm)
         if member is None:
             return
         try:
             async with curio.timeout_after(_ASK_SECONDS):
-                await self._peers.tell(member.vm.peer_address, vm, message)
+                await self._peers.notify(member.vm.peer_address, vm, message)
         except UNANSWERED as error:
-            logger.debug('keeper {} was not told: {!r}', vm, error)
+            logger.debug('VM {} was not notified: {!r}', vm, error)
 
     def _is_reachable(self, member: Member) -> bool:
         if self.is_here(member.vm.id):
--- a/flamingovalve/gateway/origin_keepers.py
+++ b/flamingovalve/gateway/origin_keepers.py
@@ -11,7 +11,7 @@
 from flamingovalve.generated.messages import (
     MemberState,
     StreamOriginReply,
-    StreamOriginsTell,
+    StreamOriginsNotice,
 )
 from flamingovalve.peer.client import UNANSWERED
 from flamingovalve.util import hashing
@@ -32,7 +32,7 @@
 
 logger = get_logger(__name__)
 
-# VMs that are told of a stream, beside the one that began it, and those from
+# VMs that are notified of a stream, beside the one that began it, and those from
 # which they are taken.
 _KEEPERS: Final = 3
 _RANKED: Final = 9
@@ -47,14 +47,14 @@
 class StreamVersionCounts:
     """Counters of the origins of streams.
 
-    :ivar told: messages with origins sent to other VMs
+    :ivar notified: messages with origins sent to other VMs
     :ivar asked: origins that other VMs were asked for
     :ivar not_asked: origins that not all VMs were asked for, as too many were
     :ivar unknown: streams refused because no VM knew their version
     :ivar gone: streams refused because their version had no upstream
     """
 
-    told: int = 0
+    notified: int = 0
     asked: int = 0
     not_asked: int = 0
     unknown: int = 0
@@ -64,7 +64,7 @@
 class OriginKeepers:
     """The VMs that keep the origins of streams, by the hash of their attempt.
 
-    The VM that told others tells those that take their place, and they do so
+    The VM that notified others notifies those that take their place, and they do so
     once that VM has ended.
     """
 
@@ -118,31 +118,31 @@
             return None
         return reply if isinstance(reply, StreamOriginReply) else None
 
-    async def tell_all(
+    async def notify_all(
         self, members: list[Member], origins: list[KnownOrigin]
     ) -> None:
         """Tell VMs of origins, without waiting for them."""
-        message = StreamOriginsTell([one.to_message() for one in origins])
+        message = StreamOriginsNotice([one.to_message() for one in origins])
         for member in members:
             process = (member.vm.id, member.incarnation)
             for known in origins:
-                known.told.add(process)
-            self.counts.told += 1
-            await self._background.spawn(self._tell, member, message, origins)
+                known.notified.add(process)
+            self.counts.notified += 1
+            await self._background.spawn(self._notify, member, message, origins)
 
-    async def tell_missing(self, origins: Iterable[KnownOrigin]) -> None:
-        """Tell the keepers of origins that were not told yet."""
+    async def notify_missing(self, origins: Iterable[KnownOrigin]) -> None:
+        """Notify the keepers of origins that they do not know yet."""
         by_keeper: dict[VmId, list[KnownOrigin]] = {}
         for number, known in enumerate(origins):
             if number % _SLICE == _SLICE - 1:
                 await curio.sleep(0)
             for member in self.nearest(known.request_id):
-                if (member.vm.id, member.incarnation) not in known.told:
+                if (member.vm.id, member.incarnation) not in known.notified:
                     by_keeper.setdefault(member.vm.id, []).append(known)
         for vm, missing in by_keeper.items():
             keeper = self._members.by_id.get(vm)
             if keeper is not None:
-                await self.tell_all([keeper], missing)
+                await self.notify_all([keeper], missing)
 
     async def replace_ended(
         self, is_kept: Callable[[KnownOrigin], bool]
@@ -158,28 +158,28 @@
         if processes == self._processes:
             return
         self._processes = processes
-        await self.tell_missing(
+        await self.notify_missing(
             known
             for known in self._origins.all()
             if _lacks_keepers(known, processes) and is_kept(known)
         )
 
-    async def _tell(
+    async def _notify(
         self,
         member: Member,
-        message: StreamOriginsTell,
+        message: StreamOriginsNotice,
         origins: list[KnownOrigin],
     ) -> None:
         process = (member.vm.id, member.incarnation)
         try:
             async with curio.timeout_after(_TELL_SECONDS):
-                await self._peers.tell(
+                await self._peers.notify(
                     member.vm.peer_address, member.vm.id, message
                 )
         except UNANSWERED as error:
-            logger.info('{} was not told: {!r}', member.vm.id, error)
+            logger.info('{} was not notified: {!r}', member.vm.id, error)
             for known in origins:
-                known.told.discard(process)
+                known.notified.discard(process)
             # The next round tries again, or finds another VM.
             self._processes = frozenset()
 
@@ -197,7 +197,7 @@
 
 
 def _lacks_keepers(known: KnownOrigin, processes: frozenset[Process]) -> bool:
-    """Return whether this VM should tell others of an origin."""
-    if known.teller in processes:
+    """Return whether this VM should notify others of an origin."""
+    if known.source in processes:
         return False
-    return len(known.told & processes) < _KEEPERS
+    return len(known.notified & processes) < _KEEPERS
--- a/flamingovalve/gateway/retries.py
+++ b/flamingovalve/gateway/retries.py
@@ -104,6 +104,8 @@
         Called again right before the request is sent: less may be allowed by
         then, as requests wait for a place and VMs pause.
         """
+        if not self._cost:
+            return True
         self._return_own()
         available = max(self._ledger.available(self._share()), 0)
         self._own = min(available, max(self._cost - total(self._loans), 0))
--- a/flamingovalve/gateway/serving.py
+++ b/flamingovalve/gateway/serving.py
@@ -39,7 +39,7 @@
         """Serve through ``calls`` or ``completions``, by service type.
 
         :param statuses: what upstreams announce
-        :param versions: finds what began the streams that callers take up
+        :param versions: finds what began the streams that callers resume
         """
         self._catalogue = catalogue
         self._budget = budget
--- a/flamingovalve/gateway/stream_memory.py
+++ b/flamingovalve/gateway/stream_memory.py
@@ -1,4 +1,4 @@
-"""For how long the streams of a service can be taken up."""
+"""For how long the streams of a service can be resumed."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
     from flamingovalve.gateway.model import Configuration
     from flamingovalve.generated.ids import ServiceId
 
-# A caller takes a stream up within the time that it would have waited for it.
+# A caller resumes a stream within the time that it would have waited for it.
 _MEMORY_PER_TIMEOUT: Final = 2.0
 _MIN_MEMORY_SECONDS: Final = 5.0
 
--- a/flamingovalve/gateway/stream_origins.py
+++ b/flamingovalve/gateway/stream_origins.py
@@ -30,19 +30,19 @@
     """The service and software version that began a stream.
 
     :ivar began_at: time of its first event, on the monotonic clock
-    :ivar told: processes of other VMs that this one told
-    :ivar teller: process that told this VM; None if it found out itself
+    :ivar notified: processes of other VMs that this one has notified
+    :ivar source: process that notified this VM; None if it found out itself
     """
 
     request_id: RequestId
     service: ServiceId
     software: str
     began_at: float
-    told: set[Process] = field(default_factory=set)
-    teller: Process | None = None
+    notified: set[Process] = field(default_factory=set)
+    source: Process | None = None
 
     def to_message(self) -> StreamOrigin:
-        """Return the message that tells another VM."""
+        """Return the message that notifies another VM."""
         return StreamOrigin(
             self.request_id,
             self.service,
@@ -67,11 +67,11 @@
         return self._by_id.get(request_id)
 
     def add(
-        self, origin: StreamOrigin, teller: Process | None = None
+        self, origin: StreamOrigin, source: Process | None = None
     ) -> KnownOrigin:
         """Record an origin; a known one stays as it is.
 
-        :param teller: process that told this VM, if one did
+        :param source: process that notified this VM, if one did
         """
         known = self._by_id.get(origin.request_id)
         if known is None:
@@ -80,7 +80,7 @@
                 origin.service,
                 origin.software,
                 clock.now() - origin.age,
-                teller=teller,
+                source=source,
             )
             self._by_id[origin.request_id] = known
             if len(self._by_id) > _MAX_ORIGINS:
--- a/flamingovalve/gateway/stream_versions.py
+++ b/flamingovalve/gateway/stream_versions.py
@@ -2,7 +2,7 @@
 
 Addresses services whose upstreams have several software versions: a stream goes
 on at another upstream only if that one has the version that began it, and the VM
-at which its caller takes it up has mostly never seen it.
+at which its caller resumes it has mostly never seen it.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
     StreamOrigin,
     StreamOriginAsk,
     StreamOriginReply,
-    StreamOriginsTell,
+    StreamOriginsNotice,
 )
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
@@ -81,8 +81,8 @@
 class StreamVersions:
     """Records which version began which stream, and finds it again.
 
-    While a service has had one version only for as long as a stream can be taken
-    up, nothing is told.
+    While a service has had one version only for as long as a stream can be
+    resumed, no VM is notified.
     """
 
     def __init__(
@@ -134,24 +134,24 @@
         if self._is_settled(upstream.service):
             return
         keepers = self._keepers.nearest(request.id)
-        await self._keepers.tell_all(keepers, [known])
+        await self._keepers.notify_all(keepers, [known])
         note(
             logger,
             'stream began',
             id=request.id,
             upstream=upstream.id,
             software=upstream.software,
-            told=[member.vm.id for member in keepers],
+            notified=[member.vm.id for member in keepers],
         )
 
-    # -- Streams that are taken up
+    # -- Streams that are resumed
 
     async def resolve(self, request: InboundRequest) -> None:
-        """Find the origin of a stream that a caller takes up.
+        """Find the origin of a stream that a caller resumes.
 
         Sets ``request.origin``; leaves it for a new stream.
 
-        :raises ServingError: if the stream cannot go on
+        :raises ServingError: if the stream cannot be resumed
         """
         if not _is_return(request):
             return
@@ -160,7 +160,7 @@
         origin = request.origin
         note(
             logger,
-            'stream is taken up',
+            'stream is resumed',
             id=request.id,
             resumed_id=request.resumed_id,
             resumed_after=request.resumed_after,
@@ -177,11 +177,11 @@
             raise _unknown_version(
                 None if finding.is_final() else _RETRY_SECONDS
             )
-        if not self.may_go_on(request):
+        if not self.may_resume(request):
             self.counts.gone += 1
             raise version_gone(origin.software)
 
-    def may_go_on(self, request: InboundRequest) -> bool:
+    def may_resume(self, request: InboundRequest) -> bool:
         """Return whether some upstream may run a request next."""
         origin = request.origin
         if origin is None:
@@ -284,7 +284,7 @@
         """Return the only version that this VM and others list; None for none.
 
         One of them must have listed it alone for longer than a stream can be
-        taken up.
+        resumed.
         """
         own = self._catalogue.software.sole(service)
         if own is None or not all(reply.is_sole for reply in replies):
@@ -314,15 +314,15 @@
         return reply
 
     async def accept(
-        self, tell: StreamOriginsTell, connection: PeerConnection
+        self, notice: StreamOriginsNotice, connection: PeerConnection
     ) -> None:
-        """Record the origins that another VM tells of."""
+        """Record the origins of which another VM notifies this one."""
         hello = connection.remote
-        for origin in tell.origins:
+        for origin in notice.origins:
             self.origins.add(origin, (hello.vm, hello.incarnation))
 
     async def maintain_forever(self) -> None:
-        """Forget old origins, and tell of the others where they are missing."""
+        """Forget old origins, and notify keepers of the others."""
         while True:
             await curio.sleep(_MAINTENANCE_SECONDS)
             self._forget_old()
@@ -343,7 +343,7 @@
         sole = {one for one in services if self._is_settled(one)}
         for service in self._sole - sole:
             origins = self.origins.of_service(service)
-            await self._keepers.tell_missing(origins)
+            await self._keepers.notify_missing(origins)
         self._sole = sole
 
     # -- Versions
--- a/flamingovalve/gateway/tunnel_client.py
+++ b/flamingovalve/gateway/tunnel_client.py
@@ -83,8 +83,8 @@
             return b''
         raise ConnectionLost('the connection through another VM was reset')
 
-    async def tell(self, notice: messages.TunnelNotice) -> None:
-        """Tell the other VM what a response has announced."""
+    async def notify(self, notice: messages.TunnelNotice) -> None:
+        """Notify the other VM of what a response has announced."""
         await self._connection.send(notice)
 
     async def end(self, end: messages.TunnelEnd) -> PeerConnection:
@@ -124,7 +124,7 @@
             notice = messages.TunnelNotice(
                 announcement.rest_seconds, announcement.is_leaving
             )
-            await self.tunnel.tell(notice)
+            await self.tunnel.notify(notice)
 
 
 class TunnelClient:
--- a/flamingovalve/peer/client.py
+++ b/flamingovalve/peer/client.py
@@ -140,7 +140,7 @@
         self.release(connection, address)
         return connection.remote.incarnation, reply
 
-    async def tell(self, address: str, vm: VmId, message: Any) -> None:
+    async def notify(self, address: str, vm: VmId, message: Any) -> None:
         """Send one message that has no reply.
 
         :raises PeerUnreachable: if no connection could be opened
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -414,7 +414,7 @@
   known @4 :Bool = true $doc("Whether the version is known.");
 }
 
-struct StreamOriginsTell $doc("Tells a keeper which versions began some streams.") {
+struct StreamOriginsNotice $doc("Notifies a keeper of the versions that began some streams.") {
   origins @0 :List(StreamOrigin);
 }
 
@@ -524,7 +524,7 @@
     tunnelClosed @33 :TunnelClosed;
     tunnelEnd @34 :TunnelEnd;
     tunnelEnded @35 :TunnelEnded;
-    streamOriginsTell @36 :StreamOriginsTell;
+    streamOriginsNotice @36 :StreamOriginsNotice;
     streamOriginAsk @37 :StreamOriginAsk;
     streamOriginReply @38 :StreamOriginReply;
     retryLoanAsk @39 :RetryLoanAsk;
--- a/tests/rig/version_play.py
+++ b/tests/rig/version_play.py
@@ -1,4 +1,4 @@
-"""Streams on engines of several software versions, taken up by their clients."""
+"""Streams on engines of several software versions, resumed by their clients."""
 
 from __future__ import annotations
 
@@ -99,7 +99,7 @@
     """One attempt of a client.
 
     :ivar vm: VM that it was sent to
-    :ivar resumes: whether it takes a stream up
+    :ivar resumes: whether it resumes a stream
     :ivar versions: software versions of its events, in their order
     :ivar should_go_on: whether its stream's version is served by two engines, by
         VMs in touch
@@ -274,7 +274,7 @@
             self.disturbed_at[vm_id] = self.world.monotonic()
 
     def begin_stream(self) -> Stream:
-        """Let a client ask for a stream, and take it up if it breaks off."""
+        """Let a client ask for a stream, and resume it if it breaks off."""
         stream = Stream()
         self.streams.append(stream)
         self.caller.node.spawn(self._run_client, stream)
@@ -396,7 +396,7 @@
 
 
 class VersionFaults:
-    """Random faults of one seed while streams break and are taken up."""
+    """Random faults of one seed while streams break and are resumed."""
 
     def __init__(self, seed: int) -> None:
         """Start the site with two or three versions."""
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -117,7 +117,7 @@
     def test_unreachable_upstreams(self):
         """Guards against paying for a send that has reached no upstream."""
         budget, permits = self.budget(share=0), None
-        permits = Attempts(budget, Mock()).of(self.request())
+        permits = Attempts(budget, Mock()).permits_for(self.request())
         unreachable = SendResult(Outcome.UNREACHABLE)
         self.assertTrue(curio.run(permits.may_retry, unreachable))
         permits.permit.record_sent()
@@ -126,7 +126,7 @@
     def test_unreachable_hedge_after_a_loss(self):
         """Guards against a free retry as the last of two sends arrived not."""
         budget = self.budget()
-        permits = Attempts(budget, Mock()).of(self.request())
+        permits = Attempts(budget, Mock()).permits_for(self.request())
         permits.permit.record_sent()
         unreachable = SendResult(Outcome.UNREACHABLE)
         self.assertTrue(curio.run(permits.may_retry, unreachable))
@@ -214,7 +214,7 @@
         self.peers.reachable.side_effect = self.members.present
         self.census = self.started()
         for name in ('vm-1', 'vm-2'):
-            self.tell(name, MemberState.ALIVE)
+            self.apply(name, MemberState.ALIVE)
 
     def started(self) -> FleetCensus:
         """Return the census of a process that starts now."""
@@ -226,7 +226,7 @@
         """Answer as a VM does."""
         return self.replies.get(vm, FleetCensusReply())
 
-    def tell(self, name, state, incarnation=1, counter=0):
+    def apply(self, name, state, incarnation=1, counter=0):
         """Apply a rumour about a VM."""
         rumour = MemberRumour(name, incarnation, counter, state, 'east', name)
         self.members.apply(rumour)
@@ -253,14 +253,14 @@
     def test_silent_vm(self):
         """Guards against taking over the share of a VM that may be alive."""
         self.advance(SETTLE_SECONDS + 0.1)
-        self.tell('vm-2', MemberState.DEAD)
+        self.apply('vm-2', MemberState.DEAD)
         self.advance(600)
         self.assertAlmostEqual(self.census.share(), 1 / 3)
 
     def test_vm_that_leaves(self):
         """Guards against spending the share that a VM spent before it left."""
         self.advance(SETTLE_SECONDS + 0.1)
-        self.tell('vm-2', MemberState.LEAVING, counter=1)
+        self.apply('vm-2', MemberState.LEAVING, counter=1)
         self.advance(0)
         self.advance(SETTLE_SECONDS - 0.1)
         self.assertEqual(self.census.count(), 3)
@@ -269,10 +269,10 @@
 
     def test_seeds_out_of_touch(self):
         """Guards against parts that each take themselves for the fleet."""
-        self.tell('vm-1', MemberState.DEAD)
+        self.apply('vm-1', MemberState.DEAD)
         self.advance(SETTLE_SECONDS + 0.1)
         self.assertEqual(self.census.share(), 0)
-        self.tell('vm-1', MemberState.ALIVE, counter=1)
+        self.apply('vm-1', MemberState.ALIVE, counter=1)
         self.advance(1)
         self.assertGreater(self.census.share(), 0)
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -82,7 +82,7 @@
     def told(self):
         """Return how many messages told of streams."""
         return sum(
-            vm.daemon.versions.counts.told
+            vm.daemon.versions.counts.notified
             for vm in self.site.vms_by_id.values()
         )
 
@@ -312,7 +312,7 @@
                 self.assertEqual(received.body.count(version + b' '), 4)
 
     def test_stream_that_may_not_be_resumed(self):
-        """Guards against a refusal where no stream is taken up."""
+        """Guards against a refusal where no stream is resumed."""
         site = self.start(breaks=0)
         site.route = '/chats/1'
         received = self.take_up('vm-0', 'never-seen', '')
