--- a/tests/test_event_pauses.py
+++ b/tests/test_event_pauses.py
@@ -97,5 +97,5 @@
         ):
             request = Mock(priority=0)
             request.route.repeat = RepeatPolicy.ONCE
-            server._send_once(request, Mock(), sink).send(None)
+            server._send_once(request, Mock(), sink, Mock()).send(None)
         self.assertAlmostEqual(places.end.await_args.args[1].max_gap, 0.7)
