Borrow retry credit from at most 16 VMs each

Lenders were drawn from all VMs, and each of them costs a connection.

Each VM now draws from 16 others, by the hash of its name; fleets of up to 17 VMs are as before.

--- a/flamingovalve/gateway/retry_access.py
+++ b/flamingovalve/gateway/retry_access.py
@@ -54,7 +54,7 @@
             members, peers, seeds, settle_seconds(gateway), started_at
         )
         own = f'loans {settings.vm.id} {members.own_incarnation}'
-        loans = RetryLoans(peers, random.Random(own))
+        loans = RetryLoans(peers, random.Random(own), settings.vm.id)
         return cls(FleetRetryBudget(gateway, census, loans), census, loans)
 
     def serve_peers(self, server: PeerServer) -> None:
--- a/flamingovalve/gateway/retry_loans.py
+++ b/flamingovalve/gateway/retry_loans.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.generated.messages import RetryLoanAsk, RetryLoanReply
-from flamingovalve.util import clock
+from flamingovalve.util import clock, hashing
 
 if TYPE_CHECKING:
     import random
@@ -21,6 +21,8 @@
 ROUNDING_ERROR: Final = 1e-6
 _ASK_SECONDS: Final = 0.1
 _MAX_VMS_ASKED: Final = 3
+# VMs that a VM borrows from at all; each keeps a connection open.
+_MAX_LENDERS: Final = 16
 # A VM that had too little credit is not asked again for this long.
 _EMPTY_SECONDS: Final = 1.0
 # After a search for credit has failed, none is made for this long.
@@ -50,9 +52,16 @@
     :ivar borrowed: credit that other VMs have lent, in retries
     """
 
-    def __init__(self, peers: KeeperClient, rng: random.Random) -> None:
-        """Ask through ``peers``, in random order."""
+    def __init__(
+        self, peers: KeeperClient, rng: random.Random, name: str = ''
+    ) -> None:
+        """Ask through ``peers``, in random order.
+
+        :param name: name of this VM, which decides whom it asks in a large
+            fleet
+        """
         self.borrowed = 0.0
+        self._name = name
         self._peers = peers
         self._rng = rng
         self._empty_until: dict[tuple[ServiceId, VmId], float] = {}
@@ -116,6 +125,9 @@
             if not self._peers.is_here(member.vm.id)
             and now >= self._empty_until.get((service, member.vm.id), 0)
         ]
+        if len(candidates) > _MAX_LENDERS:
+            key = f'loans {self._name}'
+            candidates = hashing.first(key, candidates, _MAX_LENDERS)
         count = min(_MAX_VMS_ASKED, len(candidates))
         return self._rng.sample(candidates, count)
 
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from unittest.mock import AsyncMock, Mock
 
@@ -231,6 +232,17 @@
         budget._lenders._peers.reachable.return_value = [*others, Mock()]
         self.assertIsNotNone(self.reserve(budget))
 
+    def test_lenders_in_a_large_fleet(self):
+        """Guards against a connection to every other VM for small loans."""
+        peers = Mock()
+        peers.is_here.return_value = False
+        peers.reachable.return_value = [Mock() for _vm in range(100)]
+        for number, member in enumerate(peers.reachable.return_value):
+            member.vm.id = f'vm-{number}'
+        loans = RetryLoans(peers, random.Random(1), OWN)
+        asked = {vm for _round in range(200) for vm in loans._lenders(SERVICE)}
+        self.assertEqual(len(asked), 16)
+
     def test_search_that_failed(self):
         """Guards against asking others for each retry while all lack credit."""
 
