--- a/review/3/play.py
+++ b/review/3/play.py
@@ -40,10 +40,11 @@
 BUDGET_MS = 5005
 # "Eight or more of them, and over a quarter"
 LEAST_LATE = 8
+MOST_LATE_SHARE = 0.25
 # Adapters that are asked for, of 3,000.
 POPULAR = 20
 RARE = 400
-RARE_SHARE = 0.35
+RARE_SHARE = 0.5
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 CONFIGURATION: dict[str, Any] = {
@@ -214,7 +215,8 @@
             f'{len(sent)} requests at machines in touch, {len(long)} '
             f'unanswered at {TIMEOUT_SECONDS} s, {len(late)} at {bound} s'
         )
-        broken = len(late) >= LEAST_LATE and 2 * len(late) > len(long)
+        broken = len(late) >= LEAST_LATE
+        broken = broken and len(late) > MOST_LATE_SHARE * len(long)
         self.record.add('the rule ' + ('was broken' if broken else 'held'))
         return 1 if broken else 0
 
