--- a/review/2/play.py
+++ b/review/2/play.py
@@ -222,6 +222,8 @@
                 broken += 1
                 self.record.add(f'REFUSED: {attempt} got {status} and has run')
         self.record.add(f'answers: {dict(self.answers)}')
+        overfull = sum(engine.overfull for engine in self.engines)
+        self.record.add(f'loads beyond the slots of an engine: {overfull}')
         self.record.add('the rule ' + ('was broken' if broken else 'held'))
         return 1 if broken else 0
 
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -217,6 +217,8 @@
         )
         broken = len(late) >= LEAST_LATE
         broken = broken and len(late) > MOST_LATE_SHARE * len(long)
+        overfull = sum(engine.overfull for engine in self.engines)
+        self.record.add(f'loads beyond the slots of an engine: {overfull}')
         self.record.add('the rule ' + ('was broken' if broken else 'held'))
         return 1 if broken else 0
 
--- a/review/rig/engine.py
+++ b/review/rig/engine.py
@@ -60,7 +60,9 @@
 class Engine(Runner):
     """A runner that loads adapters as ordered and streams events.
 
+    :ivar going: adapters whose unload waits for their runs
     :ivar orders: when each order was accepted, its holder and fence
+    :ivar overfull: loads that exceeded the slots for adapters
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self.events = 4
         self.resident: set[str] = set()
         self.coming: set[str] = set()
+        self.going: set[str] = set()
         self.uses: dict[str, int] = {}
         self.orders: list[tuple[float, str, int]] = []
         self.overfull = 0
@@ -120,8 +123,8 @@
         is_load = order['Op'] == 'load'
         if is_load and (not name or name in self.resident | self.coming):
             return 200
-        if not is_load and self.uses.get(name):
-            return 409
+        if not is_load and name not in self.resident:
+            return 200
         self.sequence += 1
         self.orders.append(
             (time.monotonic(), order['Holder'], order['FencingToken'])
@@ -132,11 +135,19 @@
                 self.overfull += 1
             asyncio.create_task(self._load(name))
             return 202
+        if self.uses.get(name):
+            # An unload waits for its runs.
+            self.going.add(name)
+            return 202
+        self._drop(name)
+        return 200
+
+    def _drop(self, name: str) -> None:
         self.resident.discard(name)
+        self.going.discard(name)
         self._kept[name] = None
         while len(self._kept) > _KEPT:
             self._kept.popitem(last=False)
-        return 200
 
     async def _load(self, name: str) -> None:
         if name in self._kept:
@@ -155,6 +166,9 @@
     ) -> None:
         """Run a request whose adapter is present."""
         adapter = request.headers['model'].partition('/')[2]
+        if adapter in self.going:
+            await connection.send(self.encode(request, 503, not_run=True))
+            return
         if adapter not in self.resident:
             await connection.send(self.encode(request, 421, not_run=True))
             return
@@ -164,6 +178,8 @@
             await self._stream(request, connection)
         finally:
             self.uses[adapter] -= 1
+            if adapter in self.going and not self.uses[adapter]:
+                self._drop(adapter)
 
     async def _stream(self, request: Request, connection: Connection) -> None:
         head = encode_head(
