Tell the revisions that are known completely from those that were seen

Cause: the newest revision that changed the catalogue was used both for 'something this new was seen' and for 'all is known up to here'. The first page of the store is read at one revision, later pages hold newer heartbeats, and the watch began after these. Other VMs could not help, as they compared the same integer, asked for documents after it and took each other's for their own. A VM that has just read the store has no tombstones, so the others also missed removals that happened before (requests to a removed upstream after DrainMs).

Ruled out: a watch that moves on past an answer that was lost.

Fix: two types, CompleteRevision and SeenRevision. Coverage moves only by a complete list, by a watch from a complete point, or by the reply of a VM that says how far it is complete. A reply names all keys if its sender may lack tombstones. A list that reaches its bound of pages, or has an empty page in the middle, does not count as complete any more.

--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -13,6 +13,11 @@
     Upstream,
     UpstreamState,
 )
+from flamingovalve.gateway.published.coverage import (
+    CompleteRevision,
+    Coverage,
+    SeenRevision,
+)
 from flamingovalve.gateway.software_history import SoftwareHistory
 from flamingovalve.generated.ids import UpstreamId
 from flamingovalve.generated.messages import Document
@@ -20,6 +25,8 @@
 from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from flamingovalve.generated.ids import AdapterId, ModelId, ServiceId
 
 logger = get_logger(__name__)
@@ -73,7 +80,7 @@
 
     document: Document
     decoded: Any
-    changed_at: int
+    changed_at: SeenRevision
 
 
 class Catalogue:
@@ -84,6 +91,9 @@
 
     :ivar revision: highest revision that was received
     :ivar changed_revision: highest revision that changed the catalogue
+    :ivar coverage: revisions between which no change was missed
+    :ivar may_have_lapsed: whether documents that the last complete list lacked
+        may have been deleted around an outage of the store
     :ivar software: software versions of the services
     :ivar store_unreachable_at: time of the last failed call to the store, on
         the monotonic clock
@@ -96,8 +106,10 @@
         """
         self.configuration = EMPTY
         self.counts = CatalogueCounts()
-        self.revision = 0
-        self.changed_revision = 0
+        self.revision = SeenRevision(0)
+        self.changed_revision = SeenRevision(0)
+        self.coverage = Coverage()
+        self.may_have_lapsed = False
         self.store_unreachable_at = float('-inf')
         self.software = SoftwareHistory()
         self._decode = decode
@@ -123,10 +135,7 @@
         because some VM had lost the store, the upstream would get requests
         for 1.5 s too long.
         """
-        unreachable_seconds = clock.now() - self.store_unreachable_at
-        document.lapsed = (
-            document.deleted and unreachable_seconds <= _RECENT_OUTAGE_SECONDS
-        )
+        document.lapsed = document.deleted and self._has_recent_outage()
         return self.apply(document, in_sequence=in_sequence)
 
     def apply(self, document: Document, *, in_sequence: bool = False) -> bool:
@@ -142,7 +151,8 @@
         if known is not None and known.document.revision >= document.revision:
             self.counts.older += 1
             return False
-        self.revision = max(self.revision, document.revision)
+        revision = SeenRevision(document.revision)
+        self.revision = max(self.revision, revision)
         decoded = None if document.deleted else self._decode_or_none(document)
         if (
             known
@@ -152,7 +162,6 @@
             self.counts.unchanged += 1
             known.document = document
             return False
-        revision = document.revision
         entry = _KnownDocument(document, decoded, revision)
         self._known_by_key[document.key] = entry
         self.changed_revision = max(self.changed_revision, revision)
@@ -163,26 +172,58 @@
             self._apply_decoded(decoded)
         return True
 
-    def replace_all(self, documents: list[Document], revision: int) -> bool:
+    def replace_all(
+        self, documents: list[Document], revision: CompleteRevision
+    ) -> bool:
         """Apply a complete read of the store and delete what it lacks.
 
+        :param revision: revision up to which the documents are complete
         :returns: whether the catalogue changed
         """
+        applied = [
+            self.apply_from_store(document, in_sequence=False)
+            for document in documents
+        ]
         keys = {document.key for document in documents}
+        lapsed = self._has_recent_outage()
+        removed = self.remove_missing(keys, revision, lapsed=lapsed)
+        return removed or any(applied)
+
+    def remove_missing(
+        self,
+        keys: Collection[str],
+        revision: CompleteRevision,
+        *,
+        lapsed: bool,
+    ) -> bool:
+        """Delete the documents that a complete list lacks.
+
+        :param keys: keys of the documents that exist
+        :param revision: revision up to which the list is complete
+        :param lapsed: whether documents may have lapsed around an outage
+        :returns: whether the catalogue changed
+        """
         missing = [
-            Document(key, revision, b'', deleted=True)
+            Document(key, revision, b'', deleted=True, lapsed=lapsed)
             for key, known in self._known_by_key.items()
             if key not in keys
             and not known.document.deleted
             and known.document.revision <= revision
         ]
-        changed = [
-            self.apply_from_store(entry, in_sequence=False)
-            for entry in (*documents, *missing)
+        self.may_have_lapsed = lapsed
+        self.coverage.restart(revision)
+        changes = [self.apply(document) for document in missing]
+        return any(changes)
+
+    def keys(self) -> list[str]:
+        """Return the keys of the documents that exist."""
+        return [
+            key
+            for key, known in self._known_by_key.items()
+            if not known.document.deleted
         ]
-        return any(changed)
 
-    def after(self, revision: int) -> list[Document]:
+    def after(self, revision: CompleteRevision) -> list[Document]:
         """Return the changes after ``revision``, oldest first."""
         newer = [
             known.document
@@ -239,6 +280,10 @@
         """Record that the store could not be read now."""
         self.store_unreachable_at = clock.now()
 
+    def _has_recent_outage(self) -> bool:
+        unreachable_seconds = clock.now() - self.store_unreachable_at
+        return unreachable_seconds <= _RECENT_OUTAGE_SECONDS
+
     def _takes_requests(self, known: _KnownUpstream) -> bool:
         if known.upstream.state is not UpstreamState.READY:
             return False
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, Protocol
 
 import curio
 
 from flamingovalve.errors import ConnectionLost, HistoryGone, StoreUnavailable
 from flamingovalve.gateway.confirmation import Confirmation
-from flamingovalve.gateway.packing import compressed, decompressed
+from flamingovalve.gateway.packing import (
+    compressed,
+    decompressed,
+    pack_keys,
+    unpack_keys,
+)
+from flamingovalve.gateway.published.coverage import CompleteRevision
+from flamingovalve.gateway.published.fetch_plan import FetchPlan
 from flamingovalve.gateway.watchers import LOSS_SECONDS
 from flamingovalve.generated.messages import (
     CatalogueRumour,
@@ -55,27 +61,13 @@
 _MAX_CONFIRMERS: Final = 3
 # Makes a watch return immediately with the pending changes.
 _CATCH_UP_SECONDS: Final = 0.001
-# A VM that has not replied by then may be down; another is asked as well.
-_SECOND_FETCH_SECONDS: Final = 0.4
-
-
-@dataclass(frozen=True, slots=True)
-class _PendingFetch:
-    """A pending request for documents to another VM.
-
-    :ivar revision: newest revision that the VM has announced
-    :ivar since: when the request was started, on the monotonic clock
-    """
-
-    revision: int
-    since: float
 
 
 class Reading(Protocol):
-    """Documents and the store revision at which they were read."""
+    """Documents and the revision up to which they are complete."""
 
     documents: list[Document]
-    revision: int
+    revision: CompleteRevision
 
 
 class Store(Protocol):
@@ -84,10 +76,12 @@
     async def read_all(self, prefix: str) -> Reading:
         """Read every document whose key begins with ``prefix``."""
 
-    async def revision(self) -> int:
+    async def revision(self) -> CompleteRevision:
         """Return the current revision."""
 
-    async def watch(self, prefix: str, after: int, seconds: float) -> Reading:
+    async def watch(
+        self, prefix: str, after: CompleteRevision, seconds: float
+    ) -> Reading:
         """Wait for changes after revision ``after``, at most ``seconds``."""
 
 
@@ -111,7 +105,6 @@
         self.publish: Callable[[WatchRumour], Awaitable[None]] = _discard_rumour
         self.listeners: list[Callable[[], Awaitable[None]]] = []
         self.confirmation = Confirmation()
-        self.store_revision = 0
         self.reachable = True
         self._catalogue = catalogue
         self._store = store
@@ -119,7 +112,8 @@
         self._peers = peers
         self._watchers = watchers
         self._rng = rng
-        self._pending_fetches: dict[VmId, _PendingFetch] = {}
+        self._coverage = catalogue.coverage
+        self._fetches = FetchPlan(self._coverage, self._other_watchers)
         self._must_read = True
         self._is_watching = False
         self._loss_published_at = float('-inf')
@@ -153,7 +147,8 @@
             note(
                 logger,
                 'this VM watches the store' if watches else 'others watch',
-                revision=self._catalogue.changed_revision,
+                known_up_to=self._coverage.known_up_to,
+                newest_change=self._catalogue.changed_revision,
             )
         return watches
 
@@ -191,30 +186,16 @@
 
     async def apply_rumour(self, rumour: CatalogueRumour) -> Dissemination:
         """Fetch documents from another VM if it announces newer ones."""
-        newer = rumour.revision > self._catalogue.changed_revision
-        if newer and not self._is_being_fetched(rumour):
-            # Recorded before the task runs: a dozen VMs announce the same
-            # revision within milliseconds, and each would be asked for it.
-            self._pending_fetches[rumour.vm] = _PendingFetch(
-                rumour.revision, clock.now()
-            )
-            await curio.spawn(self._fetch, rumour.vm, daemon=True)
+        source = self._fetches.begin(rumour)
+        if source is not None:
+            await curio.spawn(self._fetch, source, daemon=True)
         return Dissemination.NONE
 
-    def _is_being_fetched(self, rumour: CatalogueRumour) -> bool:
-        if rumour.vm in self._pending_fetches:
-            return True
-        recent = clock.now() - _SECOND_FETCH_SECONDS
-        return any(
-            pending.revision >= rumour.revision and pending.since > recent
-            for pending in self._pending_fetches.values()
-        )
-
     async def apply_watch_rumour(self, rumour: WatchRumour) -> Dissemination:
         """Record whether another VM reaches the store."""
         return self._watchers.apply_rumour(rumour)
 
-    async def fresh_revision(self) -> int | None:
+    async def fresh_revision(self) -> CompleteRevision | None:
         """Return the store's current revision, or None if it is unavailable."""
         try:
             return await self._store.revision()
@@ -223,10 +204,11 @@
             return None
 
     def own_rumour(self) -> CatalogueRumour:
-        """Return a rumour with the newest document revision of this VM."""
+        """Return a rumour of the changes that this VM knows."""
         return CatalogueRumour(
             self._members.own_id,
-            self._catalogue.changed_revision,
+            self._coverage.announced(self._catalogue.changed_revision),
+            self._coverage.removals_since,
         )
 
     async def answer(
@@ -235,11 +217,16 @@
         _remote: Hello,
     ) -> DocumentsReply:
         """Return the documents that another VM lacks."""
-        newer = self._catalogue.after(ask.revision)
-        return DocumentsReply(
-            [compressed(document) for document in newer],
+        after = CompleteRevision(ask.revision)
+        reply = DocumentsReply(
+            [compressed(document) for document in self._catalogue.after(after)],
             self.confirmation.age(),
+            self._coverage.known_up_to,
         )
+        if after < self._coverage.removals_since:
+            reply.keys = pack_keys(self._catalogue.keys())
+            reply.may_have_lapsed = self._catalogue.may_have_lapsed
+        return reply
 
     async def renew_confirmation(self, target_age: float) -> None:
         """Confirm that the local configuration is current.
@@ -267,7 +254,14 @@
         reading = await self._store.read_all('')
         await self._record_recovery()
         self._must_read = False
-        self.store_revision = reading.revision
+        note(
+            logger,
+            'read all documents of the store',
+            documents=len(reading.documents),
+            complete_up_to=reading.revision,
+            newest=max((one.revision for one in reading.documents), default=0),
+            seconds=round(clock.boot() - asked_at, 3),
+        )
         changed = self._catalogue.replace_all(
             reading.documents,
             reading.revision,
@@ -277,17 +271,15 @@
             await self._notify_listeners()
 
     async def _watch(self, seconds: float) -> bool:
-        # Every change up to this revision is known, from the store or other
-        # VMs.
-        known = max(self.store_revision, self._catalogue.changed_revision)
+        after = self._coverage.known_up_to
         asked_at = clock.boot()
-        reading = await self._store.watch('', known, seconds)
+        reading = await self._store.watch('', after, seconds)
         await self._record_recovery()
-        self.store_revision = max(self.store_revision, reading.revision)
         changes = [
             self._catalogue.apply_from_store(document, in_sequence=True)
             for document in reading.documents
         ]
+        self._coverage.extend(after, reading.revision)
         self.confirmation.record(asked_at)
         await self._notify_of_changes(changes)
         return bool(reading.documents)
@@ -305,14 +297,14 @@
         try:
             await self._fetch_from(vm, _FETCH_TIMEOUT_SECONDS)
         finally:
-            self._pending_fetches.pop(vm, None)
+            self._fetches.finish(vm)
 
     async def _fetch_from(self, vm: VmId, seconds: float) -> bool:
         """Fetch newer documents from a VM; return whether it replied."""
         member = self._members.by_id.get(vm)
         if member is None:
             return False
-        ask = DocumentsAsk(self._catalogue.changed_revision)
+        ask = DocumentsAsk(self._coverage.known_up_to)
         address = member.vm.peer_address
         asked_at = clock.boot()
         try:
@@ -320,13 +312,34 @@
         except (PeerUnreachable, ConnectionLost) as failed:
             logger.info('failed to fetch documents from {}: {}', vm, failed)
             return False
+        changes = self._apply_reply(ask, reply)
+        self.confirmation.record(asked_at, reply.confirmed_age)
+        await self._notify_of_changes(changes)
+        return True
+
+    def _apply_reply(
+        self, ask: DocumentsAsk, reply: DocumentsReply
+    ) -> list[bool]:
+        """Apply the documents of another VM; return which were changes."""
         changes = [
             self._catalogue.apply(decompressed(document))
             for document in reply.documents
         ]
-        self.confirmation.record(asked_at, reply.confirmed_age)
-        await self._notify_of_changes(changes)
-        return True
+        known_up_to = CompleteRevision(reply.known_up_to)
+        if reply.keys:
+            changes.append(
+                self._catalogue.remove_missing(
+                    unpack_keys(reply.keys),
+                    known_up_to,
+                    lapsed=reply.may_have_lapsed,
+                )
+            )
+        else:
+            self._coverage.extend(CompleteRevision(ask.revision), known_up_to)
+        return changes
+
+    def _other_watchers(self) -> list[VmId]:
+        return self._watchers.other_watchers()
 
     async def _record_loss(self, failed: StoreUnavailable) -> None:
         self._catalogue.record_store_unreachable()
--- a/flamingovalve/gateway/packing.py
+++ b/flamingovalve/gateway/packing.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import functools
+import json
 import zlib
 from typing import TYPE_CHECKING, Final
 
@@ -37,6 +38,16 @@
     return dataclasses.replace(document, content=content, packed=False)
 
 
+def pack_keys(keys: list[str]) -> bytes:
+    """Return keys of documents, compressed; never empty."""
+    return zlib.compress(json.dumps(keys).encode())
+
+
+def unpack_keys(packed: bytes) -> frozenset[str]:
+    """Return the keys that :func:`pack_keys` compressed."""
+    return frozenset(json.loads(zlib.decompress(packed)))
+
+
 @functools.lru_cache(maxsize=_CACHE_SIZE)
 def _compress(content: bytes) -> bytes:
     return zlib.compress(content)
--- a/flamingovalve/platform/store.py
+++ b/flamingovalve/platform/store.py
@@ -13,6 +13,10 @@
     StoreUnavailable,
     Undecodable,
 )
+from flamingovalve.gateway.published.coverage import (
+    NOTHING_KNOWN,
+    CompleteRevision,
+)
 from flamingovalve.generated.messages import Document
 from flamingovalve.http.bodies import BodyKind
 from flamingovalve.http.client import UpstreamCall
@@ -33,17 +37,16 @@
 _REVISION_SECONDS: Final = 0.4
 # Matches no key, so that the response holds only the revision.
 _NO_ITEMS: Final = '!'
-# Bound on the pages of one reading; the platform publishes this number as the
-# bound of a page.
-_MAX_PAGES: Final = 200
+# A page holds some 500 items, and a large deployment has 100,000 adapters.
+_MAX_PAGES: Final = 1000
 
 
 @dataclass(slots=True)
 class Reading:
-    """Documents and the store revision at which they were read."""
+    """Documents and the revision up to which they are complete."""
 
     documents: list[Document]
-    revision: int
+    revision: CompleteRevision
 
 
 class PlatformStore:
@@ -63,20 +66,21 @@
 
         :raises StoreUnavailable: when the store sends no valid response
         """
-        after, first_revision, documents = '', 0, []
+        query = {'PathPrefix': prefix}
+        first_revision, documents = NOTHING_KNOWN, []
         for _page in range(_MAX_PAGES):
-            query = {'PathPrefix': prefix}
-            if after:
-                query['after'] = after
             raw = await self._get('/kv-range', query, _READ_SECONDS)
-            documents += _parse_documents(raw.get('items', []))
+            page = _parse_documents(raw.get('items', []))
+            documents += page
             first_revision = first_revision or _parse_revision(raw)
-            if not raw.get('MorePages') or not documents:
-                break
-            after = documents[-1].key
-        return Reading(documents, first_revision)
-
-    async def revision(self) -> int:
+            if not raw.get('MorePages'):
+                return Reading(documents, first_revision)
+            if not page:
+                raise StoreUnavailable('a page that is not the last is empty')
+            query['after'] = page[-1].key
+        raise StoreUnavailable(f'a list has over {_MAX_PAGES} pages')
+
+    async def revision(self) -> CompleteRevision:
         """Return the current revision of the store.
 
         :raises StoreUnavailable: when the store sends no valid response
@@ -86,7 +90,9 @@
             await self._get('/kv-range', query, _REVISION_SECONDS),
         )
 
-    async def watch(self, prefix: str, after: int, seconds: float) -> Reading:
+    async def watch(
+        self, prefix: str, after: CompleteRevision, seconds: float
+    ) -> Reading:
         """Wait for changes after the revision ``after``.
 
         :param seconds: timeout, after which the reading is empty
@@ -133,11 +139,11 @@
             raise StoreUnavailable(f'{path}: {bad}') from bad
 
 
-def _parse_revision(raw: dict[str, Any]) -> int:
+def _parse_revision(raw: dict[str, Any]) -> CompleteRevision:
     revision = raw.get('StoreRevision')
     if not isinstance(revision, int):
         raise StoreUnavailable('the response lacks the revision of the store')
-    return revision
+    return CompleteRevision(revision)
 
 
 def _parse_documents(entries: Any) -> list[Document]:
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -42,7 +42,8 @@
 
 struct CatalogueRumour $doc("Revision of the published documents that a VM holds.") {
   vm @0 :Text $ident("VmId");
-  revision @1 :UInt64 $doc("Revision of the newest document that made a change.");
+  revision @1 :UInt64 $doc("Revision up to which the VM knows all changes and announces them.");
+  removalsSince @2 :UInt64 $doc("The VM knows each document that was deleted after this revision.");
 }
 
 struct WatchRumour $doc("Whether a VM can reach the store of published documents.") {
@@ -292,6 +293,9 @@
 struct DocumentsReply $doc("Published documents, oldest first.") {
   documents @0 :List(Document);
   confirmedAge @1 :Float64 = inf $unit("seconds") $doc("Time since the sender's documents were last known to be current; infinite if never.");
+  knownUpTo @2 :UInt64 $doc("Revision up to which the sender knows all changes; 0 if it does not say.");
+  keys @3 :Data $doc("Compressed keys of all documents, if the sender does not know each one that was deleted after the revision of the ask; else empty.");
+  mayHaveLapsed @4 :Bool $doc("Whether documents that the keys lack may have been deleted around an outage of the store.");
 }
 
 struct CreditAsk $doc("Asks the keeper of a workspace's quota for credit.") {
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -26,6 +26,9 @@
     :ivar refusal: status with which every call is refused; 0 for none
     :ivar oldest: watches that start below this revision get status 410
         because their history has been compacted
+    :ivar page_items: most items of a page of a list; 0 for no bound
+    :ivar answer_seconds: time that an answer takes
+    :ivar first_pages: lists that were begun
     """
 
     def __init__(self, network: Network, address: str) -> None:
@@ -37,6 +40,9 @@
         self.refusal = 0
         self.oldest = 0
         self.calls = 0
+        self.page_items = 0
+        self.answer_seconds = 0.0
+        self.first_pages = 0
 
     def put(self, key: str, content: object) -> None:
         """Publish an item as JSON."""
@@ -48,6 +54,12 @@
         self.items_by_key[key] = (self.revision, content)
         self.tombstones_by_key.pop(key, None)
 
+    def entry(self, key: str) -> dict[str, Any]:
+        """Return the JSON object of an item; empty if there is none."""
+        _revision, content = self.items_by_key.get(key, (0, b'{}'))
+        found: dict[str, Any] = json.loads(content)
+        return found
+
     def delete(self, key: str) -> None:
         """Delete an item and leave a tombstone."""
         self.revision += 1
@@ -61,19 +73,35 @@
         if self.refusal:
             await responder.send(Response(self.refusal))
         elif request.path == '/kv-range':
-            entries = self._entries(query['PathPrefix'])
-            reply = {'items': entries, 'MorePages': False}
-            await self._reply(responder, reply)
+            await self._list(query, responder)
         elif int(query['after']) < self.oldest:
             await responder.send(Response(410))
         else:
             await self._watch(query, responder)
 
+    async def _list(
+        self,
+        query: dict[str, str],
+        responder: Responder,
+    ) -> None:
+        self.first_pages += 'after' not in query
+        await curio.sleep(self.answer_seconds)
+        after = query.get('after', '')
+        entries = [
+            entry
+            for entry in self._entries(query['PathPrefix'])
+            if entry['Key'] > after
+        ]
+        page = entries[: self.page_items or len(entries)]
+        has_more = len(page) < len(entries)
+        await self._reply(responder, {'items': page, 'MorePages': has_more})
+
     async def _watch(
         self,
         query: dict[str, str],
         responder: Responder,
     ) -> None:
+        await curio.sleep(self.answer_seconds)
         after = int(query['after'])
         async with curio.ignore_after(int(query['WaitMs']) / 1000):
             while not self._events(query['PathPrefix'], after):
@@ -96,7 +124,7 @@
                 'Revision': revision,
                 'Value': base64.b64encode(content).decode(),
             }
-            for key, (revision, content) in self.items_by_key.items()
+            for key, (revision, content) in sorted(self.items_by_key.items())
             if key.startswith(prefix) and revision > after
         ]
 
