Keep late copies of answers from being taken for the answer to a send

Cause: an id names a request, not a send of it. A refused request was sent again over the connection on which it had been refused, so the copy of the first refusal counted as the answer to the second send, and a third send followed while the engine ran the second. Through another VM it is the same. Reports and orders had no id at all: a copy was read as the report or as the answer to the order.

Fix: a connection keeps the ids of requests that it carried without success and is not taken for them again; a tunnel with such a request ends its connection. Reports and orders get ids.

The stand-ins of test_sending take the new argument; their checks are unchanged.

--- a/flamingovalve/gateway/announcements.py
+++ b/flamingovalve/gateway/announcements.py
@@ -32,6 +32,7 @@
     :ivar bears: rejections per second for lack of room after which the upstream
         falls over; 0 if it names none
     :ivar is_rejection: whether it rejected the request for lack of room
+    :ivar is_own: whether this is the response to the request
     """
 
     rate_limit: float | None = None
@@ -40,6 +41,7 @@
     is_success: bool = True
     bears: float = 0
     is_rejection: bool = False
+    is_own: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/flamingovalve/gateway/dialer.py
+++ b/flamingovalve/gateway/dialer.py
@@ -66,16 +66,19 @@
         self._down_since: dict[UpstreamId, float] = {}
         self._usual_open_seconds = _INITIAL_OPEN_SECONDS
 
-    async def connect(self, upstream: Upstream) -> UpstreamConnection:
+    async def connect(
+        self, upstream: Upstream, request_id: str
+    ) -> UpstreamConnection:
         """Return a connection to an upstream, by whatever path.
 
+        :param request_id: request that must not have been refused on it
         :raises OSError: if it cannot be reached in time
         """
         if self._paths.is_bypassed(upstream.id):
             tunnelled = await self._tunnels.open(upstream, is_fresh=False)
             if tunnelled is not None:
                 return tunnelled
-        idle = await self._pool.take_idle(upstream.address)
+        idle = await self._pool.take_idle(upstream.address, request_id)
         if idle is not None:
             return idle
         opened = await self._open(upstream)
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -55,7 +55,6 @@
     FAILURE = 'failure'
     NOT_RUN = 'not_run'
     REJECTED = 'rejected'
-    OTHER_REQUEST = 'other_request'
     UNSIGNED = 'unsigned'
 
 
@@ -297,7 +296,7 @@
         upstream: Upstream,
         options: SendOptions,
     ) -> SendResult:
-        connection = await self._connect(upstream, options.seconds)
+        connection = await self._connect(upstream, options.seconds, request.id)
         if connection is None:
             return SendResult(Outcome.UNREACHABLE)
         refusal = self._quarantine.refusal_seconds(request)
@@ -312,6 +311,8 @@
             await connection.close()
             raise
         sent.received = connection.received
+        if sent.outcome is not Outcome.DONE:
+            connection.record_refused(request.id)
         await self._dispose(connection, sent)
         return sent
 
@@ -337,11 +338,14 @@
         self,
         upstream: Upstream,
         seconds: float,
+        request_id: str,
     ) -> UpstreamConnection | None:
         if seconds <= 0:
             return None
         try:
-            return await self._client.acquire(upstream, Purpose.SERVE)
+            return await self._client.acquire(
+                upstream, Purpose.SERVE, request_id
+            )
         except OSError:
             await self._client.drop(upstream)
             return None
@@ -390,14 +394,6 @@
                 functools.partial(self._watch_unanswered, request, upstream),
             ),
         )
-        while self._wire.verdict(head, request) is Verdict.OTHER_REQUEST:
-            # Skips a duplicate response to an earlier call on this connection;
-            # the response to this request follows.
-            await connection.body(request.remaining_timeout())
-            connection.expect_extra_response()
-            head = await self._client.head(
-                connection, upstream, sent, request.remaining_timeout()
-            )
         keep_alive = self._wire.keep_alive_seconds(head)
         if keep_alive is not None:
             connection.keep_alive_seconds = keep_alive * _KEEP_ALIVE_SHARE
--- a/flamingovalve/gateway/tunnel_client.py
+++ b/flamingovalve/gateway/tunnel_client.py
@@ -177,10 +177,12 @@
         )
 
     async def release(self, connection: TunnelledConnection) -> None:
-        """End a tunnel after a request; the other VM keeps the connection."""
-        end = messages.TunnelEnd(
-            connection.is_reusable(), connection.keep_alive_seconds
-        )
+        """End a tunnel after a request; the other VM keeps the connection.
+
+        It does not know which requests were refused on it.
+        """
+        is_reusable = connection.is_reusable() and not connection.refused_ids
+        end = messages.TunnelEnd(is_reusable, connection.keep_alive_seconds)
         await self._background.spawn(self._end, connection.tunnel, end)
 
     async def _end(self, tunnel: Tunnel, end: messages.TunnelEnd) -> None:
--- a/flamingovalve/gateway/upstream_client.py
+++ b/flamingovalve/gateway/upstream_client.py
@@ -35,6 +35,8 @@
 _UNACKNOWLEDGED_SECONDS: Final = 0.25
 # Time in which another VM opens a connection where this one cannot.
 _CHECK_SECONDS: Final = 0.4
+# An upstream repeats a response once.
+_MAX_EXTRA_RESPONSES: Final = 4
 # Engines pause for less while they read prompts.
 _SILENT_SECONDS: Final = 0.5
 
@@ -110,17 +112,18 @@
             raise
 
     async def acquire(
-        self, upstream: Upstream, purpose: Purpose
+        self, upstream: Upstream, purpose: Purpose, request_id: str = ''
     ) -> UpstreamConnection:
         """Return a connection to an upstream.
 
         Orders and reports never run through another VM: an engine would see
         the orders of one owner come from two VMs.
 
+        :param request_id: request that must not have been refused on it
         :raises OSError: if it cannot be reached in time
         """
         if purpose is Purpose.SERVE:
-            return await self._dialer.connect(upstream)
+            return await self._dialer.connect(upstream, request_id)
         try:
             return await self._dialer.connect_directly(upstream)
         except OSError:
@@ -170,6 +173,8 @@
     ) -> ResponseHead:
         """Wait for the head of the response to ``sent``.
 
+        Responses to earlier requests on the connection are passed over.
+
         :param may_move: whether to give up the connection if its path fails
         :param watch: told if the upstream has read the request and does not
             answer for long
@@ -177,11 +182,48 @@
         :raises TimeoutError: if nothing was received for ``seconds``
         """
         ends_at = clock.now() + seconds
+        for _extra in range(_MAX_EXTRA_RESPONSES):
+            head = await self._next_head(
+                connection, upstream, sent, watch, ends_at, may_move
+            )
+            announcement = self._announcement_of(head, sent)
+            if connection.is_direct:
+                self._paths.record_success(upstream, connection.opened_at)
+            if announcement.is_own:
+                await self._record(connection, sent, announcement)
+                return head
+            # The response to this request follows.
+            await connection.discard_body(max(ends_at - clock.now(), 0))
+            connection.expect_extra_response()
+        raise ConnectionLost('the upstream answers other requests only')
+
+    async def _record(
+        self,
+        connection: UpstreamConnection,
+        sent: SentRequest,
+        announcement: Announcement,
+    ) -> None:
+        if not connection.is_direct:
+            await connection.record(announcement)
+        if self._statuses.record(sent, announcement):
+            await self._limits.announce(sent.upstream)
+
+    async def _next_head(
+        self,
+        connection: UpstreamConnection,
+        upstream: Upstream,
+        sent: SentRequest,
+        watch: SilenceWatch | None,
+        ends_at: float,
+        may_move: bool,
+    ) -> ResponseHead:
+        """Return the head of the next response, of whatever request."""
         head = None
         # A read of a tunnel that is cancelled may lose part of a message.
         if connection.is_direct:
+            left = max(ends_at - clock.now(), 0)
             head = await self._early_head(
-                connection, min(seconds, _UNACKNOWLEDGED_SECONDS)
+                connection, min(left, _UNACKNOWLEDGED_SECONDS)
             )
             if head is None:
                 head = await self._late_head(
@@ -189,13 +231,6 @@
                 )
         if head is None:
             head = await connection.head(max(ends_at - clock.now(), 0))
-        announcement = self._announcement_of(head, sent)
-        if connection.is_direct:
-            self._paths.record_success(upstream, connection.opened_at)
-        else:
-            await connection.record(announcement)
-        if self._statuses.record(sent, announcement):
-            await self._limits.announce(sent.upstream)
         return head
 
     async def _early_head(
@@ -309,11 +344,13 @@
         call: UpstreamCall,
         seconds: float,
         patience: float,
+        request_id: str,
     ) -> Response:
         """Send a request and return the complete response.
 
         :param seconds: time limit of each wait
         :param patience: longest wait until the upstream accepts it
+        :param request_id: id that its response repeats
         :raises HeldBack: if it accepts none within ``patience``
         :raises OSError: if the upstream cannot be reached in time
         :raises ConnectionLost: if the connection broke
@@ -322,7 +359,9 @@
         await self.admit(upstream, purpose, patience)
         connection = await self.acquire(upstream, purpose)
         try:
-            sent = await self.send(connection, upstream, purpose, call, seconds)
+            sent = await self.send(
+                connection, upstream, purpose, call, seconds, request_id
+            )
             head = await self.head(connection, upstream, sent, seconds)
             body = await connection.body(seconds)
         except BaseException:
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -29,6 +29,9 @@
 
 _READ_BYTES = 65536
 
+# Ids of refused requests that a connection keeps before it is closed.
+_MAX_REFUSED_IDS = 256
+
 # Never sent: advances the state of h11 past a request that was already sent.
 _PLACEHOLDER_REQUEST = h11.Request(
     method='GET', target='/', headers=[('host', 'none')]
@@ -91,6 +94,7 @@
     :ivar opened_at: when it was opened, on the monotonic clock
     :ivar keep_alive_seconds: time that the upstream keeps it open while idle
     :ivar received: body of the response to the last call; None before its head
+    :ivar refused_ids: requests that were sent over it and may be sent again
     """
 
     is_direct: ClassVar[bool] = True
@@ -106,6 +110,7 @@
         self._protocol = h11.Connection(our_role=h11.CLIENT)
         self._call = _NO_CALL
         self.received: ReceivedBody | None = None
+        self.refused_ids: set[str] = set()
 
     async def send(self, call: UpstreamCall, seconds: float) -> None:
         """Send the request with its body.
@@ -197,6 +202,19 @@
             part = await self.chunk(seconds)
         return b''.join(parts)
 
+    async def discard_body(self, seconds: float) -> None:
+        """Read the body of a response to another call, whatever it holds.
+
+        :param seconds: longest wait for each part
+        :raises TimeoutError: if no data was received for ``seconds``
+        :raises ConnectionLost: if the connection ended before its end
+        """
+        framing = self._body_in_progress().framing
+        self.received = ReceivedBody(framing, BodyKind.OPAQUE)
+        part = await self.chunk(seconds)
+        while part:
+            part = await self.chunk(seconds)
+
     def body_ends_with_connection(self) -> bool:
         """Return whether the last body is delimited by the connection's end."""
         received = self.received
@@ -206,10 +224,19 @@
         """Return whether nothing shows that the last body is complete."""
         return self.received is not None and self.received.is_unproven()
 
+    def record_refused(self, request_id: str) -> None:
+        """Record that a request was sent over it and may be sent again.
+
+        An upstream may repeat its response late, and nothing tells the copy
+        from the response to the next send of the same request.
+        """
+        self.refused_ids.add(request_id)
+
     def is_reusable(self) -> bool:
         """Prepare for another call; return whether one can be made."""
-        states = self._protocol.states
-        if any(state is not h11.DONE for state in states.values()):
+        if not self._has_completed_cycle():
+            return False
+        if len(self.refused_ids) >= _MAX_REFUSED_IDS:
             return False
         if self._protocol.trailing_data[0]:
             # Bytes after a complete response belong to no request; the next
@@ -251,9 +278,12 @@
     def expect_extra_response(self) -> None:
         """Prepare to read a second response to the call that was sent.
 
-        The response already read belonged to an earlier call that was
-        abandoned.
+        The response already read belonged to an earlier call.
+
+        :raises ConnectionLost: if the connection ends with it
         """
+        if not self._has_completed_cycle():
+            raise ConnectionLost('the connection ends with an extra response')
         self._protocol.start_next_cycle()
         self._protocol.send(_PLACEHOLDER_REQUEST)
         self._protocol.send(h11.EndOfMessage())
@@ -262,6 +292,10 @@
         """Close the connection; ignore errors of its socket."""
         await self._network.discard(self._socket)
 
+    def _has_completed_cycle(self) -> bool:
+        states = self._protocol.states
+        return all(state is h11.DONE for state in states.values())
+
     def _body_in_progress(self) -> ReceivedBody:
         assert self.received is not None, 'the head has not been read'
         return self.received
@@ -310,21 +344,26 @@
         idle = await self.take_idle(address)
         return idle or await self.connect(address)
 
-    async def take_idle(self, address: str) -> UpstreamConnection | None:
-        """Return an idle connection to ``address``, if there is one."""
+    async def take_idle(
+        self, address: str, request_id: str = ''
+    ) -> UpstreamConnection | None:
+        """Return an idle connection to ``address``, if there is one.
+
+        :param request_id: request that must not have been refused on it
+        """
         idle = self._idle_by_address.get(address, [])
-        while idle:
+        passed_over = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
-            age = clock.now() - connection.idle_since
-            max_age = min(
-                self._settings.idle_pool_seconds,
-                connection.keep_alive_seconds,
-            )
-            is_young_enough = age < max_age
-            if is_young_enough and connection.is_quiet():
-                return connection
-            await connection.close()
-        return None
+            if not self._is_usable(connection):
+                await connection.close()
+            elif request_id in connection.refused_ids:
+                passed_over.append(connection)
+            else:
+                found = connection
+        self._idle_by_address.setdefault(address, []).extend(passed_over)
+        return found
 
     async def connect(self, address: str) -> UpstreamConnection:
         """Open a new connection to ``address``.
@@ -346,6 +385,14 @@
         else:
             await connection.close()
 
+    def _is_usable(self, connection: UpstreamConnection) -> bool:
+        age = clock.now() - connection.idle_since
+        max_age = min(
+            self._settings.idle_pool_seconds,
+            connection.keep_alive_seconds,
+        )
+        return age < max_age and connection.is_quiet()
+
     def put_back(self, connection: UpstreamConnection) -> None:
         """Keep an unused connection, or one that another VM has used."""
         connection.idle_since = clock.now()
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import uuid
 from typing import TYPE_CHECKING, Any, Final
 
 from flamingovalve.errors import ConnectionLost, HeldBack, Undecodable
@@ -42,6 +43,8 @@
 _STATUS_UNAVAILABLE: Final = 503
 _DECIMAL: Final = re.compile(r'\d{1,9}(\.\d{1,9})?')
 _RESUME_HEADER: Final = 'last-event-id'
+_ID_HEADER: Final = 'Attempt-Id'
+_ID_CHARACTERS: Final = 16
 
 
 class PlatformWire:
@@ -87,8 +90,6 @@
     def verdict(self, head: ResponseHead, request: InboundRequest) -> Verdict:
         """Classify the head of an upstream's response to ``request``."""
         headers = head.headers
-        if headers.get('attempt-id', request.id) != request.id:
-            return Verdict.OTHER_REQUEST
         if 'not-executed' in headers or head.status == _STATUS_MISDIRECTED:
             if _rest_seconds(head):
                 return Verdict.REJECTED
@@ -114,6 +115,7 @@
             is_success and is_own,
             _decimal(headers.get('server-brittle', '')) or 0,
             head.status == _STATUS_UNAVAILABLE and 'not-executed' in headers,
+            is_own,
         )
 
     def identity_call(self, path: str, upstream: Upstream) -> UpstreamCall:
@@ -159,6 +161,7 @@
                 call,
                 _REPORT_SECONDS,
                 patience,
+                _add_id(call),
             )
         except (OSError, ConnectionLost):
             return None
@@ -183,6 +186,7 @@
                 call,
                 _ORDER_SECONDS,
                 _ORDER_PATIENCE_SECONDS,
+                _add_id(call),
             )
         except HeldBack:
             return OrderOutcome.HELD_BACK
@@ -202,6 +206,16 @@
 }
 
 
+def _add_id(call: UpstreamCall) -> str:
+    """Give a call of the VM itself an id that its response repeats.
+
+    :returns: the id
+    """
+    request_id = uuid.uuid4().hex[:_ID_CHARACTERS]
+    call.headers.append((_ID_HEADER, request_id))
+    return request_id
+
+
 def _decimal(text: str) -> float | None:
     """Return the decimal number in a header; None if there is none."""
     text = text.strip()
--- a/standins/announcing.py
+++ b/standins/announcing.py
@@ -14,6 +14,8 @@
     from flamingovalve.http.messages import HeaderList, Request, Response
 
 _STATUS_UNAVAILABLE = 503
+_CONTROL_PATHS = frozenset(('/report', '/order'))
+_ID_HEADER = 'Attempt-Id'
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,12 +41,14 @@
 
     :ivar sender: VM that sent it
     :ivar request_id: attempt id; empty for a report or an order
+    :ivar echoed_id: attempt id that the response repeats
     """
 
     at: float
     sender: str
     path: str
     request_id: str
+    echoed_id: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,11 +80,13 @@
 
     def record_arrival(self, request: Request, responder: Responder) -> Arrival:
         """Record a request that has arrived."""
+        echoed_id = request.headers.get('attempt-id', '')
         arrival = Arrival(
             clock.now(),
             self.name_sender(responder.remote_address()),
             request.path,
-            request.headers.get('attempt-id', ''),
+            '' if request.path in _CONTROL_PATHS else echoed_id,
+            echoed_id,
         )
         self.arrivals.append(arrival)
         return arrival
@@ -130,6 +136,9 @@
         """Write a complete response."""
         headers = self._history.announce(self._arrival, response.status)
         response.headers = [*response.headers, *headers]
+        echoed_id = self._arrival.echoed_id
+        if echoed_id and response.header(_ID_HEADER) is None:
+            response.headers.append((_ID_HEADER, echoed_id))
         await self._responder.send(response)
 
     async def start(
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -159,6 +159,8 @@
     :ivar most_active: requests that it has room for; 0 for no limit
     :ivar break_after: number of events after which the next run is broken
         off; 0 for never
+    :ivar misses: number of next requests for an adapter that are refused, as
+        it is not ready yet
     :ivar event_count: number of events of a stream
     :ivar event_seconds: interval between two events
     """
@@ -186,6 +188,7 @@
         self.order_seconds = 0.0
         self.dropped_orders = 0
         self.break_after = 0
+        self.misses = 0
         self.event_count = _EVENT_COUNT
         self.event_seconds = _EVENT_INTERVAL_SECONDS
         self.load_seconds = 0.25
@@ -280,6 +283,10 @@
         ):
             await responder.send(Response(421, [('Not-Executed', '1')]))
             return
+        if adapter and self.misses:
+            self.misses -= 1
+            await responder.send(Response(421, [('Not-Executed', '1')]))
+            return
         if self.most_active and self.active >= self.most_active:
             await self.reject(responder)
             return
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -24,6 +24,9 @@
 
     received = None
 
+    def record_refused(self, _request_id):
+        """Do nothing, as it is not used again."""
+
     async def send(self, _call, _seconds):
         """Fail, as no caller waits for the request."""
         raise AssertionError('a request was sent that no caller waits for')
@@ -40,7 +43,7 @@
         self.case = case
         self.seconds = seconds
 
-    async def connect(self, _upstream):
+    async def connect(self, _upstream, _request_id):
         """Advance the clock and return a connection."""
         self.case.advance(self.seconds)
         return UnusedConnection()
@@ -57,10 +60,10 @@
         super().__init__(case, 0.01)
         self.announce = announce
 
-    async def connect(self, upstream):
+    async def connect(self, upstream, request_id):
         """Let the announcement arrive and return a connection."""
         self.announce()
-        return await super().connect(upstream)
+        return await super().connect(upstream, request_id)
 
 
 class OpenLimits:
