Settle requests that wait for a load when its owner stops to care for it

Cause: requests with a place that wait for its load are in no queue. A closed owner refused its queue and cancelled the loads that would have settled them. Its session went on with heartbeats, which prove a process and not progress, and the VM with the caller kept no deadline of its own.

Ruled out: a refusal that is lost on the way.

Fix: a closed owner returns all that wait, in whatever state, and takes none any more; so does an engine that restarts, or whose reports show a load of the former owner no more. The VM with the caller refuses a request that has no place shortly before its deadline. The time without an owner counts from when there is none, no longer from the request's arrival. A set of tasks contains those that have not begun, so that none sends orders after its group was released.

The benchmark of cold starts took the orderly end of an owner for a loss of all VMs.

--- a/benchmarks/fetch_policies.py
+++ b/benchmarks/fetch_policies.py
@@ -23,7 +23,7 @@
 from curio import kernel as curio_kernel
 
 from flamingovalve.cmd.tables import table
-from flamingovalve.errors import ServingError
+from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway.catalogue import Catalogue
 from flamingovalve.gateway.engine import OwnerCounts
 from flamingovalve.gateway.fencing import Fences
@@ -292,9 +292,14 @@
         self._ended = OwnerCounts()
 
     async def lose_all(self) -> None:
-        """Replace all owners, as after a loss of all VMs."""
+        """Replace all owners, as after a loss of all VMs.
+
+        Requests in a queue return to the next owners; those with a place are
+        lost, unlike at the orderly end of an owner.
+        """
         for owner in self.owners.values():
-            await owner.close()
+            await owner._queue.refuse_all(_owner_lost())
+            await owner._tasks.cancel()
             self._ended.add(owner.counts)
         await self.start(clock.now() + _PAUSE_SECONDS)
 
@@ -551,6 +556,10 @@
     print(table(tuple(headings.split()), rows))
 
 
+def _owner_lost() -> ServingError:
+    return ServingError(ErrorKind.NOT_OWNER, 'the owner is lost')
+
+
 async def _no_place(_request: Request, _ask: PlaceAsk) -> None:
     """Find no place without an owner."""
 
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -359,6 +359,7 @@
             self._context.counts.restarts += 1
             logger.warning('upstream {} restarted', ledger.upstream.id)
             ledger.restart(report.born)
+            await self.requeue_waiting()
         ledger.born = report.born
         known_foreign = ledger.chain.foreign
         counted = ledger.chain.sequence or 0
@@ -386,17 +387,24 @@
             await self.load_model()
         await self._context.listener.serve_waiting()
 
+    async def requeue_waiting(self) -> None:
+        """Return all requests that wait for a load to the queue."""
+        for name in list(self.waiting):
+            await self._context.listener.requeue(self.waiting.pop(name, []))
+
     async def _settle_loaded(self) -> None:
-        """Resume requests whose adapter a report shows as loaded.
+        """Resume requests whose load a report shows as ended.
 
         No task waits for a load that the previous owner ordered.
         """
         for name in list(self.waiting):
             held = self.ledger.held.get(AdapterId(name))
-            if held is None or held.state is not AdapterState.RESIDENT:
-                continue
-            for waiter in self.waiting.pop(name):
-                await waiter.settled.set()
+            if held is None:
+                waiters = self.waiting.pop(name, [])
+                await self._context.listener.requeue(waiters)
+            elif held.state is AdapterState.RESIDENT:
+                for waiter in self.waiting.pop(name, []):
+                    await waiter.settled.set()
 
     async def _find_fence(self) -> None:
         """Find a fencing number greater than those of all earlier orders."""
--- a/flamingovalve/gateway/group.py
+++ b/flamingovalve/gateway/group.py
@@ -105,7 +105,7 @@
         wanted = {upstream.id: upstream for upstream in upstreams}
         for name in list(self.engines_by_id):
             if name not in wanted:
-                await self._release(name, listener)
+                await self._release(name)
         for name, upstream in wanted.items():
             known = self.engines_by_id.get(name)
             if known is None:
@@ -244,16 +244,10 @@
         task = await self._tasks.spawn(engine.follow)
         self._followers[upstream.id] = task
 
-    async def _release(
-        self,
-        name: UpstreamId,
-        listener: EngineListener,
-    ) -> None:
+    async def _release(self, name: UpstreamId) -> None:
         engine = self.engines_by_id.pop(name)
         await self._followers.pop(name).cancel()
-        for waiters in engine.waiting.values():
-            await listener.requeue(waiters)
-        engine.waiting.clear()
+        await engine.requeue_waiting()
         if self.budget is not None:
             self.budget.forget_engine(name)
 
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -65,6 +65,7 @@
         :param link_to: creates the connection to an engine
         """
         self._tasks = TaskSet()
+        self._is_closed = False
         self.group = group
         self.fences = fences
         shares = FairShares.from_settings(settings)
@@ -86,9 +87,15 @@
         await self._tasks.spawn(self._queue.sweep_forever)
 
     async def close(self) -> None:
-        """Stop sending orders and refuse every queued request."""
+        """Stop sending orders and refuse every request that waits.
+
+        Requests with a place may wait for a load, which is cancelled.
+        """
+        self._is_closed = True
         await self._queue.refuse_all(_not_owner_error())
         await self._tasks.cancel()
+        for engine in self.engines.engines_by_id.values():
+            await engine.requeue_waiting()
 
     async def replace_engines(
         self,
@@ -167,6 +174,8 @@
 
         :raises ServingError: if no place becomes available in time
         """
+        if self._is_closed:
+            raise _not_owner_error()
         waiter = Waiter(ask, clock.now(), clock.now())
         self._queue.enqueue(waiter)
         try:
@@ -411,6 +420,8 @@
             waiter.place = None
             if not waiter.is_disconnected:
                 self._queue.enqueue(waiter)
+        if self._is_closed:
+            await self._queue.refuse_all(_not_owner_error())
 
     async def serve_waiting(self) -> None:
         """Grant places to queued requests that can be served now."""
@@ -426,6 +437,9 @@
 
     async def _grant(self, waiter: Waiter, choice: dispatch.Choice) -> None:
         """Grant a place; settle the waiter once the adapter is resident."""
+        if self._is_closed:
+            await self._queue.refuse(waiter, _not_owner_error())
+            return
         ledger = choice.engine
         owned = self.engines.engines_by_id[ledger.upstream.id]
         source = ''
--- a/flamingovalve/gateway/place_finder.py
+++ b/flamingovalve/gateway/place_finder.py
@@ -32,6 +32,8 @@
 # Beyond this a later retry serves the caller better than waiting for an owner.
 _MAX_OWNER_WAIT_SECONDS: Final = 0.8
 _NO_OWNER_RETRY_SECONDS: Final = 0.5
+# Time in which a refusal reaches the caller.
+_ANSWER_SECONDS: Final = 0.05
 # Each owner asked costs an exchange, and if several groups have no good place,
 # the rest mostly have none either.
 _MAX_GROUPS_ASKED: Final = 4
@@ -78,17 +80,31 @@
     async def take(self, request: InboundRequest, ask: PlaceAsk) -> PlaceLease:
         """Wait for a place.
 
-        :raises ServingError: if no place is expected in time
+        The deadline is kept here: an owner that sends heartbeats may make no
+        progress with the request.
+
+        :raises ServingError: if no place is expected in time, or if none was
+            granted until the deadline
         """
-        started_at = clock.now()
+        seconds = _seconds_to_wait(request)
+        try:
+            async with curio.timeout_after(seconds):
+                return await self._take(request, ask)
+        except curio.TaskTimeout as timeout:
+            raise _overdue_error(request, seconds) from timeout
+
+    async def _take(self, request: InboundRequest, ask: PlaceAsk) -> PlaceLease:
+        without_owner_since = None
         while True:
             lease = await self._ask_groups(request, ask)
+            if lease is None:
+                lease = await self._take_from_fallback(request, ask)
             if lease is not None:
                 return lease
-            lease = await self._take_from_fallback(request, ask)
-            if lease is not None:
-                return lease
-            if clock.now() > started_at + _MAX_OWNER_WAIT_SECONDS:
+            # An owner may have ended while the request waited there for long.
+            if without_owner_since is None:
+                without_owner_since = clock.now()
+            if clock.now() > without_owner_since + _MAX_OWNER_WAIT_SECONDS:
                 raise _no_owner_error()
             await curio.sleep(_OWNER_RETRY_SECONDS)
 
@@ -239,6 +255,31 @@
         return None
 
 
+def _seconds_to_wait(request: InboundRequest) -> float:
+    """Return the longest wait for a place that is of use to the caller."""
+    remaining = request.remaining()
+    patience = request.first_event_timeout()
+    # A caller that has received events waits for more until its deadline.
+    seconds = patience if patience > 0 else remaining
+    return max(min(seconds, remaining) - _ANSWER_SECONDS, 0)
+
+
+def _overdue_error(request: InboundRequest, waited: float) -> ServingError:
+    note(
+        logger,
+        'refused, no place until its deadline',
+        id=request.id,
+        service=request.service,
+        waited=round(waited, 3),
+        left=round(request.remaining(), 3),
+    )
+    return ServingError(
+        ErrorKind.OVERLOADED,
+        'no engine had a place for the request until its deadline; retry later',
+        retry_after=_NO_OWNER_RETRY_SECONDS,
+    )
+
+
 def _no_owner_error() -> ServingError:
     return ServingError(
         ErrorKind.NOT_OWNER,
--- a/flamingovalve/util/tasks.py
+++ b/flamingovalve/util/tasks.py
@@ -27,7 +27,11 @@
         *arguments: Any,
     ) -> curio.Task:
         """Run ``work`` in a task that leaves the set when it ends."""
-        return await curio.spawn(self._run, work, arguments, daemon=True)
+        task = await curio.spawn(self._run, work, arguments, daemon=True)
+        if not task.terminated:
+            # Before it has begun, as it may be cancelled until then.
+            self._running.add(task)
+        return task
 
     async def cancel(self) -> None:
         """Cancel all running tasks except the current one."""
@@ -35,15 +39,14 @@
         for task in sorted(self._running, key=lambda entry: entry.id):
             if task is not current:
                 await task.cancel()
+                self._running.discard(task)
 
     async def _run(
         self,
         work: Callable[..., Awaitable[Any]],
         arguments: tuple[Any, ...],
     ) -> None:
-        task = await curio.current_task()
-        self._running.add(task)
         try:
             await work(*arguments)
         finally:
-            self._running.discard(task)
+            self._running.discard(await curio.current_task())
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -159,6 +159,7 @@
     :ivar most_active: requests that it has room for; 0 for no limit
     :ivar break_after: number of events after which the next run is broken
         off; 0 for never
+    :ivar starts: number of its start, which it reports
     :ivar misses: number of next requests for an adapter that are refused, as
         it is not ready yet
     :ivar event_count: number of events of a stream
@@ -175,6 +176,7 @@
         """Create an engine that holds the base model and no adapter."""
         super().__init__(network, address, name)
         self.slots = slots
+        self.starts = 1
         self.models = ['base']
         self.resident: dict[str, int] = {}
         self.loading: dict[str, int] = {}
@@ -209,6 +211,13 @@
         else:
             await super().answer(request, responder)
 
+    def restart(self) -> None:
+        """Forget what was loaded and ordered, as after a crash."""
+        self.starts += 1
+        self.resident.clear()
+        self.loading.clear()
+        self.sequence = 0
+
     def report(self) -> dict[str, Any]:
         """Return the load report of the engine."""
         adapters = [
@@ -223,7 +232,7 @@
                 f'base/{name}@{version}'
                 for name, version in self.loading.items()
             ],
-            'born': 1,
+            'born': self.starts,
         }
 
     async def execute_order(self, order: dict[str, Any]) -> int:
@@ -261,8 +270,10 @@
         self.accepted.append(AcceptedOrder(clock.now(), holder, fence))
 
     async def _load(self, name: str) -> None:
+        starts = self.starts
         await curio.sleep(self.load_seconds)
-        self.resident[name] = self.loading.pop(name)
+        if starts == self.starts:
+            self.resident[name] = self.loading.pop(name)
 
     async def _load_model(self, name: str) -> None:
         await curio.sleep(self.load_seconds)
