Bound answers of upstreams in time, bytes and turns of the event loop

One upstream that answers without end stopped VMs: a quick body took a VM past 700 MB in four seconds, and /ready, heartbeats and timeouts with it; a body or head by drops kept its callers without an answer until they left.

Cause: two, each hiding the other. Bodies were held without a bound, and time limits began anew with each read. And reading a socket that has data does not switch tasks in curio, so a task whose peer never stops sending never gave the event loop back, which no timeout survives.

Fix, where all answers are read (UpstreamConnection): time limits are those of a whole head, part or body; what is ready when they end is still read, 64 parts at most. Bodies have a bound in bytes, informational responses and copies one in number, events one in bytes and parts.

* Plain answers above held_answer_bytes (1 MB, or 0.1 of the memory for all together) are passed on as they arrive, up to answer_bytes (64 MB), so a large sound answer is neither cut off nor held whole.
* Streams are bounded by their tokens, bytes and deadline.
* Tunnels give the loop back on both sides, and their ends are bounded.

An upstream beyond its bounds counts as failed (body_end 'excessive').

The set-up of test_event_pauses names what a request and a connection have; its checks are unchanged.

--- a/flamingovalve/gateway/call_client.py
+++ b/flamingovalve/gateway/call_client.py
@@ -24,6 +24,7 @@
 from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
+    from flamingovalve.gateway.answers.sink import AnswerSink
     from flamingovalve.gateway.balancer import Balancer
     from flamingovalve.gateway.call_keeper import CallKeeper
     from flamingovalve.gateway.inbound import InboundRequest
@@ -89,6 +90,7 @@
     :ivar sent_at: when this VM began to send the call, on the monotonic
         clock; None before
     :ivar permit: permission to send the call, by the retry budget
+    :ivar sink: passes on an answer that is too large to be held
     """
 
     upstream: Upstream
@@ -97,6 +99,7 @@
     is_overdue: bool = False
     sent_at: float | None = None
     permit: RetryPermit | None = None
+    sink: AnswerSink | None = None
 
     def seconds(self) -> float:
         """Return the time since the call was sent; 0 before."""
@@ -216,7 +219,8 @@
         """
         if choice.keeper is None:
             return
-        if sent is not None and sent.outcome is Outcome.DONE:
+        is_measured = sent is not None and sent.seconds > 0
+        if sent is not None and sent.outcome is Outcome.DONE and is_measured:
             self.delays.record(request.service, sent.seconds / choice.expected)
         await self._report(
             choice.keeper,
--- a/flamingovalve/gateway/calls.py
+++ b/flamingovalve/gateway/calls.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
-from flamingovalve.errors import ServingError
+from flamingovalve.errors import ConnectionLost, ServingError
+from flamingovalve.gateway.answers.sink import AnswerSink
 from flamingovalve.gateway.attempts import (
     MAX_SENDS,
     final_error,
@@ -73,9 +74,13 @@
         :raises ServingError: if no upstream returned a response, or none can
             in time
         """
-        sent = await self._send_with_retries(request)
+        sink = AnswerSink(responder)
+        sent = await self._send_with_retries(request, sink)
         if sent is None:
             raise no_upstream(request.service)
+        if sink.started:
+            await _end_passed_on(sent, responder)
+            return
         if sent.response is None:
             raise final_error(request, sent)
         await responder.send(sent.response)
@@ -83,6 +88,7 @@
     async def _send_with_retries(
         self,
         request: InboundRequest,
+        sink: AnswerSink,
     ) -> SendResult | None:
         sent: SendResult | None = None
         with self._attempts.permits_for(request) as permits:
@@ -91,9 +97,10 @@
                 if choice is None:
                     break
                 choice.permit = permits.permit
+                choice.sink = sink
                 latest = await self._hedges.send(request, choice)
                 sent = last_sent(sent or latest, latest)
-                if not await permits.may_retry(latest):
+                if sink.is_claimed or not await permits.may_retry(latest):
                     break
         return sent
 
@@ -131,6 +138,7 @@
             request.remaining(),
             patience=request.send_patience(),
             permit=choice.permit,
+            sink=choice.sink,
         )
         self._balancer.started(upstream.id)
         choice.sent_at = clock.now()
@@ -164,5 +172,15 @@
             self._balancer.failed(upstream.id, unreachable=is_unresponsive)
 
 
+async def _end_passed_on(sent: SendResult, responder: Responder) -> None:
+    """End an answer that was passed on as it arrived.
+
+    :raises ConnectionLost: if it is not complete
+    """
+    if sent.outcome is not Outcome.DONE:
+        raise ConnectionLost('the answer broke off before its end')
+    await responder.end()
+
+
 def _is_resumable(request: InboundRequest) -> bool:
     return request.route.repeat is RepeatPolicy.RESUMABLE
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -217,7 +217,10 @@
         )
         attempts = Attempts(self.retries.budget, self.quarantine)
         relay = UpstreamRelay(
-            self.upstreams.client, self.platform.wire, self.quarantine
+            self.upstreams.client,
+            self.platform.wire,
+            self.quarantine,
+            self.upstreams.answer_bounds,
         )
         self.calls = CallAccess(
             settings,
--- a/flamingovalve/gateway/hedges.py
+++ b/flamingovalve/gateway/hedges.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from flamingovalve.gateway.answers.sink import AnswerSink
     from flamingovalve.gateway.attempts import Attempts
     from flamingovalve.gateway.call_client import CallClient
     from flamingovalve.gateway.inbound import InboundRequest
@@ -72,8 +73,9 @@
                 if not first.terminated:
                     second = await self._choose_second(request, choice, first)
                 if second is not None:
+                    second.sink = choice.sink
                     await group.spawn(self._send, request, second)
-                sent, winner = await _first_response(group)
+                sent, winner = await _first_response(group, choice.sink)
                 choice.is_overdue = winner is not first
         finally:
             _release(second)
@@ -135,18 +137,26 @@
 
 
 async def _first_response(
-    group: curio.TaskGroup,
+    group: curio.TaskGroup, sink: AnswerSink | None
 ) -> tuple[SendResult, curio.Task]:
     """Return the first complete response, or else the last result.
 
+    One that is being passed on goes before all others.
+
     :returns: the result and the task that gave it
     :raises ConnectionLost: if the caller has disconnected
     """
     task = await group.next_done()
-    while task.result.outcome is not Outcome.DONE:
+    while not _is_final(task.result, sink):
         following = await group.next_done()
         if following is None:
             break
         if following.result.outcome is not Outcome.OVER_BUDGET:
             task = following
     return task.result, task
+
+
+def _is_final(sent: SendResult, sink: AnswerSink | None) -> bool:
+    if sent.outcome is not Outcome.DONE:
+        return False
+    return sent.is_passed_on or sink is None or not sink.is_claimed
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -19,9 +19,15 @@
     ServingError,
 )
 from flamingovalve.gateway.announcements import Purpose
+from flamingovalve.gateway.answers.bounds import (
+    AnswerBounds,
+    HeldBody,
+    most_events,
+)
 from flamingovalve.gateway.event_pauses import EventPauses
 from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.upstream_client import SilenceWatch
+from flamingovalve.generated.settings import RelaySettings
 from flamingovalve.http.bodies import EventBuffer, last_event_id
 from flamingovalve.http.messages import Response, end_to_end
 from flamingovalve.util import clock
@@ -30,6 +36,7 @@
     from collections.abc import Awaitable, Callable
 
     from flamingovalve.gateway.announcements import Announcement, SentRequest
+    from flamingovalve.gateway.answers.sink import AnswerSink
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.retries import RetryPermit
@@ -127,6 +134,7 @@
         without a head
     :ivar resumed_after: id of the event after which it was to resume the stream;
         empty for a stream from the start
+    :ivar is_passed_on: whether the response was passed on as it arrived
     """
 
     outcome: Outcome
@@ -142,6 +150,7 @@
     is_acknowledged: bool = True
     received: ReceivedBody | None = None
     resumed_after: str = ''
+    is_passed_on: bool = False
 
     def is_success_of(self, request: InboundRequest) -> bool:
         """Return whether an upstream has answered a request as a whole.
@@ -173,6 +182,8 @@
         empty for a stream from the start
     :ivar patience: longest wait in seconds for an upstream with a rate limit
     :ivar permit: permission to send the request, by the retry budget
+    :ivar sink: passes on an answer that is too large to be held; None if it
+        may not be passed on
     """
 
     seconds: float
@@ -181,6 +192,7 @@
     resume_after: str = ''
     patience: float = 0
     permit: RetryPermit | None = None
+    sink: AnswerSink | None = None
 
 
 _REFUSALS: Final = {
@@ -233,12 +245,18 @@
     """Sends requests to upstreams over pooled connections."""
 
     def __init__(
-        self, client: UpstreamClient, wire: Wire, quarantine: Quarantine
+        self,
+        client: UpstreamClient,
+        wire: Wire,
+        quarantine: Quarantine,
+        bounds: AnswerBounds | None = None,
     ) -> None:
         """Send through ``client`` in the format of ``wire``.
 
         :param quarantine: consulted before each request is sent
+        :param bounds: bounds on answers; those of the default settings if None
         """
+        self._bounds = bounds or AnswerBounds.from_settings(RelaySettings(), 0)
         self._client = client
         self._wire = wire
         self._quarantine = quarantine
@@ -411,17 +429,79 @@
             head = await self._exchange_head(
                 connection, request, upstream, options
             )
-            body = await connection.body(request.remaining_timeout())
+            sent = await self._read_answer(
+                connection, request, head, options.sink
+            )
+        except CallerLost:
+            # Not a failure of the upstream, and no other upstream can help.
+            raise
         except TimeoutError:
             return _unanswered(Outcome.TIMED_OUT, connection)
         except ConnectionLost:
             return _unanswered(Outcome.LOST, connection)
-        sent = self._classify(
-            head, body, request, is_unproven=connection.is_unproven()
-        )
-        sent.seconds = clock.now() - started_at
+        if not sent.is_passed_on:
+            # The rest of the time is that of the caller.
+            sent.seconds = clock.now() - started_at
         return sent
 
+    async def _read_answer(
+        self,
+        connection: UpstreamConnection,
+        request: InboundRequest,
+        head: ResponseHead,
+        sink: AnswerSink | None,
+    ) -> SendResult:
+        """Read an answer as a whole, or pass it on if it is too large.
+
+        :raises ConnectionLost: if it is lost, or exceeds its bounds
+        :raises TimeoutError: if it was not received in time
+        """
+        with HeldBody(self._bounds) as held:
+            is_whole = await _hold(connection, request, held)
+            body = held.take()
+        if is_whole:
+            return self._classify(
+                head, body, request, is_unproven=connection.is_unproven()
+            )
+        may_pass = self._wire.verdict(head, request) is Verdict.SUCCESS
+        if sink is None or not may_pass or not sink.claim():
+            _exceed(connection)
+            raise ConnectionLost('the answer is too large to be held')
+        await sink.begin(
+            head.status,
+            end_to_end(head.lines),
+            ends_with_connection=connection.body_ends_with_connection(),
+        )
+        await self._pass_on(connection, request, sink, body)
+        return SendResult(Outcome.DONE, is_passed_on=True)
+
+    async def _pass_on(
+        self,
+        connection: UpstreamConnection,
+        request: InboundRequest,
+        sink: AnswerSink,
+        part: bytes,
+    ) -> None:
+        """Pass a large answer on as it arrives.
+
+        The time for which the caller keeps it waiting does not count towards
+        its time limit.
+
+        :param part: what has arrived
+        """
+        ends_at = clock.now() + request.remaining_timeout()
+        size = 0
+        while part:
+            size += len(part)
+            if size > self._bounds.most_bytes:
+                _exceed(connection)
+                raise ConnectionLost('the answer exceeds its bound')
+            written_at = clock.now()
+            await sink.write(part)
+            ends_at += clock.now() - written_at
+            await self._bounds.pace(len(part))
+            part = await connection.chunk(max(ends_at - clock.now(), 0))
+
     def _classify(
         self,
         head: ResponseHead,
@@ -462,10 +542,7 @@
                 connection, request, upstream, options
             )
             if self._wire.verdict(head, request) is not Verdict.SUCCESS:
-                body = await connection.body(request.remaining_timeout())
-                return self._classify(
-                    head, body, request, is_unproven=connection.is_unproven()
-                )
+                return await self._read_answer(connection, request, head, None)
             await sink.begin(
                 head.status,
                 end_to_end(head.lines),
@@ -548,14 +625,22 @@
         sink: EventSink,
     ) -> None:
         may_move = _may_move(request)
+        limit = most_events(request)
+        size = 0
         chunk_bytes = b'-'
         while chunk_bytes:
             chunk_bytes = await self._client.chunk(
                 connection,
                 upstream,
-                request.remaining_timeout(),
+                _remaining(request),
                 may_move=may_move,
             )
+            size += len(chunk_bytes)
+            received = connection.received
+            events = received.events if received is not None else 0
+            if size > self._bounds.most_bytes or events > limit:
+                _exceed(connection)
+                raise ConnectionLost('the stream exceeds its bounds')
             if chunk_bytes:
                 sink.pauses.record_chunk(chunk_bytes)
                 await sink.write(chunk_bytes)
@@ -644,6 +729,29 @@
     return request.route.target_latency if request.route.streams else 0
 
 
+async def _hold(
+    connection: UpstreamConnection, request: InboundRequest, held: HeldBody
+) -> bool:
+    """Read an answer as long as it may be held; return whether it is whole."""
+    part = await connection.chunk(_remaining(request))
+    while part and held.add(part):
+        part = await connection.chunk(_remaining(request))
+    return not part
+
+
+def _remaining(request: InboundRequest) -> float:
+    """Return the time for another part of an answer.
+
+    Without any left, what is ready is still read, within a bound.
+    """
+    return max(request.remaining(), 0)
+
+
+def _exceed(connection: UpstreamConnection) -> None:
+    if connection.received is not None:
+        connection.received.exceed()
+
+
 def _unanswered(outcome: Outcome, connection: UpstreamConnection) -> SendResult:
     is_acknowledged = (
         not connection.is_direct or not connection.has_unacknowledged_data()
--- a/flamingovalve/gateway/tunnel_client.py
+++ b/flamingovalve/gateway/tunnel_client.py
@@ -18,6 +18,7 @@
 from flamingovalve.util import clock, hashing
 from flamingovalve.util.logs import get_logger, note
 from flamingovalve.util.staggered import first_opened
+from flamingovalve.util.turns import Turns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +41,8 @@
 _NEXT_VM_SECONDS: Final = 0.08
 _OPEN_SECONDS: Final = 0.5
 _END_SECONDS: Final = 1.0
+# Bytes of a message that is passed over.
+_READ_BYTES: Final = 65536
 # A VM that has refused a connection to a service is asked last for this long.
 _REFUSED_SECONDS: Final = 1.0
 
@@ -93,10 +96,15 @@
         :returns: the connection to the other VM, for other exchanges
         :raises ConnectionLost: if that connection broke or fell silent
         """
+        ends_at = clock.now() + _END_SECONDS
+        turns = Turns()
         await self._connection.send(end)
         message = await self._connection.receive(_END_SECONDS)
         while not isinstance(message, messages.TunnelEnded):
             # What the upstream sent after its response belongs to no request.
+            if clock.now() > ends_at:
+                raise ConnectionLost('the connection does not become quiet')
+            await turns.record(_READ_BYTES)
             message = await self._connection.receive(_END_SECONDS)
         return self._connection
 
--- a/flamingovalve/gateway/tunnel_server.py
+++ b/flamingovalve/gateway/tunnel_server.py
@@ -32,6 +32,7 @@
 from flamingovalve.peer.connection import HEARTBEAT_SECONDS
 from flamingovalve.peer.server import refusal_of
 from flamingovalve.util import clock
+from flamingovalve.util.turns import Turns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -201,6 +202,7 @@
 ) -> None:
     """Send what the upstream sends to the other VM until either ends."""
     heartbeats = 0
+    turns = Turns()
     payload: bytes | None = None
     try:
         while payload != b'':
@@ -211,6 +213,7 @@
             else:
                 message = TunnelData(payload) if payload else TunnelClosed(True)
             await _send_whole(connection, message)
+            await turns.record(len(payload or b''))
     except OSError:
         await _send_whole(connection, TunnelClosed(False))
 
--- a/flamingovalve/gateway/upstream_access.py
+++ b/flamingovalve/gateway/upstream_access.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from flamingovalve.gateway.answers.bounds import AnswerBounds
 from flamingovalve.gateway.dialer import UpstreamDialer
 from flamingovalve.gateway.path_checks import PathChecker
 from flamingovalve.gateway.quarantine.upstream_ends import UpstreamEnds
@@ -104,6 +105,9 @@
             is_leaving,
             settings.limits.connections,
         )
+        self.answer_bounds = AnswerBounds.from_settings(
+            settings.relay, settings.vm.memory_mb
+        )
         self.client = UpstreamClient(
             self._wire.announcement,
             self.statuses,
--- a/flamingovalve/gateway/upstream_client.py
+++ b/flamingovalve/gateway/upstream_client.py
@@ -37,6 +37,9 @@
 _CHECK_SECONDS: Final = 0.4
 # An upstream repeats a response once.
 _MAX_EXTRA_RESPONSES: Final = 4
+_MAX_EXTRA_BYTES: Final = 1024**2
+# Reports of engines and answers to orders are a few KB.
+_MAX_REPORT_BYTES: Final = 4 * 1024**2
 # Engines pause for less while they read prompts.
 _SILENT_SECONDS: Final = 0.5
 
@@ -193,7 +196,9 @@
                 await self._record(connection, sent, announcement)
                 return head
             # The response to this request follows.
-            await connection.discard_body(max(ends_at - clock.now(), 0))
+            await connection.discard_body(
+                max(ends_at - clock.now(), 0), _MAX_EXTRA_BYTES
+            )
             connection.expect_extra_response()
         raise ConnectionLost('the upstream answers other requests only')
 
@@ -334,7 +339,7 @@
         self._statuses.record_sent(sent)
         await connection.send(call, seconds)
         head = await connection.head(seconds)
-        await connection.body(seconds)
+        await connection.body(seconds, _MAX_REPORT_BYTES)
         return head
 
     async def exchange(
@@ -348,13 +353,14 @@
     ) -> Response:
         """Send a request and return the complete response.
 
-        :param seconds: time limit of each wait
+        :param seconds: time limit of sending, of the head and of the body
         :param patience: longest wait until the upstream accepts it
         :param request_id: id that its response repeats
         :raises HeldBack: if it accepts none within ``patience``
         :raises OSError: if the upstream cannot be reached in time
-        :raises ConnectionLost: if the connection broke
-        :raises TimeoutError: if one of the waits exceeded ``seconds``
+        :raises ConnectionLost: if the connection broke, or the body is too
+            large
+        :raises TimeoutError: if one of the time limits was exceeded
         """
         await self.admit(upstream, purpose, patience)
         connection = await self.acquire(upstream, purpose)
@@ -363,7 +369,7 @@
                 connection, upstream, purpose, call, seconds, request_id
             )
             head = await self.head(connection, upstream, sent, seconds)
-            body = await connection.body(seconds)
+            body = await connection.body(seconds, _MAX_REPORT_BYTES)
         except BaseException:
             await connection.close()
             raise
--- a/flamingovalve/http/bodies.py
+++ b/flamingovalve/http/bodies.py
@@ -24,6 +24,8 @@
 _NO_BODY: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _FIRST_SUCCESS: Final = 200
 _LAST_SUCCESS: Final = 299
+MAX_EVENT_BYTES: Final = 1024**2
+MAX_EVENT_PARTS: Final = 4096
 
 
 class Framing(Enum):
@@ -80,6 +82,7 @@
     :cvar INSIDE_JSON: its connection ended before the end of its JSON value
     :cvar LOST: its connection broke, or the end that its framing requires is
         missing
+    :cvar EXCESSIVE: it exceeded a bound before its end
     """
 
     OPEN = 'open'
@@ -89,6 +92,7 @@
     BEFORE_EVENT = 'before_event'
     INSIDE_JSON = 'inside_json'
     LOST = 'lost'
+    EXCESSIVE = 'excessive'
 
 
 _EARLY_REASONS: Final = {
@@ -102,34 +106,43 @@
     """Splits a stream into complete events.
 
     :ivar has_event: whether an event has ended; comments are none
+    :ivar ended: number of empty lines that have ended an event or a comment
     """
 
     def __init__(self) -> None:
         """Start before the first event."""
         self.has_event = False
-        self._rest = b''
+        self.ended = 0
+        self._rest = bytearray()
+        self._parts = 0
 
     def feed(self, received: bytes) -> bytes:
         """Append received bytes.
 
         :returns: the events that they complete, as they were received
+        :raises ConnectionLost: if one event exceeds ``MAX_EVENT_BYTES``, or
+            arrives in over ``MAX_EVENT_PARTS`` parts
         """
-        buffered = self._rest + received
         # The last event that ends here ends with the last empty line.
         start = max(len(self._rest) - len(_LINE_ENDS), 0)
+        self._rest += received
         end = 0
-        for found in _EVENT_END.finditer(buffered, start):
+        for found in _EVENT_END.finditer(self._rest, start):
             end = found.end()
-        self._rest = buffered[end:]
-        complete = buffered[:end]
+            self.ended += 1
+        complete = bytes(self._rest[:end])
+        del self._rest[:end]
+        self._parts = 0 if complete else self._parts + 1
+        if len(self._rest) > MAX_EVENT_BYTES or self._parts > MAX_EVENT_PARTS:
+            raise ConnectionLost('an event of the stream has no end')
         if not self.has_event:
             self.has_event = _FIELD.search(complete) is not None
         return complete
 
     def take_rest(self) -> bytes:
         """Return what follows the last complete event, and forget it."""
-        rest = self._rest
-        self._rest = b''
+        rest = bytes(self._rest)
+        self._rest.clear()
         return rest
 
     def is_inside_event(self) -> bool:
@@ -183,8 +196,16 @@
                 kind = BodyKind.EVENTS
         return cls(framing, kind)
 
+    @property
+    def events(self) -> int:
+        """Number of events that have ended, comments among them."""
+        return self._events.ended
+
     def feed(self, received: bytes) -> None:
-        """Record a part of the body."""
+        """Record a part of the body.
+
+        :raises ConnectionLost: if one of its events has no end
+        """
         if self._kind is BodyKind.EVENTS:
             self._events.feed(received)
         elif self._kind is BodyKind.JSON and self._ends_with_connection():
@@ -208,6 +229,10 @@
         """Record that the connection broke before the end of the body."""
         self.end = BodyEnd.LOST
 
+    def exceed(self) -> None:
+        """Record that it exceeded a bound before its end."""
+        self.end = BodyEnd.EXCESSIVE
+
     def _ends_with_connection(self) -> bool:
         return self.framing is Framing.CONNECTION
 
--- a/flamingovalve/http/caller_writer.py
+++ b/flamingovalve/http/caller_writer.py
@@ -91,6 +91,11 @@
         self._is_waiting = False
         self._failure = ''
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that are held for the caller."""
+        return self._account.size
+
     async def write(self, encoded: bytes) -> None:
         """Write a part of the response, or hold it while the caller is slow.
 
--- a/flamingovalve/http/client.py
+++ b/flamingovalve/http/client.py
@@ -20,14 +20,25 @@
 )
 from flamingovalve.util import clock
 from flamingovalve.util.network import is_quiet
+from flamingovalve.util.turns import Turns
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from curio.io import Socket
 
     from flamingovalve.generated.settings import RelaySettings
     from flamingovalve.util.network import Network
 
 _READ_BYTES = 65536
+# Bound on the body of a call that the VM makes for itself.
+MAX_CONTROL_BYTES = 16777216
+_MAX_INFORMATIONAL = 8
+# Parts that are ready when their time is over are still read, up to this many.
+_MAX_LATE_PARTS = 64
+_LATE_SECONDS = 0.001
+# Time of a whole body in waits for a part.
+_WAITS_PER_BODY = 2
 
 # Ids of refused requests that a connection keeps before it is closed.
 _MAX_REFUSED_IDS = 256
@@ -111,6 +122,8 @@
         self._call = _NO_CALL
         self.received: ReceivedBody | None = None
         self.refused_ids: set[str] = set()
+        self._turns = Turns()
+        self._late_parts = 0
 
     async def send(self, call: UpstreamCall, seconds: float) -> None:
         """Send the request with its body.
@@ -122,6 +135,7 @@
         """
         self._call = call
         self.received = None
+        self._late_parts = 0
         headers = list(call.headers)
         if call.host is None:
             headers.append(('host', self.address))
@@ -147,12 +161,18 @@
     async def head(self, seconds: float) -> ResponseHead:
         """Wait for the status line and the headers.
 
-        :raises TimeoutError: if no data was received for ``seconds``
+        :param seconds: time limit of the whole head
+        :raises TimeoutError: if it was not received in time
         :raises ConnectionLost: if the connection ended first
         """
-        event = await self._next_event(seconds)
+        ends_at = clock.now() + seconds
+        event = await self._next_event(ends_at)
+        informational = 0
         while isinstance(event, h11.InformationalResponse):
-            event = await self._next_event(seconds)
+            informational += 1
+            if informational > _MAX_INFORMATIONAL:
+                raise ConnectionLost('too many informational responses')
+            event = await self._next_event(ends_at)
         if not isinstance(event, h11.Response):
             raise ConnectionLost(
                 'the upstream closed the connection before it answered'
@@ -170,20 +190,21 @@
     async def chunk(self, seconds: float) -> bytes:
         """Wait for the next part of the body.
 
+        :param seconds: time limit of the whole part
         :returns: the part, empty once the body is complete
-        :raises TimeoutError: if no data was received for ``seconds``
+        :raises TimeoutError: if it was not received in time
         :raises ConnectionLost: if the connection ended before the end of the
             body, or the bytes show that the body is incomplete
         """
         received = self._body_in_progress()
         try:
-            event = await self._next_event(seconds)
+            event = await self._next_event(clock.now() + seconds)
         except ConnectionLost:
             received.lose()
             raise
         if isinstance(event, h11.Data):
             payload = bytes(event.data)
-            received.feed(payload)
+            self._feed(received, payload)
             return payload
         if isinstance(event, h11.EndOfMessage):
             received.finish()
@@ -193,27 +214,58 @@
             'the upstream closed the connection in the middle of its response',
         )
 
-    async def body(self, seconds: float) -> bytes:
-        """Wait for the complete body, for each part at most ``seconds``."""
+    async def body(
+        self,
+        seconds: float,
+        most_bytes: int,
+        part_seconds: float | None = None,
+    ) -> bytes:
+        """Wait for the complete body.
+
+        :param seconds: time limit of the whole body
+        :param most_bytes: bound on its size
+        :param part_seconds: time limit of each part; None for no other one
+        :raises TimeoutError: if it was not received in time
+        :raises ConnectionLost: if the connection ended before its end, or it
+            is larger
+        """
         parts: list[bytes] = []
-        part = await self.chunk(seconds)
-        while part:
-            parts.append(part)
-            part = await self.chunk(seconds)
+        await self._read_parts(
+            seconds, most_bytes, part_seconds or seconds, parts.append
+        )
         return b''.join(parts)
 
-    async def discard_body(self, seconds: float) -> None:
+    async def discard_body(self, seconds: float, most_bytes: int) -> None:
         """Read the body of a response to another call, whatever it holds.
 
-        :param seconds: longest wait for each part
-        :raises TimeoutError: if no data was received for ``seconds``
-        :raises ConnectionLost: if the connection ended before its end
+        :param seconds: time limit of the whole body
+        :param most_bytes: bound on its size
+        :raises TimeoutError: if it was not received in time
+        :raises ConnectionLost: if the connection ended before its end, or it
+            is larger
         """
         framing = self._body_in_progress().framing
         self.received = ReceivedBody(framing, BodyKind.OPAQUE)
-        part = await self.chunk(seconds)
+        await self._read_parts(seconds, most_bytes, seconds, _discard_part)
+
+    async def _read_parts(
+        self,
+        seconds: float,
+        most_bytes: int,
+        part_seconds: float,
+        receive: Callable[[bytes], None],
+    ) -> None:
+        ends_at = clock.now() + seconds
+        size = 0
+        part = await self.chunk(min(seconds, part_seconds))
         while part:
-            part = await self.chunk(seconds)
+            size += len(part)
+            if size > most_bytes:
+                self._body_in_progress().exceed()
+                raise ConnectionLost(f'a body exceeds {most_bytes} bytes')
+            receive(part)
+            left = max(ends_at - clock.now(), 0)
+            part = await self.chunk(min(left, part_seconds))
 
     def body_ends_with_connection(self) -> bool:
         """Return whether the last body is delimited by the connection's end."""
@@ -300,27 +352,57 @@
         assert self.received is not None, 'the head has not been read'
         return self.received
 
-    async def _next_event(self, seconds: float) -> Any:
+    def _feed(self, received: ReceivedBody, payload: bytes) -> None:
+        try:
+            received.feed(payload)
+        except ConnectionLost:
+            received.exceed()
+            raise
+
+    async def _next_event(self, ends_at: float) -> Any:
+        """Return the next event of the protocol.
+
+        :param ends_at: time limit on the monotonic clock; what is ready then
+            is still read, within a bound
+        """
+        await self._turns.record()
+        self._check_time(ends_at)
         try:
             event = self._protocol.next_event()
             while event is h11.NEED_DATA:
-                self._protocol.receive_data(await self._receive(seconds))
+                received = await self._receive(ends_at)
+                # Before the task may be cancelled.
+                self._protocol.receive_data(received)
+                await self._turns.record(len(received))
                 event = self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             raise ConnectionLost(f'malformed response: {error}') from error
         return event
 
-    async def _receive(self, seconds: float) -> bytes:
+    async def _receive(self, ends_at: float) -> bytes:
+        self._check_time(ends_at)
+        seconds = max(ends_at - clock.now(), _LATE_SECONDS)
         try:
             async with curio.timeout_after(seconds):
                 return await self._socket.recv(_READ_BYTES)
         except curio.TaskTimeout as timeout:
             raise TimeoutError(
-                f'{self.address} sent no data for {seconds:g} s',
+                f'{self.address} sent no complete data in time',
             ) from timeout
         except OSError as error:
             raise ConnectionLost(str(error)) from error
 
+    def _check_time(self, ends_at: float) -> None:
+        if clock.now() < ends_at:
+            return
+        self._late_parts += 1
+        if self._late_parts > _MAX_LATE_PARTS:
+            raise TimeoutError(f'{self.address} sends beyond its time')
+
+
+def _discard_part(_part: bytes) -> None:
+    """Do nothing with a part of a body."""
+
 
 class ConnectionPool:
     """Pool of idle connections to upstreams.
@@ -420,20 +502,25 @@
         seconds: float,
         *,
         fresh: bool = False,
+        most_bytes: int = MAX_CONTROL_BYTES,
     ) -> Response:
         """Make one call and return the complete response.
 
-        :param seconds: time limit for sending the call and then for each
-            wait for data
+        :param seconds: time limit for sending the call, for the head and for
+            each part of the body; the whole body may take twice as long
         :param fresh: use a new connection instead of an idle one
+        :param most_bytes: bound on the size of the body
         :raises OSError: if the upstream cannot be reached in time
-        :raises ConnectionLost: if the connection broke during the call
-        :raises TimeoutError: if one of the waits exceeded ``seconds``
+        :raises ConnectionLost: if the connection broke during the call, or
+            the body is larger
+        :raises TimeoutError: if one of the time limits was exceeded
         """
         opener = self.connect if fresh else self.acquire
         connection = await opener(address)
         try:
-            response = await self._exchange_on(connection, call, seconds)
+            response = await self._exchange_on(
+                connection, call, seconds, most_bytes
+            )
         except BaseException:
             await connection.close()
             raise
@@ -445,10 +532,13 @@
         connection: UpstreamConnection,
         call: UpstreamCall,
         seconds: float,
+        most_bytes: int,
     ) -> Response:
         await connection.send(call, seconds)
         head = await connection.head(seconds)
-        body = await connection.body(seconds)
+        body = await connection.body(
+            seconds * _WAITS_PER_BODY, most_bytes, seconds
+        )
         return Response(
             head.status,
             list(head.headers.items()),
--- a/flamingovalve/http/responder.py
+++ b/flamingovalve/http/responder.py
@@ -137,6 +137,15 @@
         if self._writer is not None:
             await self._writer.flush()
 
+    async def flush_above(self, size: int) -> None:
+        """Wait until the caller has been sent all, if much is held for it.
+
+        :param size: bytes that may be held without a wait
+        :raises CallerLost: if the caller has gone or reads no data
+        """
+        if self._writer is not None and self._writer.held_bytes > size:
+            await self._writer.flush()
+
     async def close(self) -> None:
         """Release the data that is still held for the caller."""
         if self._writer is not None:
--- a/flamingovalve/relay/completion.py
+++ b/flamingovalve/relay/completion.py
@@ -245,11 +245,19 @@
             await self._relay_body(connection)
 
     async def _relay_body(self, connection: UpstreamConnection) -> None:
-        body = await connection.body(self._settings.chunk_seconds)
+        body = await self._body(connection)
         self._check.check_whole(body)
         headers = [('content-type', JSON_TYPE), *self._response_headers()]
         await self._sink.send(Response(HTTPStatus.OK, headers, body))
 
+    async def _body(self, connection: UpstreamConnection) -> bytes:
+        settings = self._settings
+        return await connection.body(
+            settings.first_byte_seconds,
+            settings.answer_bytes,
+            settings.chunk_seconds,
+        )
+
     async def _stream(self, connection: UpstreamConnection) -> None:
         seconds = self._settings.chunk_seconds
         received = await connection.chunk(seconds)
@@ -287,7 +295,7 @@
         connection: UpstreamConnection,
         head: ResponseHead,
     ) -> None:
-        body = await connection.body(self._settings.chunk_seconds)
+        body = await self._body(connection)
         self.may_run = False
         if head.status == HTTPStatus.NOT_FOUND and self._resuming:
             raise fragment_error('the engine does not know the stream any more')
--- a/flamingovalve/relay/services.py
+++ b/flamingovalve/relay/services.py
@@ -139,7 +139,11 @@
         try:
             await connection.send(request.upstream_call(), first_byte_timeout)
             head = await connection.head(first_byte_timeout)
-            body = await connection.body(self._settings.chunk_seconds)
+            body = await connection.body(
+                max(request.remaining(), 0),
+                self._settings.answer_bytes,
+                self._settings.chunk_seconds,
+            )
         except (ConnectionLost, TimeoutError):
             self._breakers.failed(connection.address)
             await connection.close()
--- a/flamingovalve/schema/settings.capnp
+++ b/flamingovalve/schema/settings.capnp
@@ -111,6 +111,8 @@
   breakerFailures @6 :UInt32 = 5 $unit("failures") $low(1) $high(1000) $doc("Consecutive failures that open the circuit breaker of an upstream.");
   breakerSeconds @7 :Float64 = 2 $unit("seconds") $low(0.1) $high(300) $doc("Time for which an open circuit breaker refuses calls.");
   quarantineSeconds @8 :Float64 = 600 $unit("seconds") $low(1) $high(86400) $doc("Time for which a request that crashed engines is refused.");
+  answerBytes @9 :UInt32 = 67108864 $unit("bytes") $low(65536) $high(2147483648) $doc("Maximum size of an answer of an upstream. One that is larger is broken off.");
+  heldAnswerBytes @10 :UInt32 = 1048576 $unit("bytes") $low(4096) $high(1073741824) $doc("Size up to which an answer is read as a whole. One that is larger is passed on as it arrives and not retried.");
 }
 
 struct ClaimSettings $section("claims") $doc("Records that prevent a non-idempotent request from running twice.") {
--- a/tests/test_event_pauses.py
+++ b/tests/test_event_pauses.py
@@ -78,7 +78,8 @@
 
         async def stream(request, _upstream, _options, sink):
             relay = UpstreamRelay(Mock(chunk=chunk), Mock(), Mock())
-            await relay._forward_events(Mock(), request, Mock(), sink)
+            connection = Mock(received=None)
+            await relay._forward_events(connection, request, Mock(), sink)
 
         places, finder = Mock(end=AsyncMock()), Mock(take=AsyncMock())
         server = CompletionServer(
@@ -95,7 +96,7 @@
             patch.object(server, '_upstream_of'),
             self.assertRaises(curio.TaskCancelled),
         ):
-            request = Mock(priority=0)
+            request = Mock(priority=0, completion=None)
             request.route.repeat = RepeatPolicy.ONCE
             server._send_once(request, Mock(), sink, Mock()).send(None)
         self.assertAlmostEqual(places.end.await_args.args[1].max_gap, 0.7)
