Refuse unusable addresses, and count alternatives that crash as failed

Cause: any text was taken for an address. Splitting it raised a ValueError in the task that connects, and the race of alternatives waited an hour for the result of a task that had crashed.

Fix: an entry whose address is not IP:port is ignored like any other that cannot be decoded, and an alternative that raises any error has failed, with a line in the log.

--- a/flamingovalve/platform/decode.py
+++ b/flamingovalve/platform/decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import math
 from typing import Any
@@ -16,6 +17,7 @@
     UpstreamId,
     WorkspaceId,
 )
+from flamingovalve.util.listeners import split_address
 
 # Raised by access to decoded JSON that has an unexpected shape.
 SHAPE_ERRORS = (
@@ -30,6 +32,7 @@
 # Width of start times in messages between VMs.
 _START_BITS = 64
 _MAX_START_MS = 2**_START_BITS - 1
+_MAX_PORT = 65535
 
 _REPEAT_POLICIES = {
     ('idempotent', False): model.RepeatPolicy.ANY,
@@ -235,7 +238,7 @@
     return model.Upstream(
         id=UpstreamId(name),
         service=ServiceId(_string(raw['Service'])),
-        address=_string(raw['Addr']),
+        address=_address(raw['Addr']),
         domain=DomainId(_string(raw['Zone'])),
         state=model.UpstreamState(raw['State']),
         slots=_integer(raw['Slots']),
@@ -256,6 +259,18 @@
     return raw
 
 
+def _address(raw: Any) -> str:
+    """Return an address of the form ``IP:port``.
+
+    :raises ValueError: if nothing can be reached there
+    """
+    host, port = split_address(_string(raw))
+    ipaddress.IPv4Address(host)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f'{raw!r} has no valid port')
+    return f'{host}:{port}'
+
+
 def _optional_string(raw: Any) -> str:
     return raw if isinstance(raw, str) else ''
 
--- a/flamingovalve/util/staggered.py
+++ b/flamingovalve/util/staggered.py
@@ -6,11 +6,15 @@
 
 import curio
 
+from flamingovalve.util.logs import get_logger
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
 
 Opened = TypeVar('Opened')
 
+logger = get_logger(__name__)
+
 # Alternatives end by themselves; curio has no infinite timeouts.
 _NO_TIMEOUT: Final = 3600.0
 
@@ -25,7 +29,8 @@
     Each alternative starts when those before have failed, or have not ended
     within ``delay`` seconds. The others are cancelled.
 
-    :param starts: alternatives in their order, which raise no errors
+    :param starts: alternatives in their order; one that raises an error has
+        failed
     :param discard: disposes of results that are not returned
     :returns: None if all alternatives fail
     """
@@ -79,4 +84,10 @@
                 await discard(rest)
 
     async def _run(self, start: Callable[[], Awaitable[Any]]) -> None:
-        await self._ended.put(await start())
+        opened = None
+        try:
+            opened = await start()
+        except Exception as error:
+            # Nobody joins this task, and the race waits for its result.
+            logger.exception('an alternative has failed: {!r}', error)
+        await self._ended.put(opened)
