Name the engine in reports, so that no other upstream runs them

Cause: gave reports an id of their own. A report did not name the engine that it was for, and without an id a plain runner had refused it.

Fix: reports name their engine, as orders do; another upstream answers 421 and does not run them.

Test: test_reports_and_orders_are_not_run failed before.

--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -161,7 +161,7 @@
                 call,
                 _REPORT_SECONDS,
                 patience,
-                _add_id(call),
+                _identify(call, self._upstream),
             )
         except (OSError, ConnectionLost):
             return None
@@ -178,7 +178,6 @@
     async def order(self, order: Order) -> OrderOutcome:
         """Send one order, which may be accepted even without a response."""
         call = UpstreamCall.from_json('POST', '/order', _order_body(order))
-        call.headers.append(('Expect-Instance', self._upstream.id))
         try:
             response = await self._client.exchange(
                 self._upstream,
@@ -186,7 +185,7 @@
                 call,
                 _ORDER_SECONDS,
                 _ORDER_PATIENCE_SECONDS,
-                _add_id(call),
+                _identify(call, self._upstream),
             )
         except HeldBack:
             return OrderOutcome.HELD_BACK
@@ -206,13 +205,17 @@
 }
 
 
-def _add_id(call: UpstreamCall) -> str:
+def _identify(call: UpstreamCall, upstream: Upstream) -> str:
     """Give a call of the VM itself an id that its response repeats.
 
+    It also names its engine: at an address that is used again, an upstream of
+    another service would run a call with an id as a request.
+
     :returns: the id
     """
     request_id = uuid.uuid4().hex[:_ID_CHARACTERS]
     call.headers.append((_ID_HEADER, request_id))
+    call.headers.append(('Expect-Instance', upstream.id))
     return request_id
 
 
--- a/tests/test_late_repeats.py
+++ b/tests/test_late_repeats.py
@@ -160,6 +160,23 @@
         self.assertEqual(self.repeats.repeated, 1)
 
 
+class TestReusedAddresses(unittest.TestCase):
+    """Addresses of engines that upstreams of other services use again."""
+
+    def test_reports_and_orders_are_not_run(self):
+        """A plain upstream runs a call with an id that no caller sent."""
+        site = Site.started(3, engines=2)
+        self.addCleanup(site.close)
+        engine, app = site.engines[0], site.apps[0]
+        engine.server._request_handler = app.respond
+        site.world.advance(2)
+        for number in range(4):
+            site.send('vm-0', site.chat(f'a{number}'))
+        site.world.advance(2)
+        self.assertGreater(len(app.history.arrivals), 0)
+        self.assertEqual(dict(app.runs_by_request), {})
+
+
 class IdleConnection:
     """An idle connection without a socket."""
 
