--- a/tests/rig/paged_faults.py
+++ b/tests/rig/paged_faults.py
@@ -142,14 +142,16 @@
 
     def _known(self, daemon: Any) -> dict[str, Any]:
         catalogue = daemon.catalogue
-        runners = (*self.site.engines, *self.site.apps)
+        # An entry that lapsed around an outage stays registered, and takes no
+        # requests after its grace period.
+        listed = [
+            upstream.id
+            for service in ('app', 'engines')
+            for upstream in catalogue.upstreams(service)
+        ]
         return {
             'configuration': catalogue.configuration.version,
-            'upstreams': sorted(
-                runner.name
-                for runner in runners
-                if catalogue.lists(runner.name)
-            ),
+            'upstreams': sorted(listed),
             'versions': [
                 catalogue.wanted_version('base', f'a{n}')
                 for n in range(_ADAPTERS)
--- a/tests/test_paged_readings.py
+++ b/tests/test_paged_readings.py
@@ -23,7 +23,8 @@
 
 PAGE_ITEMS = 3
 STEPS = 14
-SEEDS = (1, 2, 3, 4)
+# Seed 108 has an entry that lapses around an outage of the store.
+SEEDS = (1, 2, 3, 108)
 SLOW_SECONDS = 0.25
 
 
