--- a/tests/rig/endless_answers.py
+++ b/tests/rig/endless_answers.py
@@ -131,6 +131,10 @@
             self.rng.choice((200, 200, 500, 503)),
             self.rng.random() < 1 / 2,
         )
+        if endless.place is Place.TINY_CHUNKS:
+            # No time passes while a VM reads millions of them, so that no
+            # deadline ends it on the virtual clock.
+            endless.is_quick = False
         path = self.rng.choice(('/report', '/order', '/health', '', '', ''))
         if path:
             endless.applies = lambda request: request.path == path
