--- a/tests/test_event_pauses.py
+++ b/tests/test_event_pauses.py
@@ -97,6 +97,7 @@
             self.assertRaises(curio.TaskCancelled),
         ):
             request = Mock(priority=0, completion=None)
+            request.remaining.return_value = 5
             request.route.repeat = RepeatPolicy.ONCE
             server._send_once(request, Mock(), sink, Mock()).send(None)
         self.assertAlmostEqual(places.end.await_args.args[1].max_gap, 0.7)
