--- a/tests/test_paged_readings.py
+++ b/tests/test_paged_readings.py
@@ -264,10 +264,7 @@
         self.assertEqual((known.key, known.revision), ('k1', 12))
 
     def test_removal_before_the_first_reading_of_another_vm(self):
-        """A VM that starts knows no tombstone of what was removed before.
-
-        The others must learn of the removal, by it or from the store.
-        """
+        """A VM that starts knows no tombstone of what was removed before."""
         self.read('b', 10, document('k1', 9), document('k2', 8))
         self.read('a', 13, document('k1', 9), document('k3', 13))
         self.announce('a', 'b')
