--- a/benchmarks/owner_cost.py
+++ b/benchmarks/owner_cost.py
@@ -18,7 +18,6 @@
 from flamingovalve.cmd.tables import table
 from flamingovalve.gateway.catalogue import Catalogue
 from flamingovalve.gateway.fencing import Fences
-from flamingovalve.gateway.ledger import AdapterState, HeldAdapter
 from flamingovalve.gateway.model import (
     EngineTraits,
     ModelTraits,
@@ -27,6 +26,7 @@
 )
 from flamingovalve.gateway.orders import Order, OrderOutcome
 from flamingovalve.gateway.owner import GroupOwner
+from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.generated import ids
 from flamingovalve.generated.ids import (
--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -12,8 +12,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from flamingovalve.gateway.ledger import AdapterState, HeldAdapter
 from flamingovalve.gateway.prefill import must_yield
+from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.generated.ids import ModelId
 from flamingovalve.util import clock
 
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -9,8 +9,8 @@
 
 from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.fencing import NO_FENCE
-from flamingovalve.gateway.ledger import AdapterState, HeldAdapter
 from flamingovalve.gateway.orders import Action, Order, OrderOutcome
+from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.generated.ids import AdapterId, ModelId
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING, Any, Final
 
 from flamingovalve.gateway.brittleness import Brittleness
 from flamingovalve.gateway.fencing import NO_FENCE
-from flamingovalve.gateway.learning import ExpectedLoad, KeptAdapters, LoadTimes
+from flamingovalve.gateway.learning import KeptAdapters, LoadTimes
 from flamingovalve.gateway.prefill import PrefillBacklog, must_yield
 from flamingovalve.gateway.prefill_model import (
     PrefillModel,
@@ -17,6 +16,7 @@
     size_of,
 )
 from flamingovalve.gateway.prompts import CachedParts
+from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.gateway.send_plan import SendPlan
 from flamingovalve.gateway.stream_gaps import EngineStreams, StreamGaps
 from flamingovalve.gateway.token_memory import TokenMemory
@@ -56,51 +56,6 @@
 _INITIAL_PACE: Final = 1.25
 
 
-class AdapterState(Enum):
-    """State of an adapter on an engine: loading, loaded or unloading."""
-
-    LOADING = 'coming'
-    RESIDENT = 'resident'
-    UNLOADING = 'going'
-
-
-@dataclass(slots=True)
-class HeldAdapter:
-    """One adapter that occupies a slot.
-
-    :ivar uses: number of places that use it
-    :ivar ready_at: when its load should be complete, on the monotonic clock
-    :ivar replaces: the previous version, which stays if the load fails
-    :ivar is_ordered: false while its load order is queued or unanswered;
-        until then no report can show the adapter
-    :ivar load: the estimate for its load, until a request shows whether the
-        adapter was loaded by then
-    :ivar is_confirmed: whether a report or a request has confirmed it on the
-        engine
-    """
-
-    name: AdapterId
-    version: int
-    state: AdapterState
-    uses: int = 0
-    ready_at: float = 0
-    used_at: float = 0
-    replaces: HeldAdapter | None = None
-    is_ordered: bool = True
-    load: ExpectedLoad | None = None
-    is_confirmed: bool = True
-
-    def is_idle(self) -> bool:
-        """Return whether the adapter can be evicted.
-
-        An adapter that should be loaded by now may still be loading, and the
-        engine cannot unload it until then.
-        """
-        if self.state is not AdapterState.RESIDENT or not self.is_confirmed:
-            return False
-        return not self.uses
-
-
 @dataclass(slots=True)
 class Place:
     """The place of one request on an engine.
--- a/flamingovalve/gateway/load_budget.py
+++ b/flamingovalve/gateway/load_budget.py
@@ -14,7 +14,7 @@
 
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway import return_times
-from flamingovalve.gateway.ledger import AdapterState
+from flamingovalve.gateway.residency.held import AdapterState
 from flamingovalve.util import clock
 from flamingovalve.util.rates import DecayingRate
 
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -13,9 +13,9 @@
 from flamingovalve.gateway.announcements import Purpose
 from flamingovalve.gateway.fair_shares import FairShares
 from flamingovalve.gateway.group import EngineGroup
-from flamingovalve.gateway.ledger import AdapterState, HeldAdapter
 from flamingovalve.gateway.orders import OrderOutcome
 from flamingovalve.gateway.place_queue import PlaceQueue
+from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.gateway.returns import Returns
 from flamingovalve.gateway.stream_gaps import paused_too_long
 from flamingovalve.gateway.waiting import Waiter
--- /dev/null
+++ b/flamingovalve/gateway/residency/__init__.py
@@ -0,0 +1,1 @@
+"""Which adapters occupy the slots of an engine."""
--- a/tests/rig/engines.py
+++ b/tests/rig/engines.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from flamingovalve.gateway.ledger import AdapterState, EngineLedger, HeldAdapter
+from flamingovalve.gateway.ledger import EngineLedger
 from flamingovalve.gateway.model import (
     EngineTraits,
     ModelTraits,
@@ -10,6 +10,7 @@
     UpstreamState,
 )
 from flamingovalve.gateway.orders import EngineReport, OrderChain
+from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.generated.ids import (
     AdapterId,
     DomainId,
--- a/tests/rig/long_prompts.py
+++ b/tests/rig/long_prompts.py
@@ -15,9 +15,9 @@
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.gateway import dispatch
-from flamingovalve.gateway.ledger import AdapterState, EngineLedger
 from flamingovalve.gateway.popularity import Popularity
 from flamingovalve.gateway.prefill_model import PrefillModel
+from flamingovalve.gateway.residency.held import AdapterState
 from flamingovalve.gateway.stream_gaps import (
     EngineStreams,
     StreamGaps,
@@ -35,7 +35,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from flamingovalve.gateway.ledger import HeldAdapter, Place
+    from flamingovalve.gateway.ledger import EngineLedger, Place
+    from flamingovalve.gateway.residency.held import HeldAdapter
 
 _PIECE_TOKENS: Final = 2048
 # A step with a piece: 53 ms for the piece and 13 ms for the batch.
--- a/tests/rig/queue_play.py
+++ b/tests/rig/queue_play.py
@@ -20,8 +20,8 @@
 from flamingovalve.errors import ServingError
 from flamingovalve.gateway.catalogue import Catalogue
 from flamingovalve.gateway.fencing import Fences
-from flamingovalve.gateway.ledger import AdapterState, HeldAdapter
 from flamingovalve.gateway.owner import GroupOwner
+from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.gateway.waiting import Waiter
 from flamingovalve.generated.ids import GroupId, VmId, WorkspaceId
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -11,7 +11,7 @@
 from flamingovalve.errors import ServingError
 from flamingovalve.gateway.cold_start import ColdStart
 from flamingovalve.gateway.learning import LoadTimes
-from flamingovalve.gateway.ledger import AdapterState
+from flamingovalve.gateway.residency.held import AdapterState
 from flamingovalve.gateway.waiting import Waiter
 from flamingovalve.generated.ids import AdapterId
 from tests.rig.engines import ask, hold, ledger, report
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from flamingovalve.gateway import dispatch
-from flamingovalve.gateway.ledger import AdapterState
 from flamingovalve.gateway.popularity import Popularity
+from flamingovalve.gateway.residency.held import AdapterState
 from flamingovalve.generated.ids import AdapterId, ModelId
 from tests.rig.engines import MODEL, ask, hold, ledger, report
 from tests.rig.timeline import TimedTestCase
--- a/tests/test_load_budget.py
+++ b/tests/test_load_budget.py
@@ -11,9 +11,9 @@
 from flamingovalve.errors import ServingError
 from flamingovalve.gateway import dispatch
 from flamingovalve.gateway.learning import LoadTimes, MeanSeconds
-from flamingovalve.gateway.ledger import AdapterState
 from flamingovalve.gateway.load_budget import LoadBudget
 from flamingovalve.gateway.popularity import Popularity
+from flamingovalve.gateway.residency.held import AdapterState
 from flamingovalve.generated.ids import AdapterId
 from flamingovalve.generated.messages import PlaceEnd, PlaceOutcome
 from tests.rig.engines import TRAITS, ask, hold, ledger
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -7,9 +7,9 @@
 from flamingovalve.gateway import dispatch
 from flamingovalve.gateway.catalogue import Catalogue
 from flamingovalve.gateway.fencing import Fences
-from flamingovalve.gateway.ledger import AdapterState
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.places import PlaceServer
+from flamingovalve.gateway.residency.held import AdapterState
 from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.generated.ids import GroupId, VmId
 from flamingovalve.generated.messages import PlaceEnd, PlaceOutcome
