Log what an owner believes of an engine when it orders, and what reports change

No caller saw anything of this: the logs of a breach of LIMIT could not tell its hypotheses apart. An 'order' line had neither the adapters held nor the free slots, nor the age of the report that they rest on; nothing said that a report had made the owner forget or adopt an adapter, and nothing whether an order without an answer had been counted.

Reports carry when they were requested and whether the engine is busy. No decision changes.

test_operations plays an order and a change of owner; it failed before, as the fields were missing.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -10,6 +10,7 @@
 from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.fencing import NO_FENCE
 from flamingovalve.gateway.orders import Action, Order, OrderOutcome
+from flamingovalve.gateway.residency.changes import logged_names
 from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.generated.ids import AdapterId, ModelId
 from flamingovalve.util import clock
@@ -41,6 +42,42 @@
 _MODEL_LOAD_TIMEOUT_SECONDS: Final = 6.0
 
 
+class _SentOrder:
+    """An order, and what its sender knew of the engine when it was sent."""
+
+    def __init__(self, order: Order, ledger: EngineLedger) -> None:
+        """Record the state of ``ledger`` as ``order`` is sent."""
+        self._order = order
+        self._upstream = ledger.upstream.id
+        self._sent_at = clock.now()
+        self._held = len(ledger.held)
+        self._free = ledger.free_slots()
+        self._reported = ledger.reported_sequence
+        self._report_age = clock.now() - ledger.reported_at
+        self._is_busy = ledger.is_busy
+
+    def log(self, outcome: OrderOutcome) -> None:
+        """Log the order with its outcome."""
+        order = self._order
+        note(
+            logger,
+            'order',
+            upstream=self._upstream,
+            action=order.action.value,
+            model=order.model,
+            adapter=order.adapter,
+            sequence=order.sequence,
+            fence=order.fence,
+            outcome=outcome.value,
+            held=self._held,
+            free=self._free,
+            reported=self._reported,
+            report_age=round(self._report_age, 3),
+            busy=self._is_busy,
+            seconds=round(clock.now() - self._sent_at, 3),
+        )
+
+
 class EngineLink(Protocol):
     """Requests reports from one engine and sends it orders."""
 
@@ -306,18 +343,9 @@
             version,
         )
         self.ledger.sends.add()
+        sent = _SentOrder(order, self.ledger)
         outcome = await self._link.order(order)
-        note(
-            logger,
-            'order',
-            upstream=self.ledger.upstream.id,
-            action=action.value,
-            model=model,
-            adapter=adapter,
-            sequence=order.sequence,
-            fence=order.fence,
-            outcome=outcome.value,
-        )
+        sent.log(outcome)
         return outcome
 
     def _record_refusal(self, outcome: OrderOutcome) -> None:
@@ -363,6 +391,7 @@
         ledger.born = report.born
         known_foreign = ledger.chain.foreign
         counted = ledger.chain.sequence or 0
+        was_unanswered = ledger.chain.unanswered
         if ledger.chain.record_report(report):
             self._context.counts.foreign += 1
             logger.warning(
@@ -378,15 +407,42 @@
                 counted=counted,
                 reported=report.sequence,
             )
+        if was_unanswered and not ledger.chain.unanswered:
+            note(
+                logger,
+                'unanswered order settled',
+                upstream=ledger.upstream.id,
+                named=counted,
+                reported=report.sequence,
+                report_age=round(report.age_seconds(), 3),
+            )
         if ledger.chain.foreign != known_foreign:
             ledger.fence = NO_FENCE
         await self._find_fence()
-        ledger.adopt(report)
+        self._adopt(report)
         await self._settle_loaded()
         if not ledger.models and not ledger.is_loading_model():
             await self.load_model()
         await self._context.listener.serve_waiting()
 
+    def _adopt(self, report: EngineReport) -> None:
+        ledger = self.ledger
+        change = ledger.adopt(report)
+        if not change:
+            return
+        note(
+            logger,
+            'report changes the ledger',
+            upstream=ledger.upstream.id,
+            sequence=report.sequence,
+            busy=report.is_busy,
+            report_age=round(report.age_seconds(), 3),
+            adopted=logged_names(change.adopted),
+            forgotten=logged_names(change.forgotten),
+            held=len(ledger.held),
+            free=ledger.free_slots(),
+        )
+
     async def requeue_waiting(self) -> None:
         """Return all requests that wait for a load to the queue."""
         for name in list(self.waiting):
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -16,6 +16,7 @@
     size_of,
 )
 from flamingovalve.gateway.prompts import CachedParts
+from flamingovalve.gateway.residency.changes import ResidencyChange
 from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.gateway.send_plan import SendPlan
 from flamingovalve.gateway.stream_gaps import EngineStreams, StreamGaps
@@ -113,6 +114,8 @@
     :ivar fetches_model: whether the model being loaded comes from the weight
         store
     :ivar kept: adapters still in its memory after their unload
+    :ivar reported_sequence: count of orders in its last report
+    :ivar is_busy: whether its last report shows an order in progress
     :ivar sends: when it accepts requests, if it announces a rate limit
     :ivar tokens: tokens of its places
     :ivar prefill_model: prefill times of the group's engines at pace 1
@@ -141,6 +144,8 @@
     fence: int = NO_FENCE
     fetches_model: bool = False
     reported_at: float = float('-inf')
+    reported_sequence: int = 0
+    is_busy: bool = False
     kept: KeptAdapters = field(default_factory=KeptAdapters)
     loads: LoadTimes = field(default_factory=LoadTimes)
     sends: SendPlan = field(default_factory=SendPlan)
@@ -339,17 +344,24 @@
         self.kept.record_unload(name)
         self.parts.forget(name)
 
-    def adopt(self, report: EngineReport) -> None:
+    def adopt(self, report: EngineReport) -> ResidencyChange:
         """Update the state from a report.
 
         Adapters are updated only if the report includes the last order of
         this owner; an earlier report is older than the ledger.
+
+        :returns: the adapters that it added and removed
         """
         self.reported_at = clock.now()
         self.models = set(report.models)
         self.at_hand = report.at_hand
+        self.reported_sequence = report.sequence
+        self.is_busy = report.is_busy
+        change = ResidencyChange()
         if report.sequence != self.chain.sequence:
-            return
+            return change
+        shown = {*report.resident, *report.coming}
+        change.adopted = [name for name in shown if name not in self.held]
         for name, version in report.resident.items():
             self._adopt_resident(name, version)
         for name in report.coming:
@@ -357,8 +369,9 @@
                 held = HeldAdapter(name, 0, AdapterState.LOADING)
                 held.ready_at = clock.now() + self.loads.seconds
                 self.held[name] = held
-        self._forget_missing({*report.resident, *report.coming})
+        change.forgotten = self._forget_missing(shown)
         self._cached_victim = None
+        return change
 
     def _adopt_resident(self, name: AdapterId, version: int) -> None:
         known = self.held.get(name)
@@ -373,7 +386,7 @@
         if known.state is AdapterState.LOADING:
             known.state = AdapterState.RESIDENT
 
-    def _forget_missing(self, shown: set[AdapterId]) -> None:
+    def _forget_missing(self, shown: set[AdapterId]) -> list[AdapterId]:
         # A report may be older than the latest orders.
         oldest = clock.now() - self.settings.report_lag_seconds * 2
         missing = [
@@ -385,6 +398,7 @@
         ]
         for name in missing:
             self.forget(name)
+        return missing
 
     def restart(self, born: int) -> None:
         """Reset the state after a restart of the engine."""
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -75,6 +75,9 @@
     :ivar resident: versions of the resident adapters
     :ivar coming: adapters that are being loaded
     :ivar at_hand: models whose weights are cached in memory or on disk
+    :ivar is_busy: whether it carries out an order other than adapter loads
+    :ivar asked_at: when it was requested, on the monotonic clock; the state
+        may be older, but not newer than the response
     """
 
     sequence: int
@@ -83,6 +86,12 @@
     resident: dict[AdapterId, int]
     coming: list[AdapterId]
     at_hand: frozenset[ModelId] = frozenset()
+    is_busy: bool = False
+    asked_at: float = field(default_factory=clock.now)
+
+    def age_seconds(self) -> float:
+        """Return the seconds since it was requested."""
+        return clock.now() - self.asked_at
 
 
 @dataclass(slots=True)
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -14,6 +14,7 @@
 from flamingovalve.http.bodies import BodyKind
 from flamingovalve.http.client import UpstreamCall
 from flamingovalve.platform import decode
+from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -154,6 +155,7 @@
         :raises HeldBack: if it accepts no request within ``patience``
         """
         call = UpstreamCall('GET', '/report', [], expected=BodyKind.JSON)
+        asked_at = clock.now()
         try:
             response = await self._client.exchange(
                 self._upstream,
@@ -168,7 +170,7 @@
         if response.status != _STATUS_OK:
             return None
         try:
-            return _report(response.body)
+            return _report(response.body, asked_at)
         except Undecodable as bad:
             logger.warning(
                 'cannot decode the report of {}: {}', self._upstream.id, bad
@@ -247,15 +249,15 @@
     return body
 
 
-def _report(content: bytes) -> EngineReport:
+def _report(content: bytes, asked_at: float) -> EngineReport:
     raw = decode.json_object(content)
     try:
-        return _decoded_report(raw)
+        return _decoded_report(raw, asked_at)
     except decode.SHAPE_ERRORS as bad:
         raise Undecodable(f'unexpected shape: {bad!r}') from bad
 
 
-def _decoded_report(raw: dict[str, Any]) -> EngineReport:
+def _decoded_report(raw: dict[str, Any], asked_at: float) -> EngineReport:
     resident: dict[AdapterId, int] = {}
     models = []
     for model in raw['Models']:
@@ -274,6 +276,8 @@
         resident=resident,
         coming=coming,
         at_hand=frozenset(_at_hand(raw.get('AtHand', {}))),
+        is_busy=bool(raw.get('Busy', False)),
+        asked_at=asked_at,
     )
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -44,6 +44,28 @@
         self.assertEqual(lines['send']['outcome'], 'lost')
         self.assertIn(lines['send']['upstream'], {'app-0', 'app-1'})
 
+    def test_orders_and_reports_name_the_ledger(self):
+        """Guards against orders that do not show what their owner believed."""
+        self.start()
+        self.site.send('vm-0', self.site.chat('a1'))
+        orders = [
+            record.extra
+            for record in self.log.records
+            if record.message == 'order' and record.extra['adapter'] == 'a1'
+        ]
+        self.assertEqual(orders[0]['held'], 1)
+        self.assertEqual(orders[0]['free'], 1)
+        self.assertEqual(orders[0]['reported'], orders[0]['sequence'])
+        self.assertLess(orders[0]['report_age'], 1)
+        self.site.kill(self.site.owner())
+        self.site.world.advance(8)
+        adopted = [
+            record.extra['adopted']
+            for record in self.log.records
+            if record.message == 'report changes the ledger'
+        ]
+        self.assertIn(['a1'], adopted)
+
     def test_parts_on_an_engine_that_ended(self):
         """Guards against ends of engines whose requests have no parts named."""
         self.start()
