Let the stand-in engine follow the platform's page on orders and reports

No caller saw anything: the stand-in was kinder than an engine, so tests on it could not show a breach of LIMIT.

- An unload waits: 'An unload waits for its runs to finish and then drops what the runner kept'; requests meanwhile: 'the runner returns 503 with Not-Executed to requests that the order concerns and that have not begun'; other orders: '409: another order is in progress'; 'Busy (whether an order is in progress)'.
- A replacement waits, too: 'a replacement waits for its runs'.
- A fifth concurrent load of an adapter is 409.
- 'Runners restart empty': a restart drops the models.
- 'The values are as of some hundred ms ago' (report_lag_seconds, off unless a play sets it), and reports can be slow.
- 'An order that received no response may have been accepted': answers can be lost after the execution, and orders can arrive late.
- Runs can outlast their connection.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -15,6 +15,8 @@
 from standins.base import StandIn
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingovalve.http.server import Responder
     from flamingovalve.util.network import Network
 
@@ -22,6 +24,7 @@
 _EVENT_INTERVAL_SECONDS = 0.05
 _EVENT_COUNT = 4
 _DOWN_SECONDS = 3.0
+_MOST_LOADS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,15 +149,31 @@
 class PlatformEngineStandIn(PlatformRunnerStandIn):
     """An engine that executes load and unload orders and streams events.
 
+    Orders and reports follow the platform's page on upstreams; what that
+    leaves open follows the answers of its engines:
+
+    * An order that is already being carried out is 202 whatever count it
+      names, and one that already holds is 200; neither is counted. An unload
+      of an adapter that is being loaded holds, and the load goes on.
+    * An unload and a replacement wait for the runs of their adapter. Until
+      then the engine is busy, shows the adapter and refuses other orders; it
+      refuses requests for the adapter as not executed.
+    * It loads a few adapters concurrently, which does not make it busy.
+    * It restarts without models and adapters.
+
     :ivar orders: every executed order: holder, fencing number, description
-    :ivar accepted: every order that was not refused, including one for an
-        adapter that was already loading
+    :ivar accepted: every order that was not refused, including those that
+        were not counted
     :ivar refused_orders: number of orders refused because the adapter is
         unknown, or because they name a version and ``refuses_versions`` is
         set
     :ivar refuses_versions: whether to refuse orders that name a version
     :ivar order_seconds: delay before an order is executed
     :ivar dropped_orders: number of next orders to drop
+    :ivar lost_order_answers: number of next orders to execute without an
+        answer
+    :ivar late_orders: number of next orders that arrive ``late_seconds`` after
+        their connection was lost
     :ivar crashes: number of load orders that exceeded the adapter slots
     :ivar most_active: requests that it has room for; 0 for no limit
     :ivar break_after: number of events after which the next run is broken
@@ -164,6 +183,10 @@
         it is not ready yet
     :ivar event_count: number of events of a stream
     :ivar event_seconds: interval between two events
+    :ivar report_lag_seconds: age of the state that a report shows
+    :ivar report_seconds: delay of a report after its state was read
+    :ivar linger_seconds: time for which a run outlasts its connection
+    :ivar on_load: called with each load of an adapter before it begins
     """
 
     def __init__(
@@ -189,6 +212,9 @@
         self.refuses_versions = False
         self.order_seconds = 0.0
         self.dropped_orders = 0
+        self.lost_order_answers = 0
+        self.late_orders = 0
+        self.late_seconds = 0.0
         self.break_after = 0
         self.misses = 0
         self.event_count = _EVENT_COUNT
@@ -196,30 +222,68 @@
         self.load_seconds = 0.25
         self.most_active = 0
         self.active = 0
+        self.report_lag_seconds = 0.0
+        self.report_seconds = 0.0
+        self.linger_seconds = 0.0
+        self.on_load: Callable[[dict[str, Any]], None] | None = None
+        self._loading_model = ''
+        self._waiting: dict[str, Any] | None = None
+        self._runs_by_adapter: Counter[str] = Counter()
+        self._states: list[tuple[float, dict[str, Any]]] = []
 
     async def answer(self, request: Request, responder: Responder) -> None:
         """Answer a report or an order, or run a request."""
         if request.path == '/report':
-            await responder.send(Response.from_json(self.report()))
+            shown = self._report_as_of(clock.now() - self.report_lag_seconds)
+            await curio.sleep(self.report_seconds)
+            await responder.send(Response.from_json(shown))
         elif request.path == '/order':
-            await curio.sleep(self.order_seconds)
-            if self.dropped_orders:
-                self.dropped_orders -= 1
-                raise ConnectionLost('the order is lost')
-            status = await self.execute_order(request.json_object())
-            await responder.send(Response(status))
+            await self._answer_order(request, responder)
         else:
             await super().answer(request, responder)
 
+    async def _answer_order(
+        self, request: Request, responder: Responder
+    ) -> None:
+        await curio.sleep(self.order_seconds)
+        order = request.json_object()
+        if self.dropped_orders:
+            self.dropped_orders -= 1
+            raise ConnectionLost('the order is lost')
+        if self.late_orders:
+            self.late_orders -= 1
+            await curio.spawn(
+                self._execute_late, order, self.late_seconds, daemon=True
+            )
+            raise ConnectionLost('the order is late')
+        status = await self.execute_order(order)
+        if self.lost_order_answers:
+            self.lost_order_answers -= 1
+            raise ConnectionLost('the answer is lost')
+        await responder.send(Response(status))
+
+    async def _execute_late(
+        self, order: dict[str, Any], seconds: float
+    ) -> None:
+        starts = self.starts
+        await curio.sleep(seconds)
+        if starts == self.starts:
+            await self.execute_order(order)
+
     def restart(self) -> None:
         """Forget what was loaded and ordered, as after a crash."""
         self.starts += 1
+        self.models.clear()
         self.resident.clear()
         self.loading.clear()
         self.sequence = 0
+        self._loading_model = ''
+        self._waiting = None
+        self._runs_by_adapter.clear()
+        self._states.clear()
 
     def report(self) -> dict[str, Any]:
-        """Return the load report of the engine."""
+        """Return the load report of the engine as of now."""
         adapters = [
             f'{name}@{resident_version}'
             for name, resident_version in self.resident.items()
@@ -228,6 +292,7 @@
         return {
             'Models': models,
             'Seq': self.sequence,
+            'Busy': self.is_busy(),
             'Coming': [
                 f'base/{name}@{version}'
                 for name, version in self.loading.items()
@@ -235,35 +300,111 @@
             'born': self.starts,
         }
 
+    def occupying(self) -> set[str]:
+        """Return the adapters that occupy its slots."""
+        return {*self.resident, *self.loading}
+
+    def is_busy(self) -> bool:
+        """Return whether an order other than loads of adapters is executed."""
+        return bool(self._loading_model) or self._waiting is not None
+
+    def _report_as_of(self, at: float) -> dict[str, Any]:
+        """Return the load report as of a time, on the virtual clock."""
+        if not self.report_lag_seconds:
+            return self.report()
+        shown = self._states[0][1] if self._states else self.report()
+        for recorded_at, state in self._states:
+            if recorded_at <= at:
+                shown = state
+        return shown
+
+    def _record_state(self) -> None:
+        if not self.report_lag_seconds:
+            return
+        oldest = clock.now() - self.report_lag_seconds
+        while len(self._states) > 1 and self._states[1][0] <= oldest:
+            self._states.pop(0)
+        self._states.append((clock.now(), self.report()))
+
     async def execute_order(self, order: dict[str, Any]) -> int:
         """Execute an order and return the HTTP status of its response."""
-        name = order.get('Adapter', '')
-        if name in self.loading:
+        if not self._states:
+            self._record_state()
+        if self._is_in_progress(order):
             self._record_accepted(order)
             return 202
-        if order.get('Precondition') != self.sequence:
+        if order.get('Precondition') != self.sequence or self.is_busy():
             return 409
+        name = order.get('Adapter', '')
         is_unsupported = self.refuses_versions and 'Version' in order
+        lacks_model = bool(name) and not self.models
+        if lacks_model and order['Op'] == 'load':
+            is_unsupported = True
         if is_unsupported or name.startswith('unknown'):
             self.refused_orders += 1
             return 400
+        if self._holds(order):
+            self._record_accepted(order)
+            return 200
+        if order['Op'] == 'load' and len(self.loading) >= _MOST_LOADS:
+            return 409
+        return await self._begin_order(order)
+
+    def _is_in_progress(self, order: dict[str, Any]) -> bool:
+        name = order.get('Adapter', '')
+        if order['Op'] == 'load':
+            is_model = not name and order['Model'] == self._loading_model
+            return is_model or name in self.loading
+        waiting = self._waiting or {}
+        return bool(name) and (
+            waiting.get('Op') == 'unload' and waiting['Adapter'] == name
+        )
+
+    def _holds(self, order: dict[str, Any]) -> bool:
+        name = order.get('Adapter', '')
+        if order['Op'] == 'unload':
+            return name not in self.resident
+        if not name:
+            return order['Model'] in self.models
+        wanted = order.get('Version', self.newest)
+        return self.resident.get(name) == wanted
+
+    async def _begin_order(self, order: dict[str, Any]) -> int:
+        name = order.get('Adapter', '')
         self.sequence += 1
         self._record_accepted(order)
         description = f'{order["Op"]} {name or order["Model"]}'
         self.orders.append(
             (order['Holder'], order['FencingToken'], description)
         )
-        if order['Op'] == 'unload':
-            self.resident.pop(name, None)
-            return 200
         if not name:
+            self._loading_model = order['Model']
+            self._record_state()
             await curio.spawn(self._load_model, order['Model'], daemon=True)
             return 202
-        if len({*self.resident, *self.loading, name}) > self.slots:
+        if self._runs_by_adapter[name]:
+            self._waiting = order
+            self._record_state()
+            return 202
+        if order['Op'] == 'unload':
+            self._drop(name)
+            return 200
+        await self._begin_load(order)
+        return 202
+
+    def _drop(self, name: str) -> None:
+        self.resident.pop(name, None)
+        self._record_state()
+
+    async def _begin_load(self, order: dict[str, Any]) -> None:
+        name = order['Adapter']
+        if self.on_load is not None:
+            self.on_load(order)
+        if len(self.occupying() | {name}) > self.slots:
             self.crashes += 1
         self.loading[name] = order.get('Version', self.newest)
+        self._record_state()
         await curio.spawn(self._load, name, daemon=True)
-        return 202
 
     def _record_accepted(self, order: dict[str, Any]) -> None:
         holder, fence = order['Holder'], order['FencingToken']
@@ -274,10 +415,15 @@
         await curio.sleep(self.load_seconds)
         if starts == self.starts:
             self.resident[name] = self.loading.pop(name)
+            self._record_state()
 
     async def _load_model(self, name: str) -> None:
+        starts = self.starts
         await curio.sleep(self.load_seconds)
-        self.models.append(name)
+        if starts == self.starts:
+            self._loading_model = ''
+            self.models.append(name)
+            self._record_state()
 
     async def run_request(
         self,
@@ -286,12 +432,16 @@
     ) -> None:
         """Stream events, if the expected adapter version is resident."""
         _model, _slash, adapter = request.headers['model'].partition('/')
+        if self._waiting is not None and self._waiting['Adapter'] == adapter:
+            await responder.send(Response(503, [('Not-Executed', '1')]))
+            return
         expected_version = int(request.headers.get('expect-version', 0))
         resident_version = self.resident.get(adapter, 0)
-        if adapter and (
+        is_missing = adapter and (
             not resident_version
             or expected_version not in {0, resident_version}
-        ):
+        )
+        if is_missing or not self.models:
             await responder.send(Response(421, [('Not-Executed', '1')]))
             return
         if adapter and self.misses:
@@ -301,11 +451,42 @@
         if self.most_active and self.active >= self.most_active:
             await self.reject(responder)
             return
+        await self._run(request, responder, adapter)
+
+    async def _run(
+        self, request: Request, responder: Responder, adapter: str
+    ) -> None:
+        starts = self.starts
         self.active += 1
+        self._runs_by_adapter[adapter] += 1
+        is_complete = False
         try:
             await self._stream(request, responder, adapter)
+            is_complete = True
         finally:
             self.active -= 1
+            if self.linger_seconds and not is_complete:
+                await curio.spawn(self._end_late, adapter, starts, daemon=True)
+            else:
+                await self._end_run(adapter, starts)
+
+    async def _end_late(self, adapter: str, starts: int) -> None:
+        await curio.sleep(self.linger_seconds)
+        await self._end_run(adapter, starts)
+
+    async def _end_run(self, adapter: str, starts: int) -> None:
+        if starts != self.starts:
+            return
+        self._runs_by_adapter[adapter] -= 1
+        waiting = self._waiting
+        is_awaited = waiting is not None and waiting['Adapter'] == adapter
+        if not is_awaited or self._runs_by_adapter[adapter]:
+            return
+        self._waiting = None
+        if waiting['Op'] == 'unload':
+            self._drop(adapter)
+        else:
+            await self._begin_load(waiting)
 
     async def _stream(
         self, request: Request, responder: Responder, adapter: str
