Free a slot only if the engine is known to have freed it

Callers lost all streams of an engine that was ordered to hold more adapters than it has slots; it crashes then.

Cause: answers and counts were taken for knowledge of what an engine holds. An engine acknowledges orders that it does not count: 200 for one that holds, 202 for one in progress, and 200 to the unload of an adapter that it is loading. The owner counted all of them, so that its count could run ahead of the engine's. Beside it, slots were freed by name whoever held the name by then, by reports of a frozen process from before its pause, and for loads that replaced one that never ran; an order that a report showed before its answer arrived was counted twice and taken for another VM's.

Fix: gateway/residency decides what occupies a slot and what proves that one is free: the answer 200 to the unload of an adapter that was confirmed, or a report that counts all orders, was requested after them and shows an engine that is not busy. A load without an answer keeps its slot until the engine has counted more orders than it named. Before each load the entries that may be on the engine are counted again. Answers that may not have been counted (202 to an unload or to a load in progress, 200 to a load, any answer to the order of a base model, 409) are followed by a report before the next order. Adapters that the engine refused, does not show, or shows while it is busy are not evicted.

The stand-in answers 200 to the unload of an adapter that is being replaced, as to one that is being loaded.

--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -157,7 +157,7 @@
         # ordered now from the ledger, and the engine crashes when it is
         # ordered to hold more adapters than it has slots.
         return None
-    if held.version < wanted_version:
+    if held.state is AdapterState.UNPROVEN or held.version < wanted_version:
         return _with_replacement(ask, engine, held)
     loading = max(0, held.ready_at - clock.now())
     choice = _estimate(ask, engine, loading)
@@ -170,7 +170,7 @@
     engine: EngineLedger,
     held: HeldAdapter,
 ) -> Choice | None:
-    """Return a choice that loads another version into the same slot."""
+    """Return a choice that loads the adapter again into the same slot."""
     if held.uses or not engine.may_load():
         return None
     choice = _estimate(ask, engine, engine.load_seconds(ask.adapter))
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -9,9 +9,11 @@
 
 from flamingovalve.errors import HeldBack
 from flamingovalve.gateway.fencing import NO_FENCE
+from flamingovalve.gateway.ledger import NO_ORDER
 from flamingovalve.gateway.orders import Action, Order, OrderOutcome
 from flamingovalve.gateway.residency.changes import logged_names
 from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
+from flamingovalve.gateway.residency.residency import SlotProof
 from flamingovalve.generated.ids import AdapterId, ModelId
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
@@ -42,6 +44,20 @@
 _MODEL_LOAD_TIMEOUT_SECONDS: Final = 6.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """The outcome of an order.
+
+    :ivar named: count of orders that it named
+    """
+
+    outcome: OrderOutcome
+    named: int
+
+
+_NOT_SENT: Final = _Answer(OrderOutcome.HELD_BACK, NO_ORDER)
+
+
 class _SentOrder:
     """An order, and what its sender knew of the engine when it was sent."""
 
@@ -189,12 +205,13 @@
             except HeldBack as held:
                 logger.debug('no report: {}', held)
             chain = self.ledger.chain
-            uncertain = chain.sequence is None or chain.unanswered
+            uncertain = chain.sequence is None or chain.awaits_report()
             uncertain = (
                 uncertain or self.ledger.silent or not self.ledger.models
             )
             uncertain = uncertain or self.ledger.fence == NO_FENCE
             uncertain = uncertain or self._has_foreign_load()
+            uncertain = uncertain or self.ledger.residency.has_waiting_unload()
             delay = _EAGER_REPORT_SECONDS if uncertain else _REPORT_SECONDS
             delay = max(delay, self._limited_interval(is_uncertain=uncertain))
             pause = chain.paused_until - clock.now()
@@ -228,14 +245,8 @@
 
         :param victim: adapter to unload first, if a slot is needed
         """
-        outcome = OrderOutcome.UNKNOWN
-        try:
-            async with self._order_lock:
-                outcome = await self._load(held, victim)
-        finally:
-            held.is_ordered = True
-            if outcome not in _LOAD_OUTCOMES:
-                self._discard_load(held)
+        async with self._order_lock:
+            outcome = await self._load(held, victim)
         if outcome not in _LOAD_OUTCOMES:
             waiters = self.waiting.pop(held.name, [])
             await self._context.listener.load_failed(waiters, outcome)
@@ -268,18 +279,47 @@
         victim: HeldAdapter | None,
     ) -> OrderOutcome:
         victim = victim or self._victim_of_first_order(held)
-        if victim is not None and not await self._unload(victim):
-            return OrderOutcome.HELD_BACK
-        outcome = await self._order_adapter(Action.LOAD, held)
-        self._context.counts.loads += 1
-        if outcome is OrderOutcome.ACCEPTED:
-            self.ledger.chain.record_accepted()
-            self.ledger.record_load_accepted(held)
-        elif outcome is OrderOutcome.HOLDS:
+        answer = _NOT_SENT
+        if victim is None or await self._unload(victim):
+            answer = await self._order_load(held)
+        ledger = self.ledger
+        proof = ledger.residency.record_load(held, answer.outcome, answer.named)
+        if proof is SlotProof.FREE:
+            ledger.forget(held.name)
+        self._context.counts.loads += answer is not _NOT_SENT
+        if answer.outcome is OrderOutcome.ACCEPTED:
+            self._record_accepted_load(held, answer.named)
+        elif answer.outcome is OrderOutcome.HOLDS:
+            # The owner did not know that the engine holds the adapter.
             held.ready_at = clock.now()
+            ledger.chain.record_unanswered()
+        else:
+            self._record_refusal(answer.outcome)
+        return answer.outcome
+
+    async def _order_load(self, held: HeldAdapter) -> _Answer:
+        """Order a load if the engine is known to have a slot for it."""
+        if self.ledger.has_room(held):
+            return await self._order_adapter(Action.LOAD, held)
+        note(
+            logger,
+            'load held back, no slot is known to be free',
+            upstream=self.ledger.upstream.id,
+            adapter=held.name,
+            is_current=self.ledger.residency.holds(held),
+            held=len(self.ledger.held),
+            slots=self.ledger.slots(),
+        )
+        return _NOT_SENT
+
+    def _record_accepted_load(self, held: HeldAdapter, named: int) -> None:
+        replaced = held.replaces
+        self.ledger.record_load_accepted(held)
+        if replaced is not None and replaced.may_be_in_progress():
+            # The engine does not count a load that is in progress again.
+            self.ledger.chain.record_unanswered()
         else:
-            self._record_refusal(outcome)
-        return outcome
+            self.ledger.chain.record_accepted(named)
 
     def _victim_of_first_order(self, held: HeldAdapter) -> HeldAdapter | None:
         """Return an adapter to unload before the first load of a new owner.
@@ -295,30 +335,35 @@
         popularity = self._context.popularity
         victim = self.ledger.least_valuable(popularity)
         if victim is not None:
-            victim.state = AdapterState.UNLOADING
+            self.ledger.residency.begin_unload(victim)
         return victim
 
     async def _unload(self, victim: HeldAdapter) -> bool:
-        outcome = await self._order_adapter(Action.UNLOAD, victim)
+        """Unload an adapter; return whether its slot is free."""
+        residency = self.ledger.residency
+        if not residency.holds(victim):
+            return True
+        answer = await self._order_adapter(Action.UNLOAD, victim)
         self._context.counts.unloads += 1
-        if outcome is OrderOutcome.HOLDS:
-            self.ledger.chain.record_accepted()
-            self.ledger.forget(victim.name)
+        proof = residency.record_unload(victim, answer.outcome)
+        if proof is SlotProof.FREE:
+            self.ledger.chain.record_accepted(answer.named)
+            if residency.holds(victim):
+                self.ledger.forget(victim.name)
             return True
-        if outcome is OrderOutcome.ACCEPTED:
+        if answer.outcome is OrderOutcome.ACCEPTED:
             # A request still uses the adapter. The engine unloads it when
             # that request ends; a report shows when.
-            self.ledger.chain.record_accepted()
-            return False
-        victim.state = AdapterState.RESIDENT
-        self._record_refusal(outcome)
+            self.ledger.chain.record_unanswered()
+        else:
+            self._record_refusal(answer.outcome)
         return False
 
     async def _order_adapter(
         self,
         action: Action,
         held: HeldAdapter,
-    ) -> OrderOutcome:
+    ) -> _Answer:
         model = next(iter(self.ledger.models), ModelId(''))
         version = held.version if action is Action.LOAD else 0
         return await self._send(action, model, held.name, version)
@@ -329,10 +374,10 @@
         model: ModelId,
         adapter: AdapterId,
         version: int,
-    ) -> OrderOutcome:
+    ) -> _Answer:
         chain = self.ledger.chain
         if not self.ledger.may_order():
-            return OrderOutcome.HELD_BACK
+            return _NOT_SENT
         order = Order(
             action,
             model,
@@ -344,9 +389,17 @@
         )
         self.ledger.sends.add()
         sent = _SentOrder(order, self.ledger)
-        outcome = await self._link.order(order)
+        starts = chain.starts
+        chain.in_flight = True
+        try:
+            outcome = await self._link.order(order)
+        finally:
+            chain.in_flight = False
         sent.log(outcome)
-        return outcome
+        if chain.starts != starts:
+            # The answer concerns an earlier start of the engine.
+            return _NOT_SENT
+        return _Answer(outcome, order.sequence)
 
     def _record_refusal(self, outcome: OrderOutcome) -> None:
         chain = self.ledger.chain
@@ -362,15 +415,6 @@
         elif outcome is OrderOutcome.GONE:
             self.ledger.record_failure()
 
-    def _discard_load(self, held: HeldAdapter) -> None:
-        if self.ledger.held.get(held.name) is not held:
-            return
-        if held.replaces is None:
-            self.ledger.forget(held.name)
-        else:
-            # The previous version still occupies the slot.
-            self.ledger.held[held.name] = held.replaces
-
     async def _poll_report(self) -> None:
         ledger = self.ledger
         report = await self._link.report(_REPORT_PATIENCE_SECONDS)
@@ -391,7 +435,7 @@
         ledger.born = report.born
         known_foreign = ledger.chain.foreign
         counted = ledger.chain.sequence or 0
-        was_unanswered = ledger.chain.unanswered
+        was_unanswered = ledger.chain.awaits_report()
         if ledger.chain.record_report(report):
             self._context.counts.foreign += 1
             logger.warning(
@@ -407,7 +451,7 @@
                 counted=counted,
                 reported=report.sequence,
             )
-        if was_unanswered and not ledger.chain.unanswered:
+        if was_unanswered and not ledger.chain.awaits_report():
             note(
                 logger,
                 'unanswered order settled',
@@ -486,10 +530,14 @@
         self.ledger.fetches_model = model not in self.ledger.at_hand
         self.ledger.model_ready_at = clock.now() + _MODEL_LOAD_TIMEOUT_SECONDS
         async with self._order_lock:
-            outcome = await self._send(Action.LOAD, model, AdapterId(''), 0)
-        if outcome in _LOAD_OUTCOMES:
-            self.ledger.chain.record_accepted()
+            answer = await self._send(Action.LOAD, model, AdapterId(''), 0)
+        if answer.outcome in _LOAD_OUTCOMES:
+            # The engine does not count it if it is loading the model already.
+            self.ledger.chain.record_unanswered()
             self._context.counts.model_loads += 1
-            return
-        self.ledger.model_ready_at = 0
-        self._record_refusal(outcome)
+        elif answer.outcome is OrderOutcome.UNKNOWN:
+            self.ledger.unanswered_model_order = answer.named
+            self._record_refusal(answer.outcome)
+        else:
+            self.ledger.model_ready_at = 0
+            self._record_refusal(answer.outcome)
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -16,8 +16,8 @@
     size_of,
 )
 from flamingovalve.gateway.prompts import CachedParts
-from flamingovalve.gateway.residency.changes import ResidencyChange
 from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
+from flamingovalve.gateway.residency.residency import Residency
 from flamingovalve.gateway.send_plan import SendPlan
 from flamingovalve.gateway.stream_gaps import EngineStreams, StreamGaps
 from flamingovalve.gateway.token_memory import TokenMemory
@@ -28,10 +28,13 @@
     from flamingovalve.gateway.model import EngineTraits, Upstream
     from flamingovalve.gateway.orders import EngineReport, OrderChain
     from flamingovalve.gateway.popularity import Popularity
+    from flamingovalve.gateway.residency.changes import ResidencyChange
     from flamingovalve.generated.ids import AdapterId, ModelId
     from flamingovalve.generated.messages import PlaceAsk
     from flamingovalve.generated.settings import GatewaySettings
 
+# Count of orders that no report shows.
+NO_ORDER: Final = -1
 # Delay before a request retries an adapter that was not loaded yet.
 _LATE_LOAD_RETRY_SECONDS: Final = 0.03
 # A load needs a free slot, which an unload makes.
@@ -66,6 +69,7 @@
     :ivar is_adopted: whether a previous owner granted it, at an unknown time
     :ivar yields: whether it is prefilled after those that can be in time
     :ivar alone: size of its prompt if it met no queue and no load
+    :ivar held: the adapter that it uses
     """
 
     ask: PlaceAsk
@@ -75,6 +79,7 @@
     is_adopted: bool = False
     yields: bool = False
     alone: PromptSize | None = None
+    held: HeldAdapter | None = None
 
 
 def _loading_seconds(held: HeldAdapter | None) -> float:
@@ -97,6 +102,7 @@
 class EngineLedger:
     """The state of one engine as its owner knows it.
 
+    :ivar residency: adapters that may occupy its slots
     :ivar parts: prompt parts in its prefix cache
     :ivar prefill: estimated prefill work queued on it
     :ivar pace: measured time to a first event, divided by the nominal prefill
@@ -109,6 +115,8 @@
     :ivar lacks_model: whether it refused a request for a base model since its
         last report, and is excluded from choices until the next one
     :ivar model_ready_at: when a base model being loaded should be ready
+    :ivar unanswered_model_order: count that the order to load a base model
+        named, while it is not known whether the engine has accepted it
     :ivar at_hand: models that it can load without the weight store
     :ivar fence: fencing number of the next order; ``NO_FENCE`` until found
     :ivar fetches_model: whether the model being loaded comes from the weight
@@ -127,7 +135,7 @@
     traits: EngineTraits
     settings: GatewaySettings
     chain: OrderChain
-    held: dict[AdapterId, HeldAdapter] = field(default_factory=dict)
+    residency: Residency = field(default_factory=Residency)
     models: set[ModelId] = field(default_factory=set)
     places: dict[str, Place] = field(default_factory=dict)
     parts: CachedParts = field(default_factory=CachedParts)
@@ -140,6 +148,7 @@
     silent: bool = False
     lacks_model: bool = False
     model_ready_at: float = 0
+    unanswered_model_order: int = NO_ORDER
     at_hand: frozenset[ModelId] = frozenset()
     fence: int = NO_FENCE
     fetches_model: bool = False
@@ -155,6 +164,11 @@
     rejections: Brittleness = field(default_factory=Brittleness)
     _cached_victim: HeldAdapter | None = None
 
+    @property
+    def held(self) -> dict[AdapterId, HeldAdapter]:
+        """Return the adapters that may occupy slots, by name."""
+        return self.residency.by_name
+
     def state_dump(self) -> dict[str, Any]:
         """Return the engine's entry in the state dump."""
         return {
@@ -171,6 +185,9 @@
     def may_order(self) -> bool:
         """Return whether an order may be sent to this engine now."""
         may_order = self.fence != NO_FENCE and self.chain.may_order()
+        if self.is_busy and self.residency.has_waiting_unload():
+            # The engine refuses other orders until that one is done.
+            return False
         return may_order and not self.sends.status.is_closed(0)
 
     def slots(self) -> int:
@@ -186,6 +203,10 @@
         by_weight = int(free_mb // size) if size else traits.adapter_slots
         return max(0, min(traits.adapter_slots, by_weight))
 
+    def has_room(self, held: HeldAdapter) -> bool:
+        """Return whether the engine is known to have a slot for a load."""
+        return self.residency.has_room(held, self.slots())
+
     def free_slots(self) -> int:
         """Return the number of unoccupied slots."""
         return self.slots() - len(self.held)
@@ -238,6 +259,7 @@
         if adapter is not None:
             adapter.uses += 1
             adapter.used_at = clock.now()
+            place.held = adapter
         is_undelayed = queued < _NO_QUEUE_SECONDS and not yields
         if is_undelayed and _is_loaded(ask, adapter):
             place.alone = size
@@ -249,7 +271,7 @@
             return
         self.tokens.give_back(place.ask.request_id)
         self.streams.end(place.ask)
-        adapter = self.held.get(place.ask.adapter)
+        adapter = place.held
         if adapter is not None and adapter.uses:
             adapter.uses -= 1
             if not adapter.uses:
@@ -309,6 +331,7 @@
         if held is None or held.state is not AdapterState.RESIDENT:
             return None
         held.state = AdapterState.LOADING
+        held.is_confirmed = False
         held.ready_at = clock.now() + _LATE_LOAD_RETRY_SECONDS
         load = held.load
         held.load = None
@@ -338,75 +361,49 @@
 
     def forget(self, name: AdapterId) -> None:
         """Record that an adapter is unloaded and drop its cached prompts."""
-        unloaded = self.held.pop(name, None)
-        if unloaded is not None:
-            unloaded.state = AdapterState.UNLOADING
+        self.residency.remove(name)
         self.kept.record_unload(name)
         self.parts.forget(name)
 
-    def adopt(self, report: EngineReport) -> ResidencyChange:
+    def adopt(self, report: EngineReport) -> ResidencyChange | None:
         """Update the state from a report.
 
         Adapters are updated only if the report includes the last order of
         this owner; an earlier report is older than the ledger.
 
-        :returns: the adapters that it added and removed
+        :returns: the adapters that it added and removed; None if it does not
+            include that order
         """
         self.reported_at = clock.now()
         self.models = set(report.models)
         self.at_hand = report.at_hand
         self.reported_sequence = report.sequence
         self.is_busy = report.is_busy
-        change = ResidencyChange()
         if report.sequence != self.chain.sequence:
-            return change
-        shown = {*report.resident, *report.coming}
-        change.adopted = [name for name in shown if name not in self.held]
-        for name, version in report.resident.items():
-            self._adopt_resident(name, version)
-        for name in report.coming:
-            if name not in self.held:
-                held = HeldAdapter(name, 0, AdapterState.LOADING)
-                held.ready_at = clock.now() + self.loads.seconds
-                self.held[name] = held
-        change.forgotten = self._forget_missing(shown)
+            return None
+        # A report may be older than the latest use.
+        oldest_use = clock.now() - self.settings.report_lag_seconds * 2
+        change = self.residency.adopt(
+            report, clock.now() + self.loads.seconds, oldest_use
+        )
+        for name in change.forgotten:
+            self.forget(name)
         self._cached_victim = None
+        if report.sequence == self.unanswered_model_order:
+            # The order to load a base model has not arrived.
+            self.model_ready_at = 0
+        self.unanswered_model_order = NO_ORDER
         return change
 
-    def _adopt_resident(self, name: AdapterId, version: int) -> None:
-        known = self.held.get(name)
-        if known is None:
-            self.held[name] = HeldAdapter(name, version, AdapterState.RESIDENT)
-            return
-        if version < known.version:
-            # The report is older than the load of this version.
-            return
-        known.version = version
-        known.is_confirmed = True
-        if known.state is AdapterState.LOADING:
-            known.state = AdapterState.RESIDENT
-
-    def _forget_missing(self, shown: set[AdapterId]) -> list[AdapterId]:
-        # A report may be older than the latest orders.
-        oldest = clock.now() - self.settings.report_lag_seconds * 2
-        missing = [
-            held.name
-            for held in self.held.values()
-            if held.name not in shown
-            and held.is_ordered
-            and held.used_at < oldest
-        ]
-        for name in missing:
-            self.forget(name)
-        return missing
-
     def restart(self, born: int) -> None:
         """Reset the state after a restart of the engine."""
         self.born = born
-        self.held.clear()
+        self.residency.clear()
         self._cached_victim = None
         self.models.clear()
         self.model_ready_at = 0
+        self.unanswered_model_order = NO_ORDER
+        self.is_busy = False
         self.parts.clear()
         self.kept.clear()
         self.prefill.clear()
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -103,8 +103,14 @@
     :ivar sequence: the count that the next order of this VM names; None until
         a report was read
     :ivar ordered: whether the last known order was sent by this VM
-    :ivar unanswered: whether the last order of this VM got no response, so
-        that the engine's count may be one higher
+    :ivar in_flight: whether an order of this VM is being answered, so that
+        a report may show it before its answer arrives
+    :ivar unanswered: whether it is not known if the engine counted the last
+        order of this VM, so that its count may be one higher
+    :ivar is_refuted: whether the engine has refused the count
+    :ivar settled_after: a report requested since this time shows how the
+        last order ended
+    :ivar starts: number of restarts of the engine that were observed
     :ivar predecessor_ended: whether the previous owner of the engine has
         provably stopped sending orders
     :ivar quiet_since: when an order of another VM was last observed, or the
@@ -120,7 +126,11 @@
     paused_until: float
     sequence: int | None = None
     ordered: bool = False
+    in_flight: bool = False
     unanswered: bool = False
+    is_refuted: bool = False
+    settled_after: float = float('-inf')
+    starts: int = 0
     predecessor_ended: bool = False
     quiet_since: float = 0
     foreign: int = 0
@@ -137,31 +147,45 @@
         now = clock.now()
         if self.sequence is None or now < self.paused_until:
             return False
-        if self.unanswered:
+        if self.awaits_report():
             return False
         if self.ordered or self.sequence == 0 or self.predecessor_ended:
             return True
         quiet = now - self.quiet_since
         return quiet > self.lease_seconds + self.lag_seconds
 
-    def record_accepted(self) -> None:
-        """Record an accepted order of this VM, which raised the count."""
+    def awaits_report(self) -> bool:
+        """Return whether only a report shows the engine's count."""
+        return self.unanswered or self.is_refuted
+
+    def record_accepted(self, named: int | None = None) -> None:
+        """Record an accepted order of this VM, which raised the count.
+
+        :param named: count that the order named; None for the current one.
+            A report may have shown the order before its answer arrived.
+        """
         if self.sequence is not None:
-            self.sequence += 1
+            counted = self.sequence if named is None else named
+            self.sequence = max(self.sequence, counted + 1)
         self.ordered = True
         self.accepted_at = clock.now()
 
     def record_unanswered(self) -> None:
-        """Pause until a report shows whether the last order was accepted."""
+        """Pause until a report shows whether the last order was counted.
+
+        An engine also acknowledges orders that it does not count, because
+        they hold already or are being carried out.
+        """
         self.unanswered = True
-        self._pause(2 * self.lag_seconds)
+        self._await_report()
 
     def record_conflict(self) -> None:
         """Pause until a report shows whether another VM has sent an order.
 
         An engine also refuses an order while it executes others.
         """
-        self._pause(2 * self.lag_seconds)
+        self.is_refuted = True
+        self._await_report()
 
     def record_report(self, report: EngineReport) -> bool:
         """Update the chain from a report.
@@ -169,19 +193,36 @@
         :returns: whether the report shows an order of another VM
         """
         known = self.sequence
-        if self._has_overcounted(report):
-            self.sequence = report.sequence
-            return False
-        self.sequence = max(report.sequence, known or 0)
         if known is None:
+            self.sequence = report.sequence
             self.quiet_since = clock.now()
             return False
-        if self.unanswered and clock.now() >= self.paused_until:
-            self.unanswered = False
-            known += report.sequence == known + 1
-        if report.sequence <= known:
+        if self.awaits_report() and report.asked_at >= self.settled_after:
+            return self._settle(report, known)
+        if self._has_overcounted(report):
+            self.sequence = report.sequence
+            return False
+        if report.sequence <= known + self._may_be_counted():
+            # Own orders, or a report older than the last of them.
             return False
-        return self._record_foreign()
+        return self._record_foreign(report.sequence)
+
+    def _may_be_counted(self) -> int:
+        """Return the own orders that the engine may have counted unnoticed."""
+        return int(self.in_flight or self.unanswered)
+
+    def _settle(self, report: EngineReport, known: int) -> bool:
+        """Take over the count of a report that shows how the last order ended.
+
+        :returns: whether the report shows an order of another VM
+        """
+        own = self._may_be_counted()
+        self.unanswered = False
+        self.is_refuted = False
+        if report.sequence > known + own:
+            return self._record_foreign(report.sequence)
+        self.sequence = report.sequence
+        return False
 
     def _has_overcounted(self, report: EngineReport) -> bool:
         """Return whether the local count includes an order without effect.
@@ -192,20 +233,26 @@
         """
         if self.sequence is None or report.sequence >= self.sequence:
             return False
-        return clock.now() > self.accepted_at + _MAX_REPORT_DELAY_SECONDS
+        shown_at = report.asked_at - _MAX_REPORT_DELAY_SECONDS
+        return shown_at > self.accepted_at
 
     def restart(self) -> None:
         """Reset the chain after the engine restarted and lost its count."""
         self.sequence = None
         self.ordered = False
         self.unanswered = False
+        self.is_refuted = False
+        self.starts += 1
 
-    def _record_foreign(self) -> bool:
+    def _record_foreign(self, sequence: int) -> bool:
         """Pause for more than a lease after an order of another VM.
 
         If this VM sent orders within a lease, two holders would alternate,
         and each would undo the other's loads.
+
+        :param sequence: count that the report shows
         """
+        self.sequence = sequence
         self.quiet_since = clock.now()
         if self._is_predecessor_order():
             return False
@@ -228,6 +275,10 @@
             return False
         return clock.now() < self.began_at + _MAX_REPORT_DELAY_SECONDS
 
+    def _await_report(self) -> None:
+        self.settled_after = clock.now() + 2 * self.lag_seconds
+        self._pause(2 * self.lag_seconds)
+
     def _pause(self, seconds: float) -> None:
         until = clock.now() + seconds
         self.paused_until = max(self.paused_until, until)
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -285,7 +285,10 @@
         ledger = engine.ledger
         name = hold.ask.adapter
         if name and name not in ledger.held:
-            ledger.held[name] = HeldAdapter(name, 0, AdapterState.RESIDENT)
+            # It may still be loading there.
+            ledger.held[name] = HeldAdapter(
+                name, 0, AdapterState.RESIDENT, is_confirmed=False
+            )
         place = ledger.take(hold.ask)
         place.is_adopted = True
         place.alone = None
@@ -484,18 +487,18 @@
         ask: PlaceAsk,
         victim: HeldAdapter | None,
     ) -> None:
+        residency = owned.ledger.residency
         if victim is not None:
-            victim.state = AdapterState.UNLOADING
+            residency.begin_unload(victim)
         held = HeldAdapter(
             ask.adapter,
             self.engines.version(ask),
             AdapterState.LOADING,
             ready_at=clock.now() + owned.ledger.load_seconds(ask.adapter),
             replaces=owned.ledger.held.get(ask.adapter),
-            is_ordered=False,
             is_confirmed=False,
         )
-        owned.ledger.held[ask.adapter] = held
+        residency.begin_load(held)
         await self._tasks.spawn(owned.load, held, victim)
 
 
--- a/flamingovalve/gateway/residency/held.py
+++ b/flamingovalve/gateway/residency/held.py
@@ -12,11 +12,16 @@
 
 
 class AdapterState(Enum):
-    """State of an adapter on an engine: loading, loaded or unloading."""
+    """State of an adapter on an engine.
+
+    ``UNPROVEN`` means that its load was ordered and not answered, so that the
+    engine may still load it.
+    """
 
     LOADING = 'coming'
     RESIDENT = 'resident'
     UNLOADING = 'going'
+    UNPROVEN = 'unproven'
 
 
 @dataclass(slots=True)
@@ -26,12 +31,13 @@
     :ivar uses: number of places that use it
     :ivar ready_at: when its load should be complete, on the monotonic clock
     :ivar replaces: the previous version, which stays if the load fails
-    :ivar is_ordered: false while its load order is queued or unanswered;
-        until then no report can show the adapter
+    :ivar is_ordered: false while an order to load or unload it is queued or
+        in flight; until then no report shows how the order ended
     :ivar load: the estimate for its load, until a request shows whether the
         adapter was loaded by then
     :ivar is_confirmed: whether a report or a request has confirmed it on the
         engine
+    :ivar named: count of orders that its unproven load named
     """
 
     name: AdapterId
@@ -44,6 +50,7 @@
     is_ordered: bool = True
     load: ExpectedLoad | None = None
     is_confirmed: bool = True
+    named: int = 0
 
     def is_idle(self) -> bool:
         """Return whether the adapter can be evicted.
@@ -54,3 +61,17 @@
         if self.state is not AdapterState.RESIDENT or not self.is_confirmed:
             return False
         return not self.uses
+
+    def may_occupy(self) -> bool:
+        """Return whether the engine may hold it, in whatever version.
+
+        The engine does not hold an adapter whose load is queued, unless the
+        load replaces another version.
+        """
+        if self.state is not AdapterState.LOADING or self.is_ordered:
+            return True
+        return self.replaces is not None and self.replaces.may_occupy()
+
+    def may_be_in_progress(self) -> bool:
+        """Return whether the engine may be loading it already."""
+        return self.state in {AdapterState.LOADING, AdapterState.UNPROVEN}
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -363,7 +363,7 @@
     def _holds(self, order: dict[str, Any]) -> bool:
         name = order.get('Adapter', '')
         if order['Op'] == 'unload':
-            return name not in self.resident
+            return name not in self.resident or name in self.loading
         if not name:
             return order['Model'] in self.models
         wanted = order.get('Version', self.newest)
