Send no loads to an engine that another ledger counts

An owner that releases one engine, as its group is divided anew or its entry expires, left the loads that waited for their turn to be sent: the next ledger of that engine, on this VM or another, does not have them. Engines whose next owner believes a slot free that such a load takes crash with all streams.

By reading, from the question which accepted loads may be missing from a ledger; the test failed before (the queued load was sent). A released engine's chain now sends no more orders; a load that is interrupted keeps its slot.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -245,14 +245,23 @@
 
         :param victim: adapter to unload first, if a slot is needed
         """
-        async with self._order_lock:
-            outcome = await self._load(held, victim)
+        try:
+            async with self._order_lock:
+                outcome = await self._load(held, victim)
+        except BaseException:
+            self._record_interrupted(held)
+            raise
         if outcome not in _LOAD_OUTCOMES:
             waiters = self.waiting.pop(held.name, [])
             await self._context.listener.load_failed(waiters, outcome)
             return
         await self._await_accepted_load(held)
 
+    def _record_interrupted(self, held: HeldAdapter) -> None:
+        """Keep the slot of a load that ended without an outcome."""
+        named = self.ledger.chain.sequence or 0
+        self.ledger.residency.record_load(held, OrderOutcome.UNKNOWN, named)
+
     async def _await_accepted_load(self, held: HeldAdapter) -> None:
         """Wait for a load and count it as in progress if it is a fetch."""
         loads = self.ledger.loads
@@ -487,6 +496,11 @@
             free=ledger.free_slots(),
         )
 
+    async def release(self) -> None:
+        """Send no more orders, and return waiting requests to the queue."""
+        self.ledger.chain.stop()
+        await self.requeue_waiting()
+
     async def requeue_waiting(self) -> None:
         """Return all requests that wait for a load to the queue."""
         for name in list(self.waiting):
--- a/flamingovalve/gateway/group.py
+++ b/flamingovalve/gateway/group.py
@@ -247,7 +247,7 @@
     async def _release(self, name: UpstreamId) -> None:
         engine = self.engines_by_id.pop(name)
         await self._followers.pop(name).cancel()
-        await engine.requeue_waiting()
+        await engine.release()
         if self.budget is not None:
             self.budget.forget_engine(name)
 
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -236,6 +236,10 @@
         shown_at = report.asked_at - _MAX_REPORT_DELAY_SECONDS
         return shown_at > self.accepted_at
 
+    def stop(self) -> None:
+        """Send no more orders; another chain may count the engine's."""
+        self.paused_until = float('inf')
+
     def restart(self) -> None:
         """Reset the chain after the engine restarted and lost its count."""
         self.sequence = None
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -15,7 +15,7 @@
     PlaceOutcome,
 )
 from tests.rig.direct_engine import SLOTS, DirectOwner
-from tests.rig.engines import MODEL, ask, hold
+from tests.rig.engines import MODEL, TRAITS, ask, hold
 
 NAMES = tuple(f'a{number}' for number in range(SLOTS))
 
@@ -210,6 +210,16 @@
         self.rig.world.advance(2)
         self.assertEqual(self.engine.crashes, 0)
 
+    def test_queued_load_of_a_released_engine(self):
+        """Guards against loads that the next owner of an engine lacks."""
+        self.fill('a0')
+        self.hold_back(0.3, adapter='a1')
+        self.begin('a1')
+        self.begin('a2')
+        self.rig.run(self.rig.owner.replace_engines, [], TRAITS)
+        self.rig.world.advance(1)
+        self.assertEqual(self.engine.occupying(), {'a0', 'a1'})
+
 
 class TestCounts(ResidencyTestCase):
     """Which answers and reports change the count of orders."""
