Take an unexpected status of an order for no answer

A status that the platform's page does not name for orders, such as 500, was taken for a refusal, so that a load which the engine may have executed was taken off the ledger, and its waiting requests were refused as for an adapter that does not exist. The page names 400 for orders that can't exist, and responses with Not-Executed; all others say nothing, and a report now settles them.

The test failed before (the function is new; 500 was 'refused' in its place).

--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -27,6 +27,7 @@
     from flamingovalve.gateway.relay import SendOptions
     from flamingovalve.gateway.upstream_client import UpstreamClient
     from flamingovalve.http.client import ResponseHead
+    from flamingovalve.http.messages import Response
 
 logger = get_logger(__name__)
 
@@ -40,10 +41,12 @@
 _STATUS_OK: Final = 200
 _FIRST_SUCCESS: Final = 200
 _LAST_SUCCESS: Final = 299
+_STATUS_BAD_REQUEST: Final = 400
 _STATUS_MISDIRECTED: Final = 421
 _STATUS_UNAVAILABLE: Final = 503
 _DECIMAL: Final = re.compile(r'\d{1,9}(\.\d{1,9})?')
 _RESUME_HEADER: Final = 'last-event-id'
+_NOT_EXECUTED: Final = 'not-executed'
 _ID_HEADER: Final = 'Attempt-Id'
 _ID_CHARACTERS: Final = 16
 
@@ -91,7 +94,7 @@
     def verdict(self, head: ResponseHead, request: InboundRequest) -> Verdict:
         """Classify the head of an upstream's response to ``request``."""
         headers = head.headers
-        if 'not-executed' in headers or head.status == _STATUS_MISDIRECTED:
+        if _NOT_EXECUTED in headers or head.status == _STATUS_MISDIRECTED:
             if _rest_seconds(head):
                 return Verdict.REJECTED
             return Verdict.NOT_RUN
@@ -115,7 +118,7 @@
             _rest_seconds(head),
             is_success and is_own,
             _decimal(headers.get('server-brittle', '')) or 0,
-            head.status == _STATUS_UNAVAILABLE and 'not-executed' in headers,
+            head.status == _STATUS_UNAVAILABLE and _NOT_EXECUTED in headers,
             is_own,
         )
 
@@ -195,7 +198,7 @@
             return OrderOutcome.GONE
         except (OSError, ConnectionLost):
             return OrderOutcome.UNKNOWN
-        return _ORDER_OUTCOMES.get(response.status, OrderOutcome.REFUSED)
+        return _order_outcome(response)
 
 
 _ORDER_OUTCOMES: Final = {
@@ -207,6 +210,16 @@
 }
 
 
+def _order_outcome(response: Response) -> OrderOutcome:
+    """Return the outcome of an order; an unexpected status proves nothing."""
+    known = _ORDER_OUTCOMES.get(response.status)
+    if known is not None:
+        return known
+    is_refused = response.status == _STATUS_BAD_REQUEST
+    is_refused = is_refused or _NOT_EXECUTED in dict(response.headers)
+    return OrderOutcome.REFUSED if is_refused else OrderOutcome.UNKNOWN
+
+
 def _identify(call: UpstreamCall, upstream: Upstream) -> str:
     """Give a call of the VM itself an id that its response repeats.
 
--- a/tests/rig/direct_engine.py
+++ b/tests/rig/direct_engine.py
@@ -10,11 +10,11 @@
 from flamingovalve.gateway.catalogue import Catalogue
 from flamingovalve.gateway.fencing import Fences
 from flamingovalve.gateway.model import EngineTraits, ModelTraits
-from flamingovalve.gateway.orders import EngineReport, OrderOutcome
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.upstream_status import UpstreamStatus
 from flamingovalve.generated.ids import GroupId, VmId
 from flamingovalve.generated.settings import GatewaySettings
+from flamingovalve.http.messages import Response
 from flamingovalve.platform import upstreams
 from flamingovalve.util import clock
 from standins.platform_runner import PlatformEngineStandIn
@@ -25,7 +25,7 @@
     from collections.abc import Awaitable, Callable
 
     from flamingovalve.gateway.engine import OwnedEngine
-    from flamingovalve.gateway.orders import Order
+    from flamingovalve.gateway.orders import EngineReport, Order, OrderOutcome
 
 SLOTS: Final = 3
 _GROUP: Final = GroupId('engines')
@@ -70,7 +70,7 @@
         outcome = await self.after(order)
         if outcome is not None:
             return outcome
-        return upstreams._ORDER_OUTCOMES.get(status, OrderOutcome.REFUSED)
+        return upstreams._order_outcome(Response(status))
 
 
 async def _pass(_order: Order) -> None:
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -14,6 +14,8 @@
     PlaceHold,
     PlaceOutcome,
 )
+from flamingovalve.http.messages import Response
+from flamingovalve.platform.upstreams import _order_outcome
 from tests.rig.direct_engine import SLOTS, DirectOwner
 from tests.rig.engines import MODEL, TRAITS, ask, hold
 
@@ -220,6 +222,17 @@
         self.rig.world.advance(1)
         self.assertEqual(self.engine.occupying(), {'a0', 'a1'})
 
+    def test_unexpected_status_of_an_order(self):
+        """Guards against statuses that do not say whether it is executed."""
+        outcomes = [
+            _order_outcome(Response(400)),
+            _order_outcome(Response(503, [('not-executed', '1')])),
+            _order_outcome(Response(503)),
+            _order_outcome(Response(500)),
+        ]
+        refused, unknown = OrderOutcome.REFUSED, OrderOutcome.UNKNOWN
+        self.assertEqual(outcomes, [refused, refused, unknown, unknown])
+
 
 class TestCounts(ResidencyTestCase):
     """Which answers and reports change the count of orders."""
