Let acknowledged orders show who sent the last one

A fault of: orders that an engine acknowledged and may not have counted, among them each order of a base model, no longer counted as those of the last holder. After an engine's restart its owner waited for a lease before it loaded adapters, though the model was there: callers of that engine's adapters would have waited up to 3.6 s longer.

By reading the diff; the test failed before. An acknowledged order now marks the VM as the last holder, as before, and is followed by a report.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -301,7 +301,7 @@
         elif answer.outcome is OrderOutcome.HOLDS:
             # The owner did not know that the engine holds the adapter.
             held.ready_at = clock.now()
-            ledger.chain.record_unanswered()
+            ledger.chain.record_acknowledged()
         else:
             self._record_refusal(answer.outcome)
         return answer.outcome
@@ -326,7 +326,7 @@
         self.ledger.record_load_accepted(held)
         if replaced is not None and replaced.may_be_in_progress():
             # The engine does not count a load that is in progress again.
-            self.ledger.chain.record_unanswered()
+            self.ledger.chain.record_acknowledged()
         else:
             self.ledger.chain.record_accepted(named)
 
@@ -363,7 +363,7 @@
         if answer.outcome is OrderOutcome.ACCEPTED:
             # A request still uses the adapter. The engine unloads it when
             # that request ends; a report shows when.
-            self.ledger.chain.record_unanswered()
+            self.ledger.chain.record_acknowledged()
         else:
             self._record_refusal(answer.outcome)
         return False
@@ -547,7 +547,7 @@
             answer = await self._send(Action.LOAD, model, AdapterId(''), 0)
         if answer.outcome in _LOAD_OUTCOMES:
             # The engine does not count it if it is loading the model already.
-            self.ledger.chain.record_unanswered()
+            self.ledger.chain.record_acknowledged()
             self._context.counts.model_loads += 1
         elif answer.outcome is OrderOutcome.UNKNOWN:
             self.ledger.unanswered_model_order = answer.named
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -170,12 +170,18 @@
         self.ordered = True
         self.accepted_at = clock.now()
 
-    def record_unanswered(self) -> None:
-        """Pause until a report shows whether the last order was counted.
+    def record_acknowledged(self) -> None:
+        """Record an order of this VM that the engine may not have counted.
 
-        An engine also acknowledges orders that it does not count, because
-        they hold already or are being carried out.
+        An engine also acknowledges orders that hold already or are being
+        carried out, and does not count these.
         """
+        self.ordered = True
+        self.accepted_at = clock.now()
+        self.record_unanswered()
+
+    def record_unanswered(self) -> None:
+        """Pause until a report shows whether the last order was counted."""
         self.unanswered = True
         self._await_report()
 
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -283,6 +283,15 @@
 class TestModels(ResidencyTestCase):
     """Which base models may be on their way to an engine."""
 
+    def test_loads_after_a_restart_wait_for_no_lease(self):
+        """Guards against an owner that does not know its own model order."""
+        self.rig.owned.ledger.chain.predecessor_ended = False
+        self.engine.restart()
+        self.rig.world.advance(2)
+        self.assertIn('load base', [done[2] for done in self.engine.orders])
+        self.begin('a0')
+        self.assertIn('a0', self.engine.occupying())
+
     def test_model_whose_order_has_no_answer_may_be_loading(self):
         """Guards against fetching a base model beside one without answer."""
         self.engine.restart()
