Let the adapter of adopted places be on the engine in a test of shares

The engine of test_adopted_places_count did not hold the adapter whose places it adopts; such an adapter is not evicted any more until it is confirmed. The set-up now holds it, as a new owner's first report would say; the check is unchanged.

--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -265,6 +265,7 @@
         async def scenario():
             owner = await self.owner_of_engines()
             (engine,) = owner.engines.ledgers()
+            hold(engine, 'x')
             for number in range(4):
                 request = ask('x', number, workspace='a')
                 owner.adopt_place(PlaceHold(request, engine.upstream.id))
