--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -532,7 +532,7 @@
             *self.rng.sample(claims, count),
             *self.upstreams.limits.standing_rumours(self.rng),
             *self.upstreams.reachability.own_rumours(),
-            *self.quarantine.standing_rumours(),
+            *self.quarantine.reports.standing_rumours(),
         ]
 
 
--- a/flamingovalve/gateway/quarantine/quarantine.py
+++ b/flamingovalve/gateway/quarantine/quarantine.py
@@ -9,8 +9,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from itertools import islice
 from typing import TYPE_CHECKING, Final, Protocol
 
 import curio
@@ -19,27 +17,28 @@
 from flamingovalve.gateway.quarantine.causes import (
     causes_of,
     is_call,
-    kind_of,
     shared_causes,
 )
+from flamingovalve.gateway.quarantine.counts import CrashCounts
 from flamingovalve.gateway.quarantine.ends import End, Instance
-from flamingovalve.gateway.quarantine.refusals import Refusals
+from flamingovalve.gateway.quarantine.reports import EndReports, end_of
 from flamingovalve.gateway.quarantine.suspects import Suspects
 from flamingovalve.gateway.quarantine.upstream_ends import EndSign
+from flamingovalve.gateway.quarantine.verdicts import Verdicts
 from flamingovalve.gateway.relay import Outcome
-from flamingovalve.generated.messages import EndRumour
 from flamingovalve.membership.gossip import Dissemination
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterable
+    from collections.abc import Awaitable, Callable
 
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.quarantine.causes import Cause
     from flamingovalve.gateway.relay import SendResult
     from flamingovalve.generated.ids import Fingerprint, UpstreamId
+    from flamingovalve.generated.messages import EndRumour
 
     PublishRumour = Callable[[EndRumour], Awaitable[None]]
 
@@ -50,9 +49,6 @@
 _LOSSES_TO_SEND_ONCE: Final = 2
 # An upstream that was heard of this recently has not fallen silent.
 _RECENT_SECONDS: Final = 0.5
-_STANDING_RUMOURS: Final = 8
-_MAX_CAUSES_OF_RUMOUR: Final = 64
-_NO_CONTRAST: Final = -1.0
 
 
 class FindEnd(Protocol):
@@ -64,26 +60,6 @@
         """Return what shows it, as :meth:`UpstreamEnds.find` does."""
 
 
-@dataclass
-class CrashCounts:
-    """Counters of causes that were lost with upstreams that ended.
-
-    :ivar crashes: ends of upstreams under requests of this VM
-    :ivar cleared: ends of which a success here has exonerated a cause
-    :ivar convicted: causes that this VM began to refuse
-    :ivar acquitted: causes that this VM ceased to refuse after a success
-    :ivar probes: requests that were sent to try a convicted cause
-    :ivar refused: requests that were refused
-    """
-
-    crashes: int = 0
-    cleared: int = 0
-    convicted: int = 0
-    acquitted: int = 0
-    probes: int = 0
-    refused: int = 0
-
-
 class CrashQuarantine:
     """Refuses requests with a cause that is convicted of ends of upstreams."""
 
@@ -109,7 +85,10 @@
         self._find_end = find_end
         self._heard_at = heard_at
         self._suspects = Suspects(seconds)
-        self._refusals = Refusals(seconds, is_prober)
+        self.reports = EndReports(self._suspects)
+        self._verdicts = Verdicts(
+            seconds, self._suspects, self.counts, is_prober
+        )
 
     # -- Decisions
 
@@ -121,7 +100,7 @@
         if not self._suspects:
             return
         request.lost_before = self._suspicion(causes_of(request))
-        _cause, seconds = self._refusal(request)
+        _cause, seconds = self._verdicts.refusal(request)
         if seconds:
             raise quarantined(seconds)
 
@@ -133,16 +112,9 @@
         """
         if not self._suspects:
             return 0
-        cause, seconds = self._refusal(request)
+        cause, seconds = self._verdicts.refusal(request)
         if cause is not None and not seconds:
-            self.counts.probes += 1
-            self._refusals.record_probe(cause.fingerprint)
-            note(
-                logger,
-                'probe of a convicted cause',
-                id=request.id,
-                **_cause_fields(cause),
-            )
+            self._verdicts.record_probe(request, cause)
         return seconds
 
     def may_retry(self, request: InboundRequest) -> bool:
@@ -168,51 +140,6 @@
         ends = self._suspects.suspicion(shared)
         return max(self._suspects.suspicion(calls), ends if ends > 1 else 0)
 
-    def _refusal(self, request: InboundRequest) -> tuple[Cause | None, float]:
-        """Return the cause that a request is convicted for, if there is one.
-
-        :returns: the cause, and the seconds for which it is refused; 0 if the
-            request may be sent as a probe
-        """
-        causes = causes_of(request)
-        by_fingerprint = {cause.fingerprint: cause for cause in causes}
-        convicted = self._suspects.convicted(by_fingerprint)
-        if convicted is None:
-            return None, 0
-        cause = by_fingerprint[convicted]
-        self._convict(convicted)
-        seconds = self._refusals.seconds_left(convicted)
-        if seconds:
-            self.counts.refused += 1
-            note(
-                logger,
-                'refused, it crashes upstreams',
-                id=request.id,
-                **request.log_fields(),
-                **_cause_fields(cause),
-                crashes=self._suspects.count(convicted),
-                seconds_left=round(seconds, 3),
-            )
-        return cause, seconds
-
-    def _convict(self, cause: Fingerprint) -> None:
-        if self._refusals.include(cause):
-            return
-        is_certain = self._suspects.is_certain(cause)
-        ends = self._suspects.ends.against(cause)
-        ended_at = max(end.at for end in ends)
-        self._refusals.convict(cause, ended_at, is_certain=is_certain)
-        self._keep_ends(cause)
-        self.counts.convicted += 1
-        note(
-            logger,
-            'a cause is convicted',
-            kind=kind_of(cause).name.lower(),
-            fingerprint=_hexadecimal(cause),
-            is_certain=is_certain,
-            upstreams=[end.instance.upstream for end in ends],
-        )
-
     # -- Outcomes
 
     async def record(
@@ -310,7 +237,7 @@
         if not is_new:
             return
         self.counts.crashes += 1
-        self._extend_refusals(lost)
+        self._verdicts.extend_refusals(lost)
         note(
             logger,
             'upstream ended while it ran a request',
@@ -321,11 +248,11 @@
             suspects=[_described(one, self._suspects) for one in causes],
             convicted=self._suspects.convicted(lost) is not None,
         )
-        await self.publish(self._rumour_of(end))
+        await self.publish(self.reports.rumour_of(end))
         # Earlier ones too, as other VMs may not have received them yet.
         for earlier, repeated in self._suspects.repeated().items():
             if earlier is not end and not lost.isdisjoint(repeated):
-                await self.publish(self._rumour_of(earlier))
+                await self.publish(self.reports.rumour_of(earlier))
 
     async def _exonerate(self, request: InboundRequest) -> None:
         causes = {one.fingerprint for one in shared_causes(request)}
@@ -342,54 +269,22 @@
                 upstream=end.instance.upstream,
             )
             if repeated:
-                await self.publish(self._rumour_of(end))
+                await self.publish(self.reports.rumour_of(end))
             else:
-                self.enqueue(self._rumour_of(end))
-        self._acquit(causes)
-
-    def _acquit(self, causes: Iterable[Fingerprint]) -> None:
-        for cause in causes:
-            if self._refusals.acquit(cause):
-                self.counts.acquitted += 1
-                note(
-                    logger,
-                    'a cause is acquitted',
-                    kind=kind_of(cause).name.lower(),
-                    fingerprint=_hexadecimal(cause),
-                )
-
-    def _extend_refusals(self, lost: Iterable[Fingerprint]) -> None:
-        """Extend the refusal of causes that an upstream ended under."""
-        for cause in lost:
-            self._refusals.extend(cause)
-            self._keep_ends(cause)
-
-    def _keep_ends(self, cause: Fingerprint) -> None:
-        """Keep the ends against a cause for as long as it is refused."""
-        until = self._refusals.ends_needed_until(cause)
-        for end in self._suspects.ends.against(cause) if until else ():
-            end.expires_at = max(end.expires_at, until)
+                self.enqueue(self.reports.rumour_of(end))
+        self._verdicts.acquit(causes)
 
     # -- Rumours
 
     def apply_rumour(self, rumour: EndRumour) -> Dissemination:
         """Apply the report of another VM; complete it by what is known here."""
-        report = End(
-            Instance(rumour.upstream, rumour.born),
-            clock.now() - rumour.age,
-            clock.now() + rumour.remaining,
-            set(rumour.lost),
-            set(rumour.exonerated),
-            set(rumour.proven),
-            _time_of(rumour.contrast),
-            rumour.informed,
-        )
+        report = end_of(rumour)
         known_before = self._suspects.ends.lost_with(report.instance)
         end, is_new = self._suspects.merge(report)
         if not is_new:
             return Dissemination.NONE
-        self._extend_refusals(report.lost - known_before)
-        self._acquit(end.exonerated & report.exonerated)
+        self._verdicts.extend_refusals(report.lost - known_before)
+        self._verdicts.acquit(end.exonerated & report.exonerated)
         crashes = self._suspects.suspicion(report.lost)
         note(
             logger,
@@ -401,45 +296,10 @@
             crashes=crashes,
             remaining=round(rumour.remaining, 3),
         )
-        complete = self._rumour_of(end)
-        rumour.lost = complete.lost
-        rumour.exonerated = complete.exonerated
-        rumour.proven = complete.proven
-        rumour.contrast = complete.contrast
-        rumour.informed = complete.informed
+        self.reports.complete(rumour, end)
         is_repeated = crashes >= _LOSSES_TO_SEND_ONCE
         return Dissemination.URGENT if is_repeated else Dissemination.ORDINARY
 
-    def standing_rumours(self) -> list[EndRumour]:
-        """Return the ends to notify VMs of that missed them."""
-        repeated = self._suspects.repeated()
-        latest = sorted(repeated, key=lambda end: end.at, reverse=True)
-        return [
-            self._rumour_of(end, repeated[end])
-            for end in islice(latest, _STANDING_RUMOURS)
-        ]
-
-    def _rumour_of(
-        self, end: End, causes: set[Fingerprint] | None = None
-    ) -> EndRumour:
-        """Return the report of an end, with ``causes`` or the most relevant."""
-        lost = end.lost if causes is None else causes
-        if len(lost) > _MAX_CAUSES_OF_RUMOUR:
-            ranked = sorted(lost, key=self._suspects.count, reverse=True)
-            lost = set(ranked[:_MAX_CAUSES_OF_RUMOUR])
-        now = clock.now()
-        return EndRumour(
-            end.instance.upstream,
-            end.instance.born,
-            max(now - end.at, 0),
-            max(end.expires_at - now, 0),
-            sorted(lost),
-            sorted(lost & end.exonerated),
-            sorted(lost & end.proven),
-            max(now - end.contrast_at, _NO_CONTRAST),
-            end.is_informed,
-        )
-
 
 def quarantined(seconds: float) -> ServingError:
     """Return the error for a request that is refused for ``seconds``."""
@@ -451,19 +311,6 @@
     )
 
 
-def _time_of(contrast: float) -> float:
-    """Return when a cause was exonerated first; infinite if none was."""
-    return clock.now() - contrast if contrast >= 0 else float('inf')
-
-
-def _cause_fields(cause: Cause) -> dict[str, str]:
-    return {
-        'kind': cause.kind.name.lower(),
-        'cause': cause.name,
-        'fingerprint': _hexadecimal(cause.fingerprint),
-    }
-
-
 def _described(cause: Cause, suspects: Suspects) -> str:
     """Return a cause with the ends against it, for a log line."""
     ends = suspects.count(cause.fingerprint)
@@ -471,10 +318,6 @@
     return f'{cause.kind.name.lower()} {cause.name}: {ends}{mark}'
 
 
-def _hexadecimal(cause: Fingerprint) -> str:
-    return f'{cause:016x}'
-
-
 async def _discard_rumour(_rumour: EndRumour) -> None:
     """Discard a rumour; the default until the daemon sets a publisher."""
 
--- /dev/null
+++ b/flamingovalve/gateway/quarantine/verdicts.py
@@ -0,0 +1,131 @@
+"""Refuses requests with causes that are convicted of ends of upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from flamingovalve.gateway.quarantine.causes import causes_of, kind_of
+from flamingovalve.gateway.quarantine.refusals import Refusals
+from flamingovalve.util.logs import get_logger, note
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from flamingovalve.gateway.inbound import InboundRequest
+    from flamingovalve.gateway.quarantine.causes import Cause
+    from flamingovalve.gateway.quarantine.counts import CrashCounts
+    from flamingovalve.gateway.quarantine.suspects import Suspects
+    from flamingovalve.generated.ids import Fingerprint
+
+logger = get_logger(__name__)
+
+
+class Verdicts:
+    """Convicts and acquits causes, and refuses requests for them."""
+
+    def __init__(
+        self,
+        seconds: float,
+        suspects: Suspects,
+        counts: CrashCounts,
+        is_prober: Callable[[Fingerprint], bool],
+    ) -> None:
+        """Judge ``suspects``; refuse for ``seconds`` at first.
+
+        :param is_prober: returns whether this VM sends the probes of a cause
+        """
+        self._suspects = suspects
+        self._counts = counts
+        self._refusals = Refusals(seconds, is_prober)
+
+    def record_probe(self, request: InboundRequest, cause: Cause) -> None:
+        """Record that a request is sent to try a convicted cause."""
+        self._counts.probes += 1
+        self._refusals.record_probe(cause.fingerprint)
+        note(
+            logger,
+            'probe of a convicted cause',
+            id=request.id,
+            **_cause_fields(cause),
+        )
+
+    def refusal(self, request: InboundRequest) -> tuple[Cause | None, float]:
+        """Return the cause that a request is convicted for, if there is one.
+
+        :returns: the cause, and the seconds for which it is refused; 0 if the
+            request may be sent as a probe
+        """
+        causes = causes_of(request)
+        by_fingerprint = {cause.fingerprint: cause for cause in causes}
+        convicted = self._suspects.convicted(by_fingerprint)
+        if convicted is None:
+            return None, 0
+        cause = by_fingerprint[convicted]
+        self._convict(convicted)
+        seconds = self._refusals.seconds_left(convicted)
+        if seconds:
+            self._counts.refused += 1
+            note(
+                logger,
+                'refused, it crashes upstreams',
+                id=request.id,
+                **request.log_fields(),
+                **_cause_fields(cause),
+                crashes=self._suspects.count(convicted),
+                seconds_left=round(seconds, 3),
+            )
+        return cause, seconds
+
+    def _convict(self, cause: Fingerprint) -> None:
+        if self._refusals.include(cause):
+            return
+        is_certain = self._suspects.is_certain(cause)
+        ends = self._suspects.ends.against(cause)
+        ended_at = max(end.at for end in ends)
+        self._refusals.convict(cause, ended_at, is_certain=is_certain)
+        self._keep_ends(cause)
+        self._counts.convicted += 1
+        note(
+            logger,
+            'a cause is convicted',
+            kind=kind_of(cause).name.lower(),
+            fingerprint=_hexadecimal(cause),
+            is_certain=is_certain,
+            upstreams=[end.instance.upstream for end in ends],
+        )
+
+    def acquit(self, causes: Iterable[Fingerprint]) -> None:
+        """Cease to refuse causes that had a success."""
+        for cause in causes:
+            if self._refusals.acquit(cause):
+                self._counts.acquitted += 1
+                note(
+                    logger,
+                    'a cause is acquitted',
+                    kind=kind_of(cause).name.lower(),
+                    fingerprint=_hexadecimal(cause),
+                )
+
+    def extend_refusals(self, lost: Iterable[Fingerprint]) -> None:
+        """Extend the refusal of causes that an upstream ended under."""
+        for cause in lost:
+            self._refusals.extend(cause)
+            self._keep_ends(cause)
+
+    def _keep_ends(self, cause: Fingerprint) -> None:
+        """Keep the ends against a cause for as long as it is refused."""
+        until = self._refusals.ends_needed_until(cause)
+        for end in self._suspects.ends.against(cause) if until else ():
+            end.expires_at = max(end.expires_at, until)
+
+
+def _cause_fields(cause: Cause) -> dict[str, str]:
+    return {
+        'kind': cause.kind.name.lower(),
+        'cause': cause.name,
+        'fingerprint': _hexadecimal(cause.fingerprint),
+    }
+
+
+def _hexadecimal(cause: Fingerprint) -> str:
+    return f'{cause:016x}'
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -285,7 +285,7 @@
         for _crash in range(3):
             self.send(self.vms[0], Outcome.LOST)
         restarted = self.vm()
-        for rumour in self.vms[1].standing_rumours():
+        for rumour in self.vms[1].reports.standing_rumours():
             restarted.apply_rumour(rumour)
         self.assert_refused(restarted)
 
