Log for each send how well its VM is informed of ends

Nothing told whether a VM that sends a request under which upstreams ended knew of these ends: since when it is up, whom it has heard from, how many ends it holds and how many were withheld from it, as an introduction holds eight at most. The line 'send' says so now; reports of ends carry the number that their sender holds.

--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -110,6 +110,7 @@
             max_gap=round(sent.max_gap, 3),
             retry_after=_json_seconds(sent.retry_after),
             left=round(request.remaining(), 3),
+            **self._quarantine.knowledge.log_fields(),
         )
         # In its own task, as detecting a crashed upstream may take a while.
         await curio.spawn(
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -214,6 +214,7 @@
             self.upstreams.ends.find,
             self.upstreams.paths.worked_at,
             lambda cause: self.members.ranks_first(f'probe {cause}'),
+            self.members.heard_count,
         )
         attempts = Attempts(self.retries.budget, self.quarantine)
         relay = UpstreamRelay(
--- a/flamingovalve/gateway/quarantine/quarantine.py
+++ b/flamingovalve/gateway/quarantine/quarantine.py
@@ -21,6 +21,7 @@
 )
 from flamingovalve.gateway.quarantine.counts import CrashCounts
 from flamingovalve.gateway.quarantine.ends import End, Instance
+from flamingovalve.gateway.quarantine.knowledge import Knowledge
 from flamingovalve.gateway.quarantine.reports import EndReports, end_of
 from flamingovalve.gateway.quarantine.suspects import Suspects
 from flamingovalve.gateway.quarantine.upstream_ends import EndSign
@@ -69,6 +70,7 @@
         find_end: FindEnd,
         heard_at: Callable[[UpstreamId], float],
         is_prober: Callable[[Fingerprint], bool],
+        heard_from: Callable[[], int] = int,
     ) -> None:
         """Keep ends and successes for ``seconds``.
 
@@ -77,6 +79,8 @@
         :param heard_at: returns when an upstream last answered this VM, on the
             monotonic clock
         :param is_prober: returns whether this VM sends the probes of a cause
+        :param heard_from: returns the number of VMs that a datagram has
+            arrived from
         """
         self.counts = CrashCounts()
         self.publish: PublishRumour = _discard_rumour
@@ -86,6 +90,7 @@
         self._heard_at = heard_at
         self._suspects = Suspects(seconds)
         self.reports = EndReports(self._suspects)
+        self.knowledge = Knowledge(self._suspects, heard_from)
         self._verdicts = Verdicts(
             seconds, self._suspects, self.counts, is_prober
         )
@@ -279,6 +284,7 @@
     def apply_rumour(self, rumour: EndRumour) -> Dissemination:
         """Apply the report of another VM; complete it by what is known here."""
         report = end_of(rumour)
+        self.knowledge.record_report(rumour.known)
         known_before = self._suspects.ends.lost_with(report.instance)
         end, is_new = self._suspects.merge(report)
         if not is_new:
--- a/flamingovalve/gateway/quarantine/reports.py
+++ b/flamingovalve/gateway/quarantine/reports.py
@@ -42,6 +42,7 @@
         rumour.proven = complete.proven
         rumour.contrast = complete.contrast
         rumour.informed = complete.informed
+        rumour.known = complete.known
 
     def rumour_of(
         self, end: End, causes: set[Fingerprint] | None = None
@@ -62,6 +63,7 @@
             sorted(lost & end.proven),
             max(now - end.contrast_at, _NO_CONTRAST),
             end.is_informed,
+            len(self._suspects),
         )
 
 
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -187,6 +187,10 @@
         """Return whether this VM is the first present one for ``key``."""
         return hashing.heaviest(key, self.present_ids()) == self.own_id
 
+    def heard_count(self) -> int:
+        """Return the number of VMs that a datagram has arrived from."""
+        return sum(member.heard_at >= 0 for member in self.others())
+
     def has_quorum(self) -> bool:
         """Return whether this VM sees a majority of the possibly live VMs.
 
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -83,6 +83,7 @@
   proven @6 :List(UInt64) $ident("Fingerprint") $doc("Those of them with a success known when they were lost.");
   contrast @7 :Float64 = -1 $unit("seconds") $doc("Time since the first of them was exonerated; negative if none was.");
   informed @8 :Bool $doc("Whether a success of any of them was known at the end.");
+  known @9 :UInt32 $doc("Number of ends that the sender holds.");
 }
 
 struct LimitRumour $doc("A rate limit that an upstream has announced to a VM.") {
