--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -24,7 +24,7 @@
 from flamingovalve.gateway.ownership import GroupClaims
 from flamingovalve.gateway.place_finder import PlaceFinder
 from flamingovalve.gateway.places import PlaceClient, PlaceServer
-from flamingovalve.gateway.quarantine.quarantine import CrashQuarantine
+from flamingovalve.gateway.quarantine.access import quarantine_from_config
 from flamingovalve.gateway.quota_keeper import QuotaKeeper
 from flamingovalve.gateway.quotas import QuotaClient
 from flamingovalve.gateway.relay import UpstreamRelay
@@ -209,12 +209,8 @@
             [VmId(seed) for seed in self._seeds()],
             self.started_at,
         )
-        self.quarantine = CrashQuarantine(
-            settings.relay.quarantine_seconds,
-            self.upstreams.ends.find,
-            self.upstreams.paths.worked_at,
-            lambda cause: self.members.ranks_first(f'probe {cause}'),
-            self.members.heard_count,
+        self.quarantine = quarantine_from_config(
+            settings, self.members, self.upstreams
         )
         attempts = Attempts(self.retries.budget, self.quarantine)
         relay = UpstreamRelay(
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -187,10 +187,6 @@
         """Return whether this VM is the first present one for ``key``."""
         return hashing.heaviest(key, self.present_ids()) == self.own_id
 
-    def heard_count(self) -> int:
-        """Return the number of VMs that a datagram has arrived from."""
-        return sum(member.heard_at >= 0 for member in self.others())
-
     def has_quorum(self) -> bool:
         """Return whether this VM sees a majority of the possibly live VMs.
 
@@ -456,3 +452,8 @@
     if rumour.counter != member.counter:
         return rumour.counter > member.counter
     return _SEVERITY[rumour.state] > _SEVERITY[member.state]
+
+
+def heard_count(members: MemberTable) -> int:
+    """Return the number of VMs that a datagram has arrived from."""
+    return sum(member.heard_at >= 0 for member in members.others())
