Refuse a request for the cause that is refused for the longest

Cause: a request may be convicted for several causes. The first one found in a set decided, here the path, whose conviction was uncertain and lasted 2 s.

Evidence: the lines 'refused, it crashes upstreams' name the path and 'probe of a convicted cause' follows, with four ends against the call. test_longest_refusal_holds failed before: the request was sent 5 s later.

The fix judges all convicted causes; the longest refusal holds, and a request is a probe only if it is one for each of them.

--- a/flamingovalve/gateway/quarantine/suspects.py
+++ b/flamingovalve/gateway/quarantine/suspects.py
@@ -97,8 +97,16 @@
 
         :param causes: all causes of the request
         """
-        held = frozenset(causes)
-        return next(filter(lambda one: self._convicts(one, held), held), None)
+        return next(self.all_convicted(frozenset(causes)), None)
+
+    def all_convicted(
+        self, held: frozenset[Fingerprint]
+    ) -> Iterator[Fingerprint]:
+        """Return each cause for which a request is convicted.
+
+        :param held: all causes of the request
+        """
+        return (cause for cause in held if self._convicts(cause, held))
 
     def is_proven(self, cause: Fingerprint) -> bool:
         """Return whether a success of a cause is known at any VM."""
--- a/flamingovalve/gateway/quarantine/verdicts.py
+++ b/flamingovalve/gateway/quarantine/verdicts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 from flamingovalve.gateway.quarantine.causes import causes_of, kind_of
@@ -39,9 +40,10 @@
         self._refusals = Refusals(seconds, is_prober)
 
     def record_probe(self, request: InboundRequest, cause: Cause) -> None:
-        """Record that a request is sent to try a convicted cause."""
+        """Record that a request is sent to try all its convicted causes."""
         self._counts.probes += 1
-        self._refusals.record_probe(cause.fingerprint)
+        for convicted in self._convicted_of(request):
+            self._refusals.record_probe(convicted.fingerprint)
         note(
             logger,
             'probe of a convicted cause',
@@ -50,19 +52,18 @@
         )
 
     def refusal(self, request: InboundRequest) -> tuple[Cause | None, float]:
-        """Return the cause that a request is convicted for, if there is one.
+        """Return the cause that a request is refused for the longest.
 
-        :returns: the cause, and the seconds for which it is refused; 0 if the
-            request may be sent as a probe
+        :returns: the convicted cause, None if there is none, and the seconds
+            for which it is refused; 0 if the request may be sent as a probe
         """
-        causes = causes_of(request)
-        by_fingerprint = {cause.fingerprint: cause for cause in causes}
-        convicted = self._suspects.convicted(by_fingerprint)
-        if convicted is None:
+        seconds_by_cause = {
+            cause: self._refusals.seconds_left(cause.fingerprint)
+            for cause in self._convicted_of(request)
+        }
+        if not seconds_by_cause:
             return None, 0
-        cause = by_fingerprint[convicted]
-        self._convict(convicted)
-        seconds = self._refusals.seconds_left(convicted)
+        cause, seconds = max(seconds_by_cause.items(), key=itemgetter(1))
         if seconds:
             self._counts.refused += 1
             note(
@@ -71,11 +72,20 @@
                 id=request.id,
                 **request.log_fields(),
                 **_cause_fields(cause),
-                crashes=self._suspects.count(convicted),
+                crashes=self._suspects.count(cause.fingerprint),
                 seconds_left=round(seconds, 3),
             )
         return cause, seconds
 
+    def _convicted_of(self, request: InboundRequest) -> list[Cause]:
+        """Return the causes that a request is convicted for."""
+        causes = causes_of(request)
+        held = frozenset(cause.fingerprint for cause in causes)
+        convicted = frozenset(self._suspects.all_convicted(held))
+        for fingerprint in convicted:
+            self._convict(fingerprint)
+        return [cause for cause in causes if cause.fingerprint in convicted]
+
     def _convict(self, cause: Fingerprint) -> None:
         if self._refusals.include(cause):
             return
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -203,6 +203,19 @@
             self.assert_refused(vm, b'', 'one')
             vm.admit(request(body=b'', caller='two'))
 
+    def test_longest_refusal_holds(self):
+        """Guards against a probe of a path whose call is refused for longer."""
+        for number in range(8):
+            deadly, sound = request(caller='one'), request(caller='one')
+            deadly.target, sound.target = f'/r/{number}', '/sound'
+            self.record(self.vms[0], sound, Outcome.DONE)
+            for _crash in range(4):
+                self.record(self.vms[0], deadly, Outcome.LOST)
+                self.advance(1.1)
+            self.assertGreater(self.vms[0].refusal_seconds(deadly), 0)
+            self.advance(5)
+            self.assertGreater(self.vms[0].refusal_seconds(deadly), 0)
+
     def test_silence_counts_only_if_the_request_was_read(self):
         """Guards against requests sent into a partition taken for deadly."""
         self.sign = EndSign.SILENT
