Let the call of one caller excuse no other caller of the same call

Cause: a call is not convicted at its third end if another suspect was lost with just the same upstreams. The call together with its first caller always was, so the call alone needed a fourth end for each repeat of another caller.

A call and the same call of one caller now have the highest bits of their fingerprints in common, and a call is no alternative explanation for itself. A popular path keeps its protection: successes of others clear the call.

--- a/flamingovalve/gateway/quarantine/causes.py
+++ b/flamingovalve/gateway/quarantine/causes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 from typing import TYPE_CHECKING, Final
 
@@ -17,6 +17,8 @@
 # The lowest bits of a fingerprint hold its kind.
 _KIND_BITS: Final = 3
 _KIND_MASK: Final = (1 << _KIND_BITS) - 1
+# The highest bits of the fingerprint of a call, with and without its caller.
+_CALL_MASK: Final = 0xFFFFFFFF00000000
 _MAX_NAME_CHARACTERS: Final = 80
 
 
@@ -78,6 +80,11 @@
     return fingerprint & _KIND_MASK in _CALL_KINDS
 
 
+def is_same_call(one: Fingerprint, other: Fingerprint) -> bool:
+    """Return whether two causes are one call, of any caller."""
+    return is_call(one) and is_call(other) and not (one ^ other) & _CALL_MASK
+
+
 def causes_of(request: InboundRequest) -> list[Cause]:
     """Return all causes of a request, those that repeats share first."""
     return [*_call_causes(request), *shared_causes(request)]
@@ -106,12 +113,14 @@
         completion.adapter if completion else '',
         request.body,
     )
-    caller = Cause.from_text(
+    of_caller = Cause.from_text(
         CauseKind.CALL_OF_CALLER,
         f'{call.fingerprint}',
         request.workspace,
         request.caller,
     )
+    digest = call.fingerprint & _CALL_MASK | of_caller.fingerprint & ~_CALL_MASK
+    caller = replace(of_caller, fingerprint=Fingerprint(digest))
     return call, caller
 
 
--- a/flamingovalve/gateway/quarantine/suspects.py
+++ b/flamingovalve/gateway/quarantine/suspects.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from flamingovalve.gateway.quarantine.causes import is_call
+from flamingovalve.gateway.quarantine.causes import is_call, is_same_call
 from flamingovalve.gateway.quarantine.ends import EndTable
 from flamingovalve.gateway.quarantine.successes import Successes
 from flamingovalve.util import clock
@@ -147,7 +147,7 @@
         if is_call(cause):
             return len(ends) >= _ENDS_OF_CALL and not any(
                 _explains(other, ends, _ENDS_OF_TIED_CALL)
-                for other in self._others(ends, held)
+                for other in self._others(ends, held, cause)
             )
         if len(ends) < _ENDS_OF_SHARED:
             return False
@@ -173,16 +173,20 @@
         return _trials(rest) >= _ENDS_OF_SHARED
 
     def _others(
-        self, ends: list[End], held: frozenset[Fingerprint]
+        self,
+        ends: list[End],
+        held: frozenset[Fingerprint],
+        call: Fingerprint | None = None,
     ) -> Iterator[list[End]]:
         """Return the ends against each other suspect lost with ``ends``.
 
-        Proven causes explain nothing.
+        Proven causes explain nothing, nor does ``call`` of another caller.
         """
         seen: set[Fingerprint] = set()
         for end in ends:
             for other in end.lost - held - seen:
-                if not self.is_proven(other):
+                is_own = call is not None and is_same_call(call, other)
+                if not (is_own or self.is_proven(other)):
                     yield self.ends.against(other)
             seen |= end.lost
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -203,6 +203,14 @@
             self.assert_refused(vm, b'', 'one')
             vm.admit(request(body=b'', caller='two'))
 
+    def test_call_of_one_caller_excuses_no_other(self):
+        """Guards against one more upstream for each caller of a request."""
+        self.send(self.vms[0], Outcome.DONE, b'sound', caller='one')
+        for _crash in range(3):
+            self.send(self.vms[0], Outcome.LOST, caller='one')
+        for vm in self.vms:
+            self.assert_refused(vm, caller='other')
+
     def test_longest_refusal_holds(self):
         """Guards against a probe of a path whose call is refused for longer."""
         for number in range(8):
