Play losses of all VMs, restarts in turn and many deadly requests

The rig's faults never killed the last VM, never restarted VMs in turn, had two deadly requests of one caller each, and excused VMs that were cut off from others, though the rule asks for a path to the platform only.

--- a/tests/rig/crash_faults.py
+++ b/tests/rig/crash_faults.py
@@ -17,6 +17,7 @@
 _READS_PER_SECOND: Final = 6
 _CHATS_PER_SECOND: Final = 4
 _REPEAT_SECONDS: Final = (0.1, 1.5)
+_RESTART_SECONDS: Final = 0.5
 
 
 class CrashFaults(FaultySite):
@@ -32,16 +33,19 @@
         self.answers = []
         self._paused: set[str] = set()
         self._open: dict[str, float] = {}
-        self._is_cut = False
+        self._cut_from_store: set[str] = set()
         self._add_traffic()
 
     def faults(self) -> list[Callable[[], None]]:
         """Return the faults that :meth:`play` chooses from."""
         return [
             self.cut_one,
+            self.cut_all,
             self.cut_store,
             self.heal,
             self.kill,
+            self.kill_all,
+            self.restart_in_turn,
             self.start,
             self.pause,
             self.wake,
@@ -74,25 +78,29 @@
     # -- Faults
 
     def cut_one(self) -> None:
-        """Partition one VM from the others."""
+        """Partition one VM from the others, which keeps it in touch."""
         vm_id = self.rng.choice(list(self.site.vms_by_id))
         others = [name for name in self.site.vms_by_id if name != vm_id]
         self.site.links.partition([vm_id], others)
-        self._is_cut = True
-        for name in self.site.vms_by_id:
-            self._begin(name)
+
+    def cut_all(self) -> None:
+        """Partition all VMs from each other."""
+        names = list(self.site.vms_by_id)
+        for number, name in enumerate(names):
+            self.site.links.partition([name], names[number + 1 :])
 
     def cut_store(self) -> None:
         """Partition one VM from the store."""
         vm_id = self.rng.choice(list(self.site.vms_by_id))
         self.site.links.partition([vm_id], ['store'])
+        self._cut_from_store.add(vm_id)
         self._begin(vm_id)
 
     def heal(self) -> None:
         """Heal all partitions but those of silent upstreams."""
         names = [*self.site.vms_by_id, 'store']
         self.site.links.heal_between(names, names)
-        self._is_cut = False
+        self._cut_from_store.clear()
         for name in list(self._open):
             if name in self.running():
                 self._finish(name)
@@ -104,6 +112,22 @@
             self.site.kill(vm_id)
             self._begin(vm_id)
 
+    def kill_all(self) -> None:
+        """Kill the processes of all VMs, and start them again."""
+        for vm_id in self.running():
+            self.site.kill(vm_id)
+            self._begin(vm_id)
+        self.advance(_RESTART_SECONDS)
+        self.start()
+
+    def restart_in_turn(self) -> None:
+        """Kill and start one VM after the other."""
+        for vm_id in self.running():
+            self.site.kill(vm_id)
+            self._begin(vm_id)
+            self.advance(_RESTART_SECONDS)
+            self.start()
+
     def start(self) -> None:
         """Start the processes that were killed."""
         for vm in self.site.vms_by_id.values():
@@ -156,20 +180,24 @@
         )
         makers = {
             'read': lambda: site.read('/reads/deadly', 'read'),
+            'read-2': lambda: site.read('/reads/deadly-2', 'read-2'),
             'write': lambda: site.write('/reads/deadly', 'write'),
             'order': lambda: site.write('/orders/deadly', 'order'),
             'review': lambda: site.completion('/reviews/1', 'review'),
+            'chat': lambda: site.completion('/chats/1', 'chat'),
         }
-        for key in self.rng.sample(sorted(makers), 2):
-            traffic.repeat(makers[key], key, self.rng.uniform(*_REPEAT_SECONDS))
+        count = self.rng.randint(1, len(makers))
+        for key in self.rng.sample(sorted(makers), count):
+            interval = self.rng.uniform(*_REPEAT_SECONDS)
+            traffic.repeat(makers[key], key, 2 * interval)
+            traffic.add(makers[key], 2 * interval, key, traffic.other_caller)
 
     def _begin(self, vm_id: str) -> None:
         self._open.setdefault(vm_id, self.site.now())
         self._record(vm_id, float('inf'))
 
     def _finish(self, vm_id: str) -> None:
-        # A VM that starts or wakes up while it is cut off is not in touch.
-        if vm_id in self._open and not self._is_cut:
+        if vm_id in self._open and vm_id not in self._cut_from_store:
             self._record(vm_id, self.site.now())
             del self._open[vm_id]
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -7,6 +7,7 @@
 
 from tests.rig.crash_faults import CrashFaults
 from tests.rig.crash_play import CrashPlay, CrashSite, Ending
+from tests.rig.upstream_rules import Disturbance
 
 CALM_SECONDS = 2
 SECONDS = 12
@@ -268,6 +269,121 @@
         self.assertLessEqual(len(self.site.ends_of(KEY)), 4)
 
 
+class TestManyDeadlyRequests(CrashTestCase):
+    """Several deadly requests of several kinds, each from several callers."""
+
+    def test_repeats_of_several_callers(self):
+        """Guards against ends of one caller's call that excuse the others."""
+        self.start(Ending.CLOSED, engines=9, apps=3)
+        self.play.add_reads(READS_PER_SECOND)
+        self.play.advance(CALM_SECONDS)
+        source = self.play.repeat(self.deadly_read, KEY)
+        self.play.advance(2 * CALM_SECONDS)
+        self.play.sources.remove(source)
+        self.assertEqual(len(self.site.ends_of(KEY)), 3)
+        self.play.add(self.deadly_read, 0.8, KEY, self.play.other_caller)
+        self.play.advance(2 * SECONDS)
+        self.play.settle()
+        self.assertEqual(len(self.site.ends_of(KEY)), 3)
+
+    def test_several_kinds_at_once(self):
+        """Guards against several runs of a suspect before the first one ends."""
+        self.start(Ending.CLOSED, vms=6, engines=9, apps=3)
+        self.site.events_before_end = 2
+        self.play.add_reads(READS_PER_SECOND)
+        self.play.add(
+            lambda: self.site.completion('/reviews/1'), 1 / CHATS_PER_SECOND
+        )
+        self.play.advance(CALM_SECONDS)
+        makers = {
+            'read': lambda: self.site.read('/reads/deadly', 'read'),
+            'review': lambda: self.site.completion('/reviews/1', 'review'),
+            'chat': lambda: self.site.completion('/chats/1', 'chat'),
+            'review-2': lambda: self.site.completion('/reviews/1', 'review-2'),
+        }
+        for key, make in makers.items():
+            self.play.repeat(make, key, 0.6)
+            self.play.add(make, 0.9, key, self.play.other_caller)
+        self.play.advance(2 * SECONDS)
+        self.check_ends(makers)
+
+    def check_ends(self, keys):
+        """Check the rule, and the ends under each deadly request."""
+        self.play.settle()
+        self.assertEqual(self.play.violations(), [])
+        ends = {key: len(self.site.ends_of(key)) for key in keys}
+        self.assertLessEqual(max(ends.values()), 4, ends)
+
+
+class TestLostVms(CrashTestCase):
+    """VMs that end with what they know."""
+
+    def restart(self, vm_ids, seconds):
+        """Kill VMs and start them again; their first sends are excused."""
+        now = self.site.now()
+        for vm_id in vm_ids:
+            self.site.kill(vm_id)
+        self.play.advance(0.5)
+        for vm_id in vm_ids:
+            self.site.start(vm_id)
+            disturbance = Disturbance(vm_id, now, self.site.now())
+            self.play.disturbances.entries.append(disturbance)
+        self.play.advance(seconds)
+
+    def start_with_deadly(self, interval, count=1):
+        """Start a site of six VMs and repeat deadly requests."""
+        self.start(Ending.CLOSED, vms=6, engines=9, apps=9)
+        self.play.add_reads(READS_PER_SECOND)
+        self.play.add(
+            lambda: self.site.completion('/reviews/1'), 1 / CHATS_PER_SECOND
+        )
+        self.play.advance(CALM_SECONDS)
+        self.keys = [f'deadly-{number}' for number in range(count)]
+        for key in self.keys:
+            self.play.repeat(
+                lambda key=key: self.site.completion('/reviews/1', key),
+                key,
+                interval,
+            )
+        self.play.advance(SECONDS)
+
+    def check_rule(self):
+        """Check the rule, after all traffic has ended."""
+        self.play.settle()
+        self.assertEqual(self.play.violations(), [])
+
+    def test_all_vms_restart_again_and_again(self):
+        """Guards against a count that ends with all VMs that know it."""
+        self.start_with_deadly(2.5, 2)
+        for _restart in range(4):
+            self.restart(list(self.site.vms_by_id), SECONDS)
+        self.check_rule()
+
+    def test_vms_restart_in_turn_beside_many_requests(self):
+        """Guards against a VM that is told a part of what others know."""
+        self.start_with_deadly(0.8, 10)
+        for _round in range(2):
+            for vm_id in self.site.vms_by_id:
+                self.restart([vm_id], 0.3)
+        self.play.advance(SECONDS)
+        self.check_rule()
+        late = [len(self.site.ends_of(key)) for key in self.keys]
+        self.assertLessEqual(max(late), 4, late)
+
+    def test_vms_that_do_not_reach_each_other(self):
+        """Guards against VMs that each count alone."""
+        self.start_with_deadly(0.8)
+        names = list(self.site.vms_by_id)
+        for number, name in enumerate(names):
+            self.site.links.partition([name], names[number + 1 :])
+        self.play.add_reads(READS_PER_SECOND)
+        self.play.repeat(
+            lambda: self.site.completion('/reviews/1', 'later'), 'later', 0.8
+        )
+        self.play.advance(2 * SECONDS)
+        self.check_rule()
+
+
 class TestFaults(unittest.TestCase):
     """Random faults beside requests that end upstreams."""
 
