Hand over what is known of ends, and stop risking what nobody can know

Causes, one class: decisions rest on what a process remembers. - A new VM was told eight ends at most. It now takes over all ends and refusals from VMs that ran before it ('EndsAsk'), before it accepts callers, and compares digests with another VM every 2 s. - A fleet without memory began at zero. Start times of upstreams still tell how many of a service have ended; a call is refused for a minute as soon as its own ends and those add up to three. A call under which an upstream ended that no known deadly call explains is refused once one is known, unless it was answered before. - A call with two ends runs once at a time, at all VMs ('TrialRumour').

--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -24,7 +24,7 @@
 from flamingovalve.gateway.ownership import GroupClaims
 from flamingovalve.gateway.place_finder import PlaceFinder
 from flamingovalve.gateway.places import PlaceClient, PlaceServer
-from flamingovalve.gateway.quarantine.access import quarantine_from_config
+from flamingovalve.gateway.quarantine.access import QuarantineAccess
 from flamingovalve.gateway.quota_keeper import QuotaKeeper
 from flamingovalve.gateway.quotas import QuotaClient
 from flamingovalve.gateway.relay import UpstreamRelay
@@ -209,9 +209,15 @@
             [VmId(seed) for seed in self._seeds()],
             self.started_at,
         )
-        self.quarantine = quarantine_from_config(
-            settings, self.members, self.upstreams
+        self.quarantines = QuarantineAccess.from_config(
+            settings,
+            self.members,
+            self.catalogue,
+            self.upstreams,
+            KeeperClient(self.members, self.peers, self.gossip.probe_now),
+            self.rng,
         )
+        self.quarantine = self.quarantines.quarantine
         attempts = Attempts(self.retries.budget, self.quarantine)
         relay = UpstreamRelay(
             self.upstreams.client,
@@ -308,6 +314,7 @@
         self.peer_server.on_ask(messages.CreditAsk, self.quota_keeper.answer)
         self.upstreams.serve_peers(self.peer_server)
         self.retries.serve_peers(self.peer_server)
+        self.quarantines.serve_peers(self.peer_server)
         on_session(messages.StreamOriginsNotice, self.versions.accept)
         self.peer_server.on_ask(messages.StreamOriginAsk, self.versions.answer)
         handlers = GossipHandlers(
@@ -372,7 +379,7 @@
     def _is_fleet_known(self) -> bool:
         is_alone = not self.settings.fleet.seeds
         return self.catalogue.is_ready and (
-            is_alone or len(self.members.present()) > 1
+            is_alone or self.quarantines.handover.is_done
         )
 
     async def _start(self) -> None:
@@ -385,6 +392,7 @@
             self.upstreams.checker.check_forever,
             self.versions.maintain_forever,
             self.retries.census.maintain_forever,
+            self.quarantines.handover.maintain_forever,
         ):
             await spawn(work)
         await spawn(self.owned.reconcile_forever, self._announce_claim)
--- a/flamingovalve/gateway/gossip_handlers.py
+++ b/flamingovalve/gateway/gossip_handlers.py
@@ -11,6 +11,7 @@
     LimitRumour,
     OwnerRumour,
     PathRumour,
+    TrialRumour,
     WatchRumour,
 )
 from flamingovalve.membership.gossip import Dissemination
@@ -68,6 +69,10 @@
     async def _end(self, rumour: EndRumour) -> Dissemination:
         return self._quarantine.apply_rumour(rumour)
 
+    @apply_rumour.register
+    async def _trial(self, rumour: TrialRumour) -> Dissemination:
+        return self._quarantine.apply_trial(rumour)
+
     @apply_rumour.register
     async def _limit(self, rumour: LimitRumour) -> Dissemination:
         return await self._limits.apply_rumour(rumour)
--- a/flamingovalve/gateway/quarantine/causes.py
+++ b/flamingovalve/gateway/quarantine/causes.py
@@ -90,6 +90,11 @@
     return [*_call_causes(request), *shared_causes(request)]
 
 
+def call_of(request: InboundRequest) -> Fingerprint:
+    """Return the cause that repeats of a request share, of any caller."""
+    return _call_causes(request)[0].fingerprint
+
+
 def shared_causes(request: InboundRequest) -> list[Cause]:
     """Return the causes that a request shares with different ones."""
     path = request.target.partition('?')[0]
--- a/flamingovalve/gateway/quarantine/knowledge.py
+++ b/flamingovalve/gateway/quarantine/knowledge.py
@@ -13,26 +13,54 @@
 
 # VMs may hold different ends for the time that rumours take to reach them all.
 _REPORT_SECONDS: Final = 2.0
+_CHECK_SECONDS: Final = 0.25
 
 
 class Knowledge:
-    """What this VM has heard of ends since it started."""
+    """What this VM has heard of ends since it started.
+
+    :ivar since: from when on it knows all ends, on the monotonic clock
+    """
 
     def __init__(
-        self, suspects: Suspects, heard_from: Callable[[], int]
+        self,
+        suspects: Suspects,
+        heard_from: Callable[[], int],
+        has_quorum: Callable[[], bool],
     ) -> None:
         """Start without any report.
 
         :param suspects: the ends that this VM holds
+        :param has_quorum: returns whether this VM sees most others
         :param heard_from: returns the number of VMs that a datagram has
             arrived from
         """
         self._suspects = suspects
         self._heard_from = heard_from
+        self._has_quorum = has_quorum
         self._started_at = clock.now()
+        self.since = self._started_at
+        self._checked_at = float('-inf')
         self._known_elsewhere = 0
         self._reported_at = float('-inf')
 
+    def covered(self) -> float:
+        """Return for how many seconds this VM has known all ends.
+
+        Without a quorum it may miss any of them.
+        """
+        now = clock.now()
+        if now >= self._checked_at + _CHECK_SECONDS:
+            self._checked_at = now
+            if not self._has_quorum():
+                self.since = now
+        return now - self.since
+
+    def record_cover(self, seconds: float) -> None:
+        """Record that ends of the last ``seconds`` were taken over."""
+        if self._has_quorum():
+            self.since = min(self.since, clock.now() - seconds)
+
     def record_report(self, known: int) -> None:
         """Record how many ends another VM holds."""
         is_old = clock.now() >= self._reported_at + _REPORT_SECONDS
@@ -43,12 +71,14 @@
     def log_fields(self) -> dict[str, float]:
         """Return how well this VM is informed.
 
-        :returns: seconds since its start, VMs heard from, ends that it holds,
-            and ends that another VM held and has not sent
+        :returns: seconds since its start, seconds for which it knows all ends,
+            VMs heard from, ends that it holds, and ends that another VM held
+            and has not sent
         """
         held = len(self._suspects)
         return {
             'up': round(clock.now() - self._started_at, 3),
+            'covered': round(self.covered(), 3),
             'heard_from': self._heard_from(),
             'ends': held,
             'ends_withheld': max(self._known_elsewhere - held, 0),
--- a/flamingovalve/gateway/quarantine/quarantine.py
+++ b/flamingovalve/gateway/quarantine/quarantine.py
@@ -15,18 +15,25 @@
 
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway.quarantine.causes import (
+    call_of,
     causes_of,
     is_call,
-    shared_causes,
 )
 from flamingovalve.gateway.quarantine.counts import CrashCounts
 from flamingovalve.gateway.quarantine.ends import End, Instance
 from flamingovalve.gateway.quarantine.knowledge import Knowledge
 from flamingovalve.gateway.quarantine.reports import EndReports, end_of
 from flamingovalve.gateway.quarantine.suspects import Suspects
+from flamingovalve.gateway.quarantine.trials import (
+    TRIAL_SECONDS,
+    Trial,
+    Trials,
+)
+from flamingovalve.gateway.quarantine.untold_ends import UntoldEnds
 from flamingovalve.gateway.quarantine.upstream_ends import EndSign
 from flamingovalve.gateway.quarantine.verdicts import Verdicts
-from flamingovalve.gateway.relay import Outcome
+from flamingovalve.gateway.relay import NOT_RUN_OUTCOMES, Outcome
+from flamingovalve.generated.messages import TrialRumour
 from flamingovalve.membership.gossip import Dissemination
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
@@ -39,15 +46,17 @@
     from flamingovalve.gateway.quarantine.causes import Cause
     from flamingovalve.gateway.relay import SendResult
     from flamingovalve.generated.ids import Fingerprint, UpstreamId
-    from flamingovalve.generated.messages import EndRumour
+    from flamingovalve.generated.messages import EndRumour, EndsReply
 
-    PublishRumour = Callable[[EndRumour], Awaitable[None]]
+    PublishRumour = Callable[[EndRumour | TrialRumour], Awaitable[None]]
 
 logger = get_logger(__name__)
 
 # Losses, in this attempt and before it, from which on a request is sent once
 # per attempt.
 _LOSSES_TO_SEND_ONCE: Final = 2
+# Ends of a call from which on it runs once at a time, at all VMs.
+_ENDS_TO_TRY_ALONE: Final = 2
 # An upstream that was heard of this recently has not fallen silent.
 _RECENT_SECONDS: Final = 0.5
 
@@ -61,6 +70,11 @@
         """Return what shows it, as :meth:`UpstreamEnds.find` does."""
 
 
+def _sees_all() -> bool:
+    """Return that this VM sees all others; the default of a VM alone."""
+    return True
+
+
 class CrashQuarantine:
     """Refuses requests with a cause that is convicted of ends of upstreams."""
 
@@ -71,6 +85,8 @@
         heard_at: Callable[[UpstreamId], float],
         is_prober: Callable[[Fingerprint], bool],
         heard_from: Callable[[], int] = int,
+        has_quorum: Callable[[], bool] = _sees_all,
+        upstreams: Callable[[], list[Upstream]] = list,
     ) -> None:
         """Keep ends and successes for ``seconds``.
 
@@ -81,6 +97,8 @@
         :param is_prober: returns whether this VM sends the probes of a cause
         :param heard_from: returns the number of VMs that a datagram has
             arrived from
+        :param has_quorum: returns whether this VM sees most others
+        :param upstreams: returns the upstreams of all services
         """
         self.counts = CrashCounts()
         self.publish: PublishRumour = _discard_rumour
@@ -90,9 +108,13 @@
         self._heard_at = heard_at
         self._suspects = Suspects(seconds)
         self.reports = EndReports(self._suspects)
-        self.knowledge = Knowledge(self._suspects, heard_from)
-        self._verdicts = Verdicts(
-            seconds, self._suspects, self.counts, is_prober
+        self.knowledge = Knowledge(self._suspects, heard_from, has_quorum)
+        self._untold = UntoldEnds(
+            upstreams, self._suspects.ends, self.knowledge, seconds
+        )
+        self._trials = Trials()
+        self.verdicts = Verdicts(
+            seconds, self._suspects, self.counts, is_prober, self._untold
         )
 
     # -- Decisions
@@ -105,7 +127,8 @@
         if not self._suspects:
             return
         request.lost_before = self._suspicion(causes_of(request))
-        _cause, seconds = self._verdicts.refusal(request)
+        _cause, seconds = self.verdicts.refusal(request)
+        seconds = seconds or self._trial_seconds(request)
         if seconds:
             raise quarantined(seconds)
 
@@ -117,14 +140,48 @@
         """
         if not self._suspects:
             return 0
-        cause, seconds = self._verdicts.refusal(request)
+        cause, seconds = self.verdicts.refusal(request)
         if cause is not None and not seconds:
-            self._verdicts.record_probe(request, cause)
+            self.verdicts.record_probe(request, cause)
+        return seconds or self._trial_seconds(request)
+
+    async def record_sending(self, request: InboundRequest) -> None:
+        """Notify all VMs that a call with several ends is about to run."""
+        if not self._suspects:
+            return
+        call = call_of(request)
+        ends = self._suspects.count(call)
+        if ends < _ENDS_TO_TRY_ALONE:
+            return
+        trial = Trial(ends, clock.now() + TRIAL_SECONDS, request.id)
+        if self._trials.record(call, trial):
+            note(logger, 'a suspect call is tried', id=request.id, ends=ends)
+            await self.publish(TrialRumour(call, ends, TRIAL_SECONDS))
+
+    def _trial_seconds(self, request: InboundRequest) -> float:
+        """Return for how long a request waits for another run of its call."""
+        call = call_of(request)
+        ends = self._suspects.count(call)
+        seconds = self._trials.seconds_left(call, ends, request.id)
+        if ends < _ENDS_TO_TRY_ALONE or not seconds:
+            return 0
+        self.counts.refused += 1
+        note(
+            logger,
+            'refused, its call is tried',
+            id=request.id,
+            ends=ends,
+            seconds_left=round(seconds, 3),
+        )
         return seconds
 
     def may_retry(self, request: InboundRequest) -> bool:
         """Return whether a request may be sent again in this attempt."""
-        return self._losses_of(request) < _LOSSES_TO_SEND_ONCE
+        losses = self._losses_of(request)
+        untold = self._untold.count(request.service)
+        if self._suspects.may_be_deadly(losses, untold):
+            return False
+        return losses < _LOSSES_TO_SEND_ONCE
 
     def may_hedge(self, request: InboundRequest) -> bool:
         """Return whether a request may run on two upstreams at a time."""
@@ -158,6 +215,8 @@
             await self._record_answer(request, upstream, sent)
         elif sent.outcome is Outcome.LOST or self._is_silent(upstream, sent):
             await self._check(request, upstream, is_read=sent.is_acknowledged)
+        if self._trials and sent.outcome not in NOT_RUN_OUTCOMES:
+            self._trials.end(call_of(request), request.id)
 
     async def record_unanswered(
         self, request: InboundRequest, upstream: Upstream, sent_at: float
@@ -242,7 +301,7 @@
         if not is_new:
             return
         self.counts.crashes += 1
-        self._verdicts.extend_refusals(lost)
+        self.verdicts.extend_refusals(lost)
         note(
             logger,
             'upstream ended while it ran a request',
@@ -260,9 +319,7 @@
                 await self.publish(self.reports.rumour_of(earlier))
 
     async def _exonerate(self, request: InboundRequest) -> None:
-        causes = {one.fingerprint for one in shared_causes(request)}
-        if self._suspects:
-            causes = {one.fingerprint for one in causes_of(request)}
+        causes = {one.fingerprint for one in causes_of(request)}
         repeated = any(self._suspects.count(one) > 1 for one in causes)
         for end in self._suspects.record_success(causes):
             self.counts.cleared += 1
@@ -277,10 +334,26 @@
                 await self.publish(self.reports.rumour_of(end))
             else:
                 self.enqueue(self.reports.rumour_of(end))
-        self._verdicts.acquit(causes)
+        self.verdicts.acquit(causes)
 
     # -- Rumours
 
+    def apply_trial(self, rumour: TrialRumour) -> Dissemination:
+        """Let repeats of a call wait for its run at another VM."""
+        until = clock.now() + min(rumour.remaining, TRIAL_SECONDS)
+        is_new = self._trials.record(
+            rumour.cause, Trial(rumour.ends, until, None)
+        )
+        return Dissemination.URGENT if is_new else Dissemination.NONE
+
+    def take_over(self, reply: EndsReply) -> None:
+        """Take over the ends and refusals that another VM knows."""
+        for rumour in reply.ends:
+            self._suspects.merge(end_of(rumour))
+        for record in reply.refusals:
+            self.verdicts.refusals.take_over(record)
+        self.knowledge.record_cover(reply.covered)
+
     def apply_rumour(self, rumour: EndRumour) -> Dissemination:
         """Apply the report of another VM; complete it by what is known here."""
         report = end_of(rumour)
@@ -289,8 +362,8 @@
         end, is_new = self._suspects.merge(report)
         if not is_new:
             return Dissemination.NONE
-        self._verdicts.extend_refusals(report.lost - known_before)
-        self._verdicts.acquit(end.exonerated & report.exonerated)
+        self.verdicts.extend_refusals(report.lost - known_before)
+        self.verdicts.acquit(end.exonerated & report.exonerated)
         crashes = self._suspects.suspicion(report.lost)
         note(
             logger,
@@ -324,7 +397,7 @@
     return f'{cause.kind.name.lower()} {cause.name}: {ends}{mark}'
 
 
-async def _discard_rumour(_rumour: EndRumour) -> None:
+async def _discard_rumour(_rumour: EndRumour | TrialRumour) -> None:
     """Discard a rumour; the default until the daemon sets a publisher."""
 
 
--- a/flamingovalve/gateway/quarantine/refusals.py
+++ b/flamingovalve/gateway/quarantine/refusals.py
@@ -4,8 +4,11 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING, Final
 
+from flamingovalve.gateway.quarantine.causes import is_call
+from flamingovalve.generated.messages import RefusalRecord
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
@@ -16,13 +19,31 @@
 # Factor by which a refusal outlasts the one before.
 _GROWTH: Final = 8
 _MAX_SECONDS: Final = 86400.0
-# A cause that may be a sound one is tried again soon.
-_SECONDS_IF_UNCERTAIN: Final = 2.0
 # A probe without an outcome gives way to another one.
 _PROBE_SECONDS: Final = 15.0
 _MAX_REFUSALS: Final = 256
 
 
+class Certainty(Enum):
+    """How certain it is that a convicted cause is no sound one.
+
+    :cvar CERTAIN: all ends that convict it are known
+    :cvar UNTOLD: it may have had ends that nobody knows of any more
+    :cvar UNCERTAIN: it had a success before, or nothing shows that others had
+        one; it is tried again soon
+    """
+
+    CERTAIN = 'certain'
+    UNTOLD = 'untold'
+    UNCERTAIN = 'uncertain'
+
+
+_SECONDS_BY_CERTAINTY: Final = {
+    Certainty.UNTOLD: 60.0,
+    Certainty.UNCERTAIN: 2.0,
+}
+
+
 @dataclass(slots=True)
 class Refusal:
     """The refusal of requests with one cause.
@@ -67,16 +88,25 @@
         return cause in self._by_cause
 
     def convict(
-        self, cause: Fingerprint, ended_at: float, *, is_certain: bool
-    ) -> None:
-        """Begin to refuse a cause.
+        self, cause: Fingerprint, ended_at: float, certainty: Certainty
+    ) -> bool:
+        """Begin to refuse a cause, or a call for longer than before.
 
         :param ended_at: time of the last end, on the monotonic clock
+        :returns: whether anything has changed
         """
-        seconds = self._seconds if is_certain else _SECONDS_IF_UNCERTAIN
+        seconds = _SECONDS_BY_CERTAINTY.get(certainty, self._seconds)
+        known = self._by_cause.get(cause)
+        if known is not None:
+            if not is_call(cause) or known.first_seconds >= seconds:
+                return False
+            known.first_seconds = seconds
+            known.until = max(known.until, ended_at + known.seconds())
+            return True
         self._by_cause[cause] = Refusal(seconds, until=ended_at + seconds)
         while len(self._by_cause) > _MAX_REFUSALS:
             self._by_cause.popitem(last=False)
+        return True
 
     def extend(self, cause: Fingerprint) -> None:
         """Extend the refusal of a cause under which an upstream has ended."""
@@ -87,6 +117,29 @@
             known.convictions += 1
         known.until = clock.now() + known.seconds()
 
+    def records(self) -> list[RefusalRecord]:
+        """Return all refusals, for another VM."""
+        now = clock.now()
+        return [
+            RefusalRecord(
+                cause,
+                known.first_seconds,
+                known.convictions,
+                max(known.until - now, 0),
+            )
+            for cause, known in self._by_cause.items()
+        ]
+
+    def take_over(self, record: RefusalRecord) -> None:
+        """Take over the refusal of another VM, if it is the longer one."""
+        until = clock.now() + record.remaining
+        known = self._by_cause.get(record.cause)
+        if known is not None and known.until >= until:
+            return
+        self._by_cause[record.cause] = Refusal(
+            record.first_seconds, max(record.convictions, 1), until
+        )
+
     def ends_needed_until(self, cause: Fingerprint) -> float:
         """Return until when the ends of a cause have to be kept.
 
--- a/flamingovalve/gateway/quarantine/reports.py
+++ b/flamingovalve/gateway/quarantine/reports.py
@@ -7,7 +7,7 @@
 
 from flamingovalve.gateway.quarantine.ends import End, Instance
 from flamingovalve.generated.messages import EndRumour
-from flamingovalve.util import clock
+from flamingovalve.util import clock, hashing
 
 if TYPE_CHECKING:
     from flamingovalve.gateway.quarantine.suspects import Suspects
@@ -34,6 +34,24 @@
             for end in islice(latest, _STANDING_RUMOURS)
         ]
 
+    def all_rumours(self) -> list[EndRumour]:
+        """Return all ends, for a VM that knows none."""
+        return [self.rumour_of(end) for end in self._suspects.ends]
+
+    def repeated_rumours(self) -> list[EndRumour]:
+        """Return all ends of causes with several."""
+        repeated = self._suspects.repeated()
+        return [self.rumour_of(end, lost) for end, lost in repeated.items()]
+
+    def digest(self) -> int:
+        """Return a digest of the ends of causes with several; never 0."""
+        repeated = self._suspects.repeated()
+        parts = sorted(
+            f'{end.instance.upstream} {end.instance.born} {sorted(lost)}'
+            for end, lost in repeated.items()
+        )
+        return hashing.fingerprint(*parts) | 1
+
     def complete(self, rumour: EndRumour, end: End) -> None:
         """Add what is known of an end to a rumour that is passed on."""
         complete = self.rumour_of(end)
--- a/flamingovalve/gateway/quarantine/suspects.py
+++ b/flamingovalve/gateway/quarantine/suspects.py
@@ -4,8 +4,14 @@
 
 from typing import TYPE_CHECKING, Final
 
-from flamingovalve.gateway.quarantine.causes import is_call, is_same_call
+from flamingovalve.gateway.quarantine.causes import (
+    CauseKind,
+    is_call,
+    is_same_call,
+    kind_of,
+)
 from flamingovalve.gateway.quarantine.ends import EndTable
+from flamingovalve.gateway.quarantine.refusals import Certainty
 from flamingovalve.gateway.quarantine.successes import Successes
 from flamingovalve.util import clock
 
@@ -44,6 +50,7 @@
         """Remember a success for ``seconds``."""
         self.ends = EndTable()
         self._successes = Successes(seconds)
+        self._answered_calls = Successes(seconds)
 
     def __len__(self) -> int:
         """Return the number of ends."""
@@ -71,6 +78,7 @@
         """Exonerate causes; return the ends that spoke against them."""
         found = list(causes)
         self._successes.record(cause for cause in found if not is_call(cause))
+        self._answered_calls.record(filter(is_call, found))
         changed: dict[int, End] = {}
         for cause in found:
             for end in self.ends.against(cause):
@@ -100,13 +108,30 @@
         return next(self.all_convicted(frozenset(causes)), None)
 
     def all_convicted(
-        self, held: frozenset[Fingerprint]
+        self, held: frozenset[Fingerprint], untold: int = 0
     ) -> Iterator[Fingerprint]:
         """Return each cause for which a request is convicted.
 
         :param held: all causes of the request
+        :param untold: ends that nobody knows the causes of
         """
-        return (cause for cause in held if self._convicts(cause, held))
+        return (
+            cause
+            for cause in held
+            if self._convicts(cause, held) or self._may_be_deadly(cause, untold)
+        )
+
+    def may_be_deadly(self, ends: int, untold: int) -> bool:
+        """Return whether a call that was lost may have ended enough upstreams.
+
+        Deadly calls come together: once one is known, no other is tried again.
+
+        :param ends: upstreams that ended under it
+        :param untold: ends that nobody knows the causes of
+        """
+        if ends and untold and ends + untold >= _ENDS_OF_CALL:
+            return True
+        return ends > 0 and bool(self._deadly_ends())
 
     def is_proven(self, cause: Fingerprint) -> bool:
         """Return whether a success of a cause is known at any VM."""
@@ -114,15 +139,19 @@
             cause in end.proven for end in self.ends.against(cause)
         )
 
-    def is_certain(self, cause: Fingerprint) -> bool:
-        """Return whether a convicted cause hardly is a sound one.
+    def certainty(self, cause: Fingerprint) -> Certainty:
+        """Return how certain it is that a convicted cause is no sound one.
 
         It may be one if it had a success before, or if others had none between
         the ends: then upstreams may end under all requests.
         """
-        trials = _trials(self.ends.against(cause), _SECONDS_APART)
-        is_tried = is_call(cause) or trials >= _ENDS_OF_SHARED
-        return is_tried and not self.is_proven(cause)
+        ends = self.ends.against(cause)
+        if is_call(cause):
+            is_known = self._are_enough(ends)
+            return Certainty.CERTAIN if is_known else Certainty.UNTOLD
+        is_tried = _trials(ends, _SECONDS_APART) >= _ENDS_OF_SHARED
+        is_certain = is_tried and not self.is_proven(cause)
+        return Certainty.CERTAIN if is_certain else Certainty.UNCERTAIN
 
     def repeated(self) -> dict[End, set[Fingerprint]]:
         """Return the ends with causes that have several, and these causes.
@@ -137,6 +166,37 @@
                     found.setdefault(end, set()).add(cause)
         return found
 
+    def _may_be_deadly(self, cause: Fingerprint, untold: int) -> bool:
+        """Return whether a call has ends that no known deadly call explains.
+
+        Calls that were answered before need as many ends as any other.
+        """
+        is_popular = self._answered_calls.include(cause)
+        if is_popular or kind_of(cause) is not CauseKind.CALL:
+            return False
+        ends = self.ends.against(cause)
+        if not ends or not self.may_be_deadly(len(ends), untold):
+            return False
+        explained = self._deadly_ends()
+        return any(id(end) not in explained for end in ends)
+
+    def _deadly_ends(self) -> set[int]:
+        """Return the ends under calls that have enough to be refused."""
+        return {
+            id(end)
+            for cause in self.ends.repeated()
+            if is_call(cause)
+            for end in self._ends_if_deadly(cause)
+        }
+
+    def _ends_if_deadly(self, call: Fingerprint) -> list[End]:
+        ends = self.ends.against(call)
+        return ends if self._are_enough(ends) else []
+
+    def _are_enough(self, ends: list[End]) -> bool:
+        """Return whether so many ends convict a call."""
+        return len(ends) >= _ENDS_OF_CALL
+
     def _has_success(self, cause: Fingerprint) -> bool:
         return not is_call(cause) and self._successes.include(cause)
 
@@ -145,7 +205,7 @@
     ) -> bool:
         ends = self.ends.against(cause)
         if is_call(cause):
-            return len(ends) >= _ENDS_OF_CALL and not any(
+            return self._are_enough(ends) and not any(
                 _explains(other, ends, _ENDS_OF_TIED_CALL)
                 for other in self._others(ends, held, cause)
             )
--- a/flamingovalve/gateway/quarantine/verdicts.py
+++ b/flamingovalve/gateway/quarantine/verdicts.py
@@ -16,13 +16,17 @@
     from flamingovalve.gateway.quarantine.causes import Cause
     from flamingovalve.gateway.quarantine.counts import CrashCounts
     from flamingovalve.gateway.quarantine.suspects import Suspects
+    from flamingovalve.gateway.quarantine.untold_ends import UntoldEnds
     from flamingovalve.generated.ids import Fingerprint
 
 logger = get_logger(__name__)
 
 
 class Verdicts:
-    """Convicts and acquits causes, and refuses requests for them."""
+    """Convicts and acquits causes, and refuses requests for them.
+
+    :ivar refusals: how long convicted causes are refused
+    """
 
     def __init__(
         self,
@@ -30,6 +34,7 @@
         suspects: Suspects,
         counts: CrashCounts,
         is_prober: Callable[[Fingerprint], bool],
+        untold: UntoldEnds,
     ) -> None:
         """Judge ``suspects``; refuse for ``seconds`` at first.
 
@@ -37,13 +42,14 @@
         """
         self._suspects = suspects
         self._counts = counts
-        self._refusals = Refusals(seconds, is_prober)
+        self._untold = untold
+        self.refusals = Refusals(seconds, is_prober)
 
     def record_probe(self, request: InboundRequest, cause: Cause) -> None:
         """Record that a request is sent to try all its convicted causes."""
         self._counts.probes += 1
         for convicted in self._convicted_of(request):
-            self._refusals.record_probe(convicted.fingerprint)
+            self.refusals.record_probe(convicted.fingerprint)
         note(
             logger,
             'probe of a convicted cause',
@@ -58,7 +64,7 @@
             for which it is refused; 0 if the request may be sent as a probe
         """
         seconds_by_cause = {
-            cause: self._refusals.seconds_left(cause.fingerprint)
+            cause: self.refusals.seconds_left(cause.fingerprint)
             for cause in self._convicted_of(request)
         }
         if not seconds_by_cause:
@@ -81,18 +87,18 @@
         """Return the causes that a request is convicted for."""
         causes = causes_of(request)
         held = frozenset(cause.fingerprint for cause in causes)
-        convicted = frozenset(self._suspects.all_convicted(held))
+        untold = self._untold.count(request.service)
+        convicted = frozenset(self._suspects.all_convicted(held, untold))
         for fingerprint in convicted:
             self._convict(fingerprint)
         return [cause for cause in causes if cause.fingerprint in convicted]
 
     def _convict(self, cause: Fingerprint) -> None:
-        if self._refusals.include(cause):
-            return
-        is_certain = self._suspects.is_certain(cause)
+        certainty = self._suspects.certainty(cause)
         ends = self._suspects.ends.against(cause)
         ended_at = max(end.at for end in ends)
-        self._refusals.convict(cause, ended_at, is_certain=is_certain)
+        if not self.refusals.convict(cause, ended_at, certainty):
+            return
         self._keep_ends(cause)
         self._counts.convicted += 1
         note(
@@ -100,14 +106,14 @@
             'a cause is convicted',
             kind=kind_of(cause).name.lower(),
             fingerprint=_hexadecimal(cause),
-            is_certain=is_certain,
+            certainty=certainty.name.lower(),
             upstreams=[end.instance.upstream for end in ends],
         )
 
     def acquit(self, causes: Iterable[Fingerprint]) -> None:
         """Cease to refuse causes that had a success."""
         for cause in causes:
-            if self._refusals.acquit(cause):
+            if self.refusals.acquit(cause):
                 self._counts.acquitted += 1
                 note(
                     logger,
@@ -119,12 +125,12 @@
     def extend_refusals(self, lost: Iterable[Fingerprint]) -> None:
         """Extend the refusal of causes that an upstream ended under."""
         for cause in lost:
-            self._refusals.extend(cause)
+            self.refusals.extend(cause)
             self._keep_ends(cause)
 
     def _keep_ends(self, cause: Fingerprint) -> None:
         """Keep the ends against a cause for as long as it is refused."""
-        until = self._refusals.ends_needed_until(cause)
+        until = self.refusals.ends_needed_until(cause)
         for end in self._suspects.ends.against(cause) if until else ():
             end.expires_at = max(end.expires_at, until)
 
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -230,6 +230,9 @@
     def refusal_seconds(self, request: InboundRequest) -> float:
         """Return for how long a request is refused; 0 if it is not."""
 
+    async def record_sending(self, request: InboundRequest) -> None:
+        """Record that a request is about to be sent."""
+
     async def record_unanswered(
         self, request: InboundRequest, upstream: Upstream, sent_at: float
     ) -> None:
@@ -322,6 +325,7 @@
             await self._client.release(connection)
             return SendResult(Outcome.QUARANTINED, retry_after=refusal)
         try:
+            await self._quarantine.record_sending(request)
             sent = await self._send_permitted(
                 transfer, connection, request, upstream, options
             )
--- a/flamingovalve/membership/rumours.py
+++ b/flamingovalve/membership/rumours.py
@@ -75,6 +75,11 @@
     return ('end', rumour.upstream, rumour.born)
 
 
+@subject.register(messages.TrialRumour)
+def _trial(rumour: messages.TrialRumour) -> Hashable:
+    return ('trial', rumour.cause)
+
+
 class RumourQueue:
     """Rumours to piggyback, those with the fewest transmissions first.
 
--- a/flamingovalve/schema/peer.capnp
+++ b/flamingovalve/schema/peer.capnp
@@ -86,6 +86,12 @@
   known @9 :UInt32 $doc("Number of ends that the sender holds.");
 }
 
+struct TrialRumour $doc("A request that is suspected of ends of upstreams, and that a VM now runs once more.") {
+  cause @0 :UInt64 $ident("Fingerprint") $doc("The call.");
+  ends @1 :UInt32 $doc("Ends against it that the VM knew when it sent the request.");
+  remaining @2 :Float64 $unit("seconds") $doc("Time for which others should not send it.");
+}
+
 struct LimitRumour $doc("A rate limit that an upstream has announced to a VM.") {
   upstream @0 :Text $ident("UpstreamId");
   rate @1 :Float64 $doc("Requests per second that it accepts from all VMs together.");
@@ -124,6 +130,7 @@
     limit @8 :LimitRumour;
     path @9 :PathRumour;
     end @10 :EndRumour;
+    trial @11 :TrialRumour;
   }
 }
 
@@ -495,6 +502,23 @@
   seeds @2 :List(Text) $doc("VMs that its settings name.");
 }
 
+struct EndsAsk $doc("Asks what a VM knows of upstreams that ended.") {
+  digest @0 :UInt64 $doc("Digest of the repeated ends that the sender holds; 0 asks for all.");
+}
+
+struct RefusalRecord $doc("The refusal of requests with a convicted cause.") {
+  cause @0 :UInt64 $ident("Fingerprint");
+  firstSeconds @1 :Float64 $unit("seconds") $doc("How long the first refusal lasts.");
+  convictions @2 :UInt32 $doc("How often the cause was convicted.");
+  remaining @3 :Float64 $unit("seconds") $doc("For how much longer it is refused.");
+}
+
+struct EndsReply $doc("What a VM knows of upstreams that ended.") {
+  ends @0 :List(EndRumour) $doc("Empty if the digests are equal.");
+  refusals @1 :List(RefusalRecord);
+  covered @2 :Float64 $unit("seconds") $doc("Time for which it has known all ends, by itself or from others.");
+}
+
 struct Frame $doc("One message on a connection between two VMs.") {
   union {
     hello @0 :Hello;
@@ -540,5 +564,7 @@
     retryLoanReply @40 :RetryLoanReply;
     fleetCensusAsk @41 :FleetCensusAsk;
     fleetCensusReply @42 :FleetCensusReply;
+    endsAsk @43 :EndsAsk;
+    endsReply @44 :EndsReply;
   }
 }
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -162,6 +162,7 @@
         )
         quarantine = Mock()
         quarantine.refusal_seconds.return_value = 0
+        quarantine.record_sending = AsyncMock()
         self.relay = UpstreamRelay(self.client, Mock(), quarantine)
         self.request = Mock()
         self.request.remaining.return_value = 1
