--- a/flamingovalve/gateway/quarantine/quarantine.py
+++ b/flamingovalve/gateway/quarantine/quarantine.py
@@ -151,7 +151,7 @@
             return
         call = call_of(request)
         ends = self._suspects.count(call)
-        if ends < _ENDS_TO_TRY_ALONE:
+        if ends < _ENDS_TO_TRY_ALONE or self._suspects.is_answered(call):
             return
         trial = Trial(ends, clock.now() + TRIAL_SECONDS, request.id)
         if self._trials.record(call, trial):
@@ -163,7 +163,8 @@
         call = call_of(request)
         ends = self._suspects.count(call)
         seconds = self._trials.seconds_left(call, ends, request.id)
-        if ends < _ENDS_TO_TRY_ALONE or not seconds:
+        is_tried = seconds > 0 and ends >= _ENDS_TO_TRY_ALONE
+        if not is_tried or self._suspects.is_answered(call):
             return 0
         self.counts.refused += 1
         note(
--- a/flamingovalve/gateway/quarantine/suspects.py
+++ b/flamingovalve/gateway/quarantine/suspects.py
@@ -93,6 +93,10 @@
         """Return the ends that speak against a cause."""
         return len(self.ends.against(cause))
 
+    def is_answered(self, call: Fingerprint) -> bool:
+        """Return whether a call was answered at this VM lately."""
+        return self._answered_calls.include(call)
+
     def suspicion(self, causes: Iterable[Fingerprint]) -> int:
         """Return the most ends against a cause that is not proven."""
         return max(
@@ -171,8 +175,7 @@
 
         Calls that were answered before need as many ends as any other.
         """
-        is_popular = self._answered_calls.include(cause)
-        if is_popular or kind_of(cause) is not CauseKind.CALL:
+        if self.is_answered(cause) or kind_of(cause) is not CauseKind.CALL:
             return False
         ends = self.ends.against(cause)
         if not ends or not self.may_be_deadly(len(ends), untold):
