Count all recent starts of upstreams while a VM may miss ends

Cause: ends that a VM knows, of any service, were taken off the starts of upstreams of one service that nobody had explained, so none was left.

--- a/flamingovalve/gateway/quarantine/quarantine.py
+++ b/flamingovalve/gateway/quarantine/quarantine.py
@@ -109,9 +109,7 @@
         self._suspects = Suspects(seconds)
         self.reports = EndReports(self._suspects)
         self.knowledge = Knowledge(self._suspects, heard_from, has_quorum)
-        self._untold = UntoldEnds(
-            upstreams, self._suspects.ends, self.knowledge, seconds
-        )
+        self._untold = UntoldEnds(upstreams, self.knowledge, seconds)
         self._trials = Trials()
         self.verdicts = Verdicts(
             seconds, self._suspects, self.counts, is_prober, self._untold
--- a/flamingovalve/gateway/quarantine/untold_ends.py
+++ b/flamingovalve/gateway/quarantine/untold_ends.py
@@ -15,7 +15,6 @@
     from collections.abc import Callable, Iterable
 
     from flamingovalve.gateway.model import Upstream
-    from flamingovalve.gateway.quarantine.ends import EndTable
     from flamingovalve.gateway.quarantine.knowledge import Knowledge
     from flamingovalve.generated.ids import ServiceId
 
@@ -32,25 +31,21 @@
     def __init__(
         self,
         upstreams: Callable[[], Iterable[Upstream]],
-        ends: EndTable,
         knowledge: Knowledge,
         seconds: float,
     ) -> None:
         """Count starts of the last ``seconds``.
 
         :param upstreams: returns the upstreams of all services
-        :param ends: the ends that this VM knows
         """
         self._upstreams = upstreams
-        self._ends = ends
         self._knowledge = knowledge
         self._seconds = seconds
 
     def count(self, service: ServiceId) -> int:
         """Return how many upstreams may have ended under one request.
 
-        Only starts are counted from before the time since when this VM knows
-        all ends. Ends that it knows of that time are taken off.
+        Counts starts before the time since when this VM knows all ends.
         """
         if self._knowledge.covered() >= self._seconds:
             return 0
@@ -59,15 +54,10 @@
         youngest = self._knowledge.covered() - _RETURN_SECONDS
         oldest = max(ages, default=0) - _FIRST_STARTS_SECONDS
         oldest = min(oldest, self._seconds)
-        starts = sum(
+        return sum(
             youngest <= age < oldest and one.service == service
             for one, age in zip(started, ages, strict=True)
         )
-        return max(starts - self._known_before(), 0)
-
-    def _known_before(self) -> int:
-        since = self._knowledge.since
-        return sum(end.at < since for end in self._ends)
 
 
 def _age_of(upstream: Upstream) -> float:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -22,6 +22,7 @@
 from flamingovalve.generated.messages import EndsAsk, PromptPart, TrialRumour
 from flamingovalve.http.bodies import BodyEnd, BodyKind, Framing, ReceivedBody
 from flamingovalve.membership.gossip import Dissemination
+from flamingovalve.util import clock
 from tests.rig.engines import upstream
 from tests.rig.timeline import TimedTestCase
 
@@ -257,6 +258,28 @@
             self.vms[0].refusal_seconds(request(body=b'popular')), 0
         )
 
+    def test_fleet_that_has_lost_its_memory(self):
+        """Guards against three more upstreams after each loss of all VMs."""
+        now = int(clock.wall() * 1000)
+        service = request().service
+        born = (now - 100_000, now - 9_000, now - 8_000)
+        started = [
+            dataclasses.replace(upstream(f'app-{at}'), born=at, service=service)
+            for at in born
+        ]
+        for count, is_refused in ((2, False), (3, True)):
+            vm = CrashQuarantine(
+                SECONDS,
+                self._find_end,
+                lambda _name: self.heard_at,
+                lambda _cause: True,
+                upstreams=lambda count=count: started[:count],
+            )
+            self.assertEqual(vm.refusal_seconds(request()), 0)
+            self.record(vm, request(), Outcome.LOST)
+            seconds = vm.refusal_seconds(request())
+            self.assertEqual(seconds, 60 if is_refused else 0)
+
     def test_suspect_call_runs_once_at_a_time(self):
         """Guards against several runs of a call before the first one ends."""
         for _crash in range(2):
