Log where the number of an order came from, and when an owner begins and ends

Callers see nothing of it. The record of the incident could not tell who sent which order with which number, where that came from (claim, store, raised), the revision and its age, what the VM knew of the numbers of others, and that an owner stopped. 'order', 'this VM claims a group' and three new lines say so. Test: test_owner_logs_begin_and_end fails without the lines (KeyError).

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
+from dataclasses import asdict, dataclass, fields
 from typing import TYPE_CHECKING, Final, Protocol
 
 import curio
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from flamingovalve.gateway.fencing import Fences
+    from flamingovalve.gateway.fencing import Fences, NumberOrigin
     from flamingovalve.gateway.ledger import EngineLedger
     from flamingovalve.gateway.orders import EngineReport
     from flamingovalve.gateway.popularity import Popularity
@@ -61,9 +61,15 @@
 class _SentOrder:
     """An order, and what its sender knew of the engine when it was sent."""
 
-    def __init__(self, order: Order, ledger: EngineLedger) -> None:
-        """Record the state of ``ledger`` as ``order`` is sent."""
+    def __init__(
+        self, order: Order, ledger: EngineLedger, origin: NumberOrigin
+    ) -> None:
+        """Record the state of ``ledger`` as ``order`` is sent.
+
+        :param origin: where the fencing number of ``order`` came from
+        """
         self._order = order
+        self._origin = origin
         self._upstream = ledger.upstream.id
         self._sent_at = clock.now()
         self._held = len(ledger.held)
@@ -91,6 +97,7 @@
             report_age=round(self._report_age, 3),
             busy=self._is_busy,
             seconds=round(clock.now() - self._sent_at, 3),
+            **asdict(self._origin),
         )
 
 
@@ -397,7 +404,8 @@
             version,
         )
         self.ledger.sends.add()
-        sent = _SentOrder(order, self.ledger)
+        origin = self._context.fences.origin()
+        sent = _SentOrder(order, self.ledger, origin)
         starts = chain.starts
         chain.in_flight = True
         try:
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -11,6 +11,7 @@
 from flamingovalve.gateway.fencing import Fences
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.util import clock
+from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -32,6 +33,8 @@
 
     Announce = Callable[[OwnerRumour], Awaitable[None]]
 
+logger = get_logger(__name__)
+
 _TICK_SECONDS: Final = 0.25
 # Several times the response time of a healthy store.
 _SHORT_STORE_TIMEOUT_SECONDS: Final = 0.1
@@ -128,6 +131,13 @@
         two holders alternate.
         """
         owner = self._owners.pop(group)
+        note(
+            logger,
+            'this VM releases a group',
+            group=group,
+            next_owner=self._claims.owner(group) or '',
+            **dataclasses.asdict(owner.fences.origin()),
+        )
         await owner.close()
         self._released_counts.add(owner.counts)
         pause = self._settings.lease_seconds
@@ -198,8 +208,15 @@
         """Announce epochs that were raised since their group was claimed."""
         for group, owner in list(self._owners.items()):
             raised = self._claims.raise_epoch(group, owner.fences.epoch)
-            if raised is not None:
-                await announce(raised)
+            if raised is None:
+                continue
+            note(
+                logger,
+                'this VM raises the epoch of a group',
+                group=group,
+                **dataclasses.asdict(owner.fences.origin()),
+            )
+            await announce(raised)
 
     async def _read_revision(self, *, has_short_timeout: bool) -> int | None:
         """Read the store's revision, optionally with a short timeout.
@@ -260,12 +277,25 @@
             self._settings,
             group,
             vm,
-            Fences(vm, self._fresh_revision, epoch),
+            Fences(
+                vm,
+                self._fresh_revision,
+                epoch,
+                lambda: self._claims.highest_of_others,
+            ),
             self._catalogue,
             self._link_to,
         )
         owner.engines.predecessor_ended = predecessor_ended
         owner.engines.orders_after = self._orders_after
         self._owners[group] = owner
+        note(
+            logger,
+            'this VM owns a group',
+            group=group,
+            predecessor_ended=predecessor_ended,
+            orders_after=round(max(0, self._orders_after - clock.now()), 3),
+            **dataclasses.asdict(owner.fences.origin()),
+        )
         await owner.start()
         return owner
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -37,6 +37,9 @@
     A claim remains with its VM while that VM is alive, so a VM that returns
     does not move a working group. A group without a valid claim is claimed
     by the live VM that ranks first in rendezvous hashing.
+
+    :ivar highest_of_others: the claim of another VM with the highest epoch
+        that was announced to this VM, in force or not
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         self._is_replaceable = is_replaceable
         self.by_group: dict[GroupId, OwnerRumour] = {}
         self._received_at: dict[GroupId, float] = {}
+        self.highest_of_others: OwnerRumour | None = None
 
     def owner(self, group: GroupId) -> VmId | None:
         """Return the VM whose claim is in force, if any."""
@@ -122,6 +126,7 @@
             # have an owner. If it outbid that owner, ownership would change
             # when the partition heals, and engines get no loads for a lease.
             epoch = known.epoch
+        other = self.highest_of_others
         rumour = OwnerRumour(
             group,
             self.members.own_id,
@@ -138,11 +143,15 @@
             epoch=epoch,
             provisional=provisional,
             members=len(self.members.present()),
+            revision=revision,
+            known_epoch=other.epoch if other else 0,
+            known_vm=other.vm if other else '',
         )
         return rumour
 
     def apply_rumour(self, rumour: OwnerRumour) -> Dissemination:
         """Apply another VM's claim if it has precedence over the known one."""
+        self._record_epoch(rumour)
         known = self.by_group.get(rumour.group)
         if known is not None and _precedence(known) >= _precedence(rumour):
             return Dissemination.NONE
@@ -158,6 +167,13 @@
         )
         return Dissemination.URGENT
 
+    def _record_epoch(self, rumour: OwnerRumour) -> None:
+        highest = self.highest_of_others
+        if rumour.vm == self.members.own_id:
+            return
+        if highest is None or rumour.epoch >= highest.epoch:
+            self.highest_of_others = rumour
+
     def raise_epoch(self, group: GroupId, epoch: int) -> OwnerRumour | None:
         """Raise the epoch of this VM's claim to one that its owner now uses.
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -57,6 +57,7 @@
         self.assertEqual(orders[0]['free'], 1)
         self.assertEqual(orders[0]['reported'], orders[0]['sequence'])
         self.assertLess(orders[0]['report_age'], 1)
+        self.assertIn(orders[0]['source'], {'claim', 'store', 'raised'})
         self.site.kill(self.site.owner())
         self.site.world.advance(8)
         adopted = [
@@ -66,6 +67,20 @@
         ]
         self.assertIn(['a1'], adopted)
 
+    def test_owner_logs_begin_and_end(self):
+        """Guards against owners whose numbers and end no log line shows."""
+        self.start()
+        owner = self.site.vms_by_id[self.site.owner()]
+        owner.node.spawn(owner.daemon.begin_leaving)
+        self.site.world.advance(4)
+        lines = {record.message: record.extra for record in self.log.records}
+        released = lines['this VM releases a group']
+        owned = lines['this VM owns a group']
+        self.assertGreater(released['epoch'], 0)
+        self.assertEqual(owned['known_epoch'], released['epoch'])
+        self.assertEqual(owned['known_vm'], owner.peer)
+        self.assertTrue(owned['predecessor_ended'])
+
     def test_parts_on_an_engine_that_ended(self):
         """Guards against ends of engines whose requests have no parts named."""
         self.start()
