--- a/benchmarks/fetch_policies.py
+++ b/benchmarks/fetch_policies.py
@@ -26,7 +26,7 @@
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway.catalogue import Catalogue
 from flamingovalve.gateway.engine import OwnerCounts
-from flamingovalve.gateway.fencing import Fences
+from flamingovalve.gateway.fencing import ClaimStatus
 from flamingovalve.gateway.model import (
     EngineTraits,
     ModelTraits,
@@ -320,7 +320,7 @@
                 self.settings,
                 group,
                 _VM,
-                Fences(_VM, _no_revision, 1),
+                ClaimStatus,
                 catalogue,
                 self._link_to,
             )
@@ -564,10 +564,6 @@
     """Find no place without an owner."""
 
 
-async def _no_revision() -> None:
-    """Return no revision."""
-
-
 def _upstream(name: UpstreamId) -> Upstream:
     return Upstream(
         name,
--- a/benchmarks/owner_cost.py
+++ b/benchmarks/owner_cost.py
@@ -17,7 +17,7 @@
 
 from flamingovalve.cmd.tables import table
 from flamingovalve.gateway.catalogue import Catalogue
-from flamingovalve.gateway.fencing import Fences
+from flamingovalve.gateway.fencing import ClaimStatus
 from flamingovalve.gateway.model import (
     EngineTraits,
     ModelTraits,
@@ -162,7 +162,7 @@
         GatewaySettings(),
         GroupId(_SERVICE),
         vm,
-        Fences(vm, _no_revision, 1),
+        ClaimStatus,
         catalogue,
         lambda _upstream: IdleEngineLink(),
     )
@@ -175,7 +175,7 @@
         ledger = owned.ledger
         ledger.models.add(_MODEL)
         ledger.chain.sequence = 0
-        ledger.fence = 1
+        ledger.born = 1
         for _slot in range(slots):
             name = AdapterId(f'a{len(names)}')
             names.append(name)
@@ -183,10 +183,6 @@
     return owner, names
 
 
-async def _no_revision() -> None:
-    """Return no revision."""
-
-
 def _upstream(number: int) -> Upstream:
     return Upstream(
         UpstreamId(f'engine-{number}'),
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -179,7 +179,6 @@
             self.claims,
             self.catalogue,
             self.shards,
-            self.follower.fresh_revision,
             self.gossip.probe_now,
             link_to,
             self.started_at,
@@ -412,7 +411,6 @@
             'this VM is leaving; in_progress={}', self.front.in_progress
         )
         self.http.is_closing = True
-        await self.owned.announce_raised_epochs(self._announce_claim)
         self.members.leave()
         await self.owned.close()
         await self.gossip.push(self.members.own_rumour())
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -8,7 +8,7 @@
 import curio
 
 from flamingovalve.errors import HeldBack
-from flamingovalve.gateway.fencing import NO_FENCE
+from flamingovalve.gateway.fencing import UNKNOWN_START, OrderNumbers
 from flamingovalve.gateway.ledger import NO_ORDER
 from flamingovalve.gateway.orders import Action, Order, OrderOutcome
 from flamingovalve.gateway.residency.changes import logged_names
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from flamingovalve.gateway.fencing import Fences, NumberOrigin
+    from flamingovalve.gateway.fencing import ClaimStatus, NumberSource
     from flamingovalve.gateway.ledger import EngineLedger
     from flamingovalve.gateway.orders import EngineReport
     from flamingovalve.gateway.popularity import Popularity
@@ -62,14 +62,22 @@
     """An order, and what its sender knew of the engine when it was sent."""
 
     def __init__(
-        self, order: Order, ledger: EngineLedger, origin: NumberOrigin
+        self,
+        order: Order,
+        ledger: EngineLedger,
+        source: NumberSource,
+        claim: ClaimStatus,
     ) -> None:
         """Record the state of ``ledger`` as ``order`` is sent.
 
-        :param origin: where the fencing number of ``order`` came from
+        :param source: what the fencing number of ``order`` was made from
         """
         self._order = order
-        self._origin = origin
+        self._source = source
+        self._claim = claim
+        self._born = ledger.born
+        self._is_holder = ledger.chain.is_holder()
+        self._quiet = clock.now() - ledger.chain.quiet_since
         self._upstream = ledger.upstream.id
         self._sent_at = clock.now()
         self._held = len(ledger.held)
@@ -97,7 +105,11 @@
             report_age=round(self._report_age, 3),
             busy=self._is_busy,
             seconds=round(clock.now() - self._sent_at, 3),
-            **asdict(self._origin),
+            source=self._source.value,
+            born=self._born,
+            holder=self._is_holder,
+            quiet=round(self._quiet, 3),
+            **asdict(self._claim),
         )
 
 
@@ -172,11 +184,12 @@
 class EngineContext:
     """The owner's state that all of its engines share.
 
+    :ivar claim_status: returns what is known of the group's ownership
     :ivar choose_model: returns the model that an empty engine should load
     """
 
     vm: VmId
-    fences: Fences
+    claim_status: Callable[[], ClaimStatus]
     counts: OwnerCounts
     popularity: Popularity
     choose_model: Callable[[EngineLedger], ModelId]
@@ -201,6 +214,7 @@
         self._context = context
         self._link = link
         self._order_lock = curio.Lock()
+        self._numbers = OrderNumbers(context.vm)
         self.waiting: dict[str, list[Waiter]] = {}
         self.report_now = curio.Event()
 
@@ -216,7 +230,7 @@
             uncertain = (
                 uncertain or self.ledger.silent or not self.ledger.models
             )
-            uncertain = uncertain or self.ledger.fence == NO_FENCE
+            uncertain = uncertain or self.ledger.born == UNKNOWN_START
             uncertain = uncertain or self._has_foreign_load()
             uncertain = uncertain or self.ledger.residency.has_waiting_unload()
             delay = _EAGER_REPORT_SECONDS if uncertain else _REPORT_SECONDS
@@ -343,10 +357,11 @@
         An engine accepts a load of an adapter that is already being loaded
         from any sender, whatever sequence number the order has. So two VMs that
         both believe to own the engine could each load the same popular
-        adapter. Of two unloads the engine accepts only the first.
+        adapter. Of two unloads the engine accepts only the first. The same
+        holds for an owner that has sent no order for a lease.
         """
         chain = self.ledger.chain
-        if chain.ordered or not chain.sequence or held.replaces is not None:
+        if chain.is_holder() or not chain.sequence or held.replaces is not None:
             return None
         popularity = self._context.popularity
         victim = self.ledger.least_valuable(popularity)
@@ -394,19 +409,21 @@
         chain = self.ledger.chain
         if not self.ledger.may_order():
             return _NOT_SENT
+        count = chain.sequence or 0
         order = Order(
             action,
             model,
             adapter,
-            chain.sequence or 0,
+            count,
             self._context.vm,
-            self.ledger.fence,
+            self._numbers.number(self.ledger.born, count),
             version,
         )
         self.ledger.sends.add()
-        origin = self._context.fences.origin()
-        sent = _SentOrder(order, self.ledger, origin)
+        claim = self._context.claim_status()
+        sent = _SentOrder(order, self.ledger, self._numbers.source, claim)
         starts = chain.starts
+        chain.record_sent()
         chain.in_flight = True
         try:
             outcome = await self._link.order(order)
@@ -427,8 +444,7 @@
             chain.record_conflict()
         elif outcome is OrderOutcome.OUTBID:
             chain.record_conflict()
-            self._context.fences.outbid()
-            self.ledger.fence = self._context.fences.claimed
+            self._numbers.raise_above()
         elif outcome is OrderOutcome.GONE:
             self.ledger.record_failure()
 
@@ -450,7 +466,6 @@
             ledger.restart(report.born)
             await self.requeue_waiting()
         ledger.born = report.born
-        known_foreign = ledger.chain.foreign
         counted = ledger.chain.sequence or 0
         was_unanswered = ledger.chain.awaits_report()
         if ledger.chain.record_report(report):
@@ -477,9 +492,6 @@
                 reported=report.sequence,
                 report_age=round(report.age_seconds(), 3),
             )
-        if ledger.chain.foreign != known_foreign:
-            ledger.fence = NO_FENCE
-        await self._find_fence()
         self._adopt(report)
         await self._settle_loaded()
         if not ledger.models and not ledger.is_loading_model():
@@ -528,18 +540,6 @@
                 for waiter in self.waiting.pop(name, []):
                     await waiter.settled.set()
 
-    async def _find_fence(self) -> None:
-        """Find a fencing number greater than those of all earlier orders."""
-        ledger = self.ledger
-        if ledger.fence != NO_FENCE:
-            return
-        fences = self._context.fences
-        ledger.fence = await fences.found_after(ledger.chain.quiet_since)
-        if ledger.fence == NO_FENCE and not ledger.chain.foreign:
-            # The store is unavailable. No other sender of orders was seen,
-            # and this claim exceeds all that were known when it was made.
-            ledger.fence = fences.claimed
-
     async def load_model(self) -> None:
         """Load a base model into an engine that has none.
 
--- a/flamingovalve/gateway/fencing.py
+++ b/flamingovalve/gateway/fencing.py
@@ -1,14 +1,13 @@
-"""Fencing numbers of an owner's orders, which never decrease at an engine.
-
-Some engines accept an order with a lower number than the last one, so the
-sender has to ensure that numbers increase. A claim's number exceeds those of
-all known claims, which suffices while owners succeed each other. A partitioned
-VM may not know of an owner with a higher number. The store's revision is
-shared by all VMs and only grows, so a number derived from it after an engine
-was seen to accept another owner's order exceeds that owner's number.
-
-Such a number is gossiped like a claim, so that the next owner exceeds it even
-while the store is unavailable.
+"""Fencing numbers of orders, which grow with each order at an engine.
+
+Some engines accept an order with a lower number than that of the last one, so
+the senders have to ensure that numbers grow, including VMs that cannot see
+each other. The engine is the only party that all of them have in common: it
+says when it started, counts the orders that it accepts, and refuses an order
+that names another count. So the number of an order is made from the start and
+the count that it names. Of two counted orders of one start, the later one names
+the higher count, and a later start exceeds the numbers of an earlier one as
+long as an engine accepts less than one order in a millisecond.
 """
 
 from __future__ import annotations
@@ -17,155 +16,82 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-import curio
-
-from flamingovalve.util import clock
 from flamingovalve.util.listeners import split_address
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from flamingovalve.generated.ids import VmId
-    from flamingovalve.generated.messages import OwnerRumour
-
-    FreshRevision = Callable[[], Awaitable[int | None]]
-    KnownClaim = Callable[[], OwnerRumour | None]
 
-# Number of low bits of a fencing number that identify its VM.
-_VM_BITS: Final = 24
-# Placeholder while no fencing number is known; no order may carry it.
-NO_FENCE: Final = 0
-# Pause after a failed query of the store. Without it, each engine of a group
-# would cause a query of its own.
-_STORE_RETRY_SECONDS: Final = 0.5
+# Number of low bits of a fencing number that identify its VM. With a start in
+# milliseconds, numbers stay below 2**53 and are exact in any JSON parser.
+_VM_BITS: Final = 12
+# Start time of an engine that has not reported one; no order may name it.
+UNKNOWN_START: Final = 0
 
 
 class NumberSource(Enum):
-    """Where the newest epoch of an owner came from."""
+    """What the number of an order was made from.
+
+    ``RAISED`` means that the engine has refused a lower one.
+    """
 
-    CLAIM = 'claim'
-    STORE = 'store'
+    COUNT = 'count'
     RAISED = 'raised'
 
 
 @dataclass(frozen=True, slots=True)
-class NumberOrigin:
-    """What a VM knew when it used a fencing number.
+class ClaimStatus:
+    """What a VM knows of the ownership of a group of engines.
 
-    :ivar epoch: epoch of the number; 0 if none was known
-    :ivar source: name of the :class:`NumberSource` of the epoch
-    :ivar revision: last revision that the owner read from the store; 0 for none
-    :ivar revision_age: seconds since that read began; None without one
+    :ivar is_established: whether it has seen most VMs that may be alive for
+        so long that it knows of their claims, and its claim is confirmed
+    :ivar epoch: epoch of its claim; 0 without one
     :ivar known_epoch: highest epoch that other VMs have announced; 0 for none
     :ivar known_vm: the VM that has announced it
     """
 
-    epoch: int
-    source: str
-    revision: int
-    revision_age: float | None
-    known_epoch: int
-    known_vm: str
+    is_established: bool = True
+    epoch: int = 0
+    known_epoch: int = 0
+    known_vm: str = ''
 
 
-def fence_of(vm: VmId, epoch: int) -> int:
-    """Return the fencing number of a VM in an epoch.
+class OrderNumbers:
+    """Makes the fencing numbers of one VM's orders to one engine."""
 
-    Two VMs in the same epoch must not share a number, so its low bits are
-    the last three bytes of the VM's IPv4 address, which are unique to the VM.
-    """
-    host, _port = split_address(vm)
-    number = 0
-    for part in host.split('.')[1:]:
-        number = number << 8 | int(part)
-    return epoch << _VM_BITS | number
-
-
-class Fences:
-    """Provides the fencing numbers for the orders of one owner."""
-
-    def __init__(
-        self,
-        vm: VmId,
-        fresh_revision: FreshRevision,
-        epoch: int,
-        known_claim: KnownClaim | None = None,
-    ) -> None:
-        """Start with the epoch of a claim.
-
-        :param fresh_revision: reads the current revision from the store
-        :param epoch: epoch of the claim; 0 if the claim was made without
-            knowledge of the other VMs, or without the store
-        :param known_claim: returns the claim of another VM with the highest
-            known epoch, for the log
-        """
-        self._vm = vm
-        self._fresh_revision = fresh_revision
-        self._epoch = epoch
-        self._refreshed_at = float('-inf')
-        self._retry_at = float('-inf')
-        self._refresh_lock = curio.Lock()
-        self._known_claim = known_claim
-        self._source = NumberSource.CLAIM
-        self._revision = 0
+    def __init__(self, vm: VmId) -> None:
+        """Make numbers of ``vm``, from the counts of the engine alone."""
+        self._low_bits = _low_bits(vm)
+        self._raised_by = 0
 
     @property
-    def epoch(self) -> int:
-        """Newest epoch of this owner; 0 while it has none."""
-        return self._epoch
+    def source(self) -> NumberSource:
+        """What the next number is made from."""
+        return NumberSource.RAISED if self._raised_by else NumberSource.COUNT
 
-    @property
-    def claimed(self) -> int:
-        """Fencing number of the newest known epoch, or ``NO_FENCE``."""
-        return fence_of(self._vm, self._epoch) if self._epoch else NO_FENCE
-
-    def origin(self) -> NumberOrigin:
-        """Return where the newest epoch came from, and what is known beside."""
-        known = self._known_claim() if self._known_claim else None
-        age = None
-        if self._revision:
-            age = round(clock.now() - self._refreshed_at, 3)
-        return NumberOrigin(
-            self._epoch,
-            self._source.value,
-            self._revision,
-            age,
-            known.epoch if known else 0,
-            known.vm if known else '',
-        )
-
-    def renew(self, epoch: int) -> None:
-        """Raise the epoch to that of a newer claim."""
-        if epoch > self._epoch:
-            self._epoch = epoch
-            self._source = NumberSource.CLAIM
-
-    def outbid(self) -> None:
-        """Raise the epoch, as an engine has seen a higher fencing number."""
-        self._epoch += 1
-        self._source = NumberSource.RAISED
-
-    async def found_after(self, since: float) -> int:
-        """Return a number based on a revision read after ``since``.
-
-        :returns: the number, or ``NO_FENCE`` if the store did not answer
+    def number(self, start: int, count: int) -> int:
+        """Return the number of an order.
+
+        :param start: start time that the engine reports, in milliseconds
+        :param count: number of accepted orders that the order names
+        """
+        return (start + count + self._raised_by) << _VM_BITS | self._low_bits
+
+    def raise_above(self) -> None:
+        """Raise the next numbers, as the engine has seen a higher one.
+
+        Only an engine that compares numbers says so, and it refuses lower
+        ones itself.
         """
-        async with self._refresh_lock:
-            if self._refreshed_at <= since:
-                await self._refresh()
-            is_fresh = self._refreshed_at > since
-        return self.claimed if is_fresh else NO_FENCE
-
-    async def _refresh(self) -> None:
-        started_at = clock.now()
-        if started_at < self._retry_at:
-            return
-        revision = await self._fresh_revision()
-        if revision is None:
-            self._retry_at = clock.now() + _STORE_RETRY_SECONDS
-            return
-        if revision > self._epoch:
-            self._epoch = revision
-            self._source = NumberSource.STORE
-        self._revision = revision
-        self._refreshed_at = started_at
+        self._raised_by = max(1, self._raised_by * 2)
+
+
+def _low_bits(vm: VmId) -> int:
+    """Return the last bits of the VM's IPv4 address.
+
+    They distinguish the VMs of a fleet of up to some thousands.
+    """
+    host, _port = split_address(vm)
+    number = 0
+    for part in host.split('.'):
+        number = number << 8 | int(part)
+    return number % (1 << _VM_BITS)
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -76,9 +76,6 @@
     async def read_all(self, prefix: str) -> Reading:
         """Read every document whose key begins with ``prefix``."""
 
-    async def revision(self) -> CompleteRevision:
-        """Return the current revision."""
-
     async def watch(
         self, prefix: str, after: CompleteRevision, seconds: float
     ) -> Reading:
@@ -195,14 +192,6 @@
         """Record whether another VM reaches the store."""
         return self._watchers.apply_rumour(rumour)
 
-    async def fresh_revision(self) -> CompleteRevision | None:
-        """Return the store's current revision, or None if it is unavailable."""
-        try:
-            return await self._store.revision()
-        except StoreUnavailable as failed:
-            logger.info('failed to read the revision of the store: {}', failed)
-            return None
-
     def own_rumour(self) -> CatalogueRumour:
         """Return a rumour of the changes that this VM knows."""
         return CatalogueRumour(
--- a/flamingovalve/gateway/group.py
+++ b/flamingovalve/gateway/group.py
@@ -21,7 +21,7 @@
 from flamingovalve.gateway.stream_gaps import EngineStreams, StreamGaps
 from flamingovalve.gateway.token_memory import OutputShare, TokenMemory
 from flamingovalve.generated.ids import ModelId
-from flamingovalve.util import clock
+from flamingovalve.util import clock, hashing
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -30,7 +30,7 @@
 
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.engine import EngineLink, EngineListener
-    from flamingovalve.gateway.fencing import Fences
+    from flamingovalve.gateway.fencing import ClaimStatus
     from flamingovalve.gateway.model import EngineTraits, Upstream
     from flamingovalve.generated.ids import AdapterId, UpstreamId, VmId
     from flamingovalve.generated.messages import PlaceAsk
@@ -53,7 +53,7 @@
         self,
         settings: GatewaySettings,
         vm: VmId,
-        fences: Fences,
+        claim_status: Callable[[], ClaimStatus],
         catalogue: Catalogue,
         link_to: Callable[[Upstream], EngineLink],
         tasks: TaskSet,
@@ -61,7 +61,7 @@
     ) -> None:
         """Create a group without engines.
 
-        :param fences: provides the fencing numbers of orders
+        :param claim_status: returns what is known of the group's ownership
         :param link_to: creates the connection to an engine
         :param holds: mean seconds for which a request keeps its place
         """
@@ -83,7 +83,7 @@
         self._is_initial = True
         self._settings = settings
         self._vm = vm
-        self._fences = fences
+        self._claim_status = claim_status
         self._catalogue = catalogue
         self._link_to = link_to
         self._tasks = tasks
@@ -215,6 +215,8 @@
             settings.report_lag_seconds,
             self.orders_after,
             predecessor_ended=self.predecessor_ended,
+            is_established=self._is_established,
+            unsure_seconds=self._unsure_seconds(upstream.id),
         )
         link = self._link_to(upstream)
         ledger = EngineLedger(
@@ -228,12 +230,9 @@
             prefill_model=self.prefill_model,
             streams=EngineStreams(self.gaps),
         )
-        if self._is_initial:
-            # The claim's fencing number exceeds those of previous owners.
-            ledger.fence = self._fences.claimed
         context = EngineContext(
             self._vm,
-            self._fences,
+            self._claim_status,
             self.counts,
             self.popularity,
             self._model_to_load,
@@ -244,6 +243,18 @@
         task = await self._tasks.spawn(engine.follow)
         self._followers[upstream.id] = task
 
+    def _is_established(self) -> bool:
+        return self._claim_status().is_established
+
+    def _unsure_seconds(self, engine: UpstreamId) -> float:
+        """Return how long an owner that may not be the only one waits more.
+
+        One lease, and up to another one, so that several such owners do not
+        begin at the same time.
+        """
+        share = hashing.uniform(engine, self._vm)
+        return (1 + share) * self._settings.lease_seconds
+
     async def _release(self, name: UpstreamId) -> None:
         engine = self.engines_by_id.pop(name)
         await self._followers.pop(name).cancel()
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from flamingovalve.gateway.brittleness import Brittleness
-from flamingovalve.gateway.fencing import NO_FENCE
+from flamingovalve.gateway.fencing import UNKNOWN_START
 from flamingovalve.gateway.learning import KeptAdapters, LoadTimes
 from flamingovalve.gateway.prefill import PrefillBacklog, must_yield
 from flamingovalve.gateway.prefill_model import (
@@ -118,7 +118,6 @@
     :ivar unanswered_model_order: count that the order to load a base model
         named, while it is not known whether the engine has accepted it
     :ivar at_hand: models that it can load without the weight store
-    :ivar fence: fencing number of the next order; ``NO_FENCE`` until found
     :ivar fetches_model: whether the model being loaded comes from the weight
         store
     :ivar kept: adapters still in its memory after their unload
@@ -139,7 +138,7 @@
     models: set[ModelId] = field(default_factory=set)
     places: dict[str, Place] = field(default_factory=dict)
     parts: CachedParts = field(default_factory=CachedParts)
-    born: int = 0
+    born: int = UNKNOWN_START
     prefill: PrefillBacklog = field(default_factory=PrefillBacklog)
     pace: float = _INITIAL_PACE
     avoided_until: float = 0
@@ -150,7 +149,6 @@
     model_ready_at: float = 0
     unanswered_model_order: int = NO_ORDER
     at_hand: frozenset[ModelId] = frozenset()
-    fence: int = NO_FENCE
     fetches_model: bool = False
     reported_at: float = float('-inf')
     reported_sequence: int = 0
@@ -183,13 +181,27 @@
         }
 
     def may_order(self) -> bool:
-        """Return whether an order may be sent to this engine now."""
-        may_order = self.fence != NO_FENCE and self.chain.may_order()
+        """Return whether an order may be sent to this engine now.
+
+        Without its start time an order has no number, and an engine that does
+        not answer may have restarted.
+        """
+        may_order = self.born != UNKNOWN_START and not self.silent
+        may_order = may_order and self.chain.may_order()
+        if not self._is_compared() and not self.chain.may_order_uncompared():
+            return False
         if self.is_busy and self.residency.has_waiting_unload():
             # The engine refuses other orders until that one is done.
             return False
         return may_order and not self.sends.status.is_closed(0)
 
+    def _is_compared(self) -> bool:
+        """Return whether the engine will compare the count of the next order.
+
+        It does for the unload of an adapter that it holds.
+        """
+        return any(held.is_idle() for held in self.held.values())
+
     def slots(self) -> int:
         """Return the number of adapters that fit beside the models."""
         traits = self.traits
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -4,6 +4,11 @@
 names a different count. If two VMs both consider themselves its owner, only
 the one that knows the last order succeeds; the other detects an order of
 another VM and sends none itself for longer than a lease.
+
+An engine does not compare counts for an order that it is already carrying out.
+So a VM is the *holder* of an engine only for a lease after an order that the
+engine has counted: other VMs send none within that time. A VM that is not the
+holder first sends an order whose count the engine compares.
 """
 
 from __future__ import annotations
@@ -15,6 +20,8 @@
 from flamingovalve.util import clock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingovalve.generated.ids import AdapterId, ModelId
 
 
@@ -94,6 +101,11 @@
         return clock.now() - self.asked_at
 
 
+def _is_true() -> bool:
+    """Return True."""
+    return True
+
+
 @dataclass(slots=True)
 class OrderChain:
     """What one VM knows of the orders that an engine has accepted.
@@ -119,6 +131,15 @@
     :ivar paused_until: time before which no order may be sent
     :ivar began_at: when this VM began to monitor the engine
     :ivar accepted_at: when the engine accepted the last order of this VM
+    :ivar sent_at: when the last order of this VM was sent
+    :ivar was_holder: whether no other VM could send one when it was sent, as
+        this one was the holder, succeeded one that has ended, or was the
+        first
+    :ivar counted_at: when the last order was sent that the engine has counted
+    :ivar is_established: returns whether this VM sees most VMs that may be
+        alive and knows their claims, so that at most one VM can say so
+    :ivar unsure_seconds: how much longer than a lease this VM waits otherwise
+        before an order whose count the engine may not compare
     """
 
     lease_seconds: float
@@ -136,28 +157,72 @@
     foreign: int = 0
     began_at: float = field(default_factory=clock.now)
     accepted_at: float = float('-inf')
+    sent_at: float = float('inf')
+    was_holder: bool = False
+    counted_at: float = float('-inf')
+    is_established: Callable[[], bool] = _is_true
+    unsure_seconds: float = 0
+
+    def is_holder(self) -> bool:
+        """Return whether no other VM may have sent an order since the own one.
+
+        Others wait for more than a lease after they have seen it counted. The
+        lag is left for orders that are on their way.
+        """
+        ends_at = self.counted_at + self.lease_seconds - self.lag_seconds
+        return self.ordered and clock.now() < ends_at
 
     def may_order(self) -> bool:
         """Return whether this VM may send an order now.
 
-        Two VMs must not alternate as holders. The sender of the last order
-        may send more; any other VM must wait until the last holder has ended
-        or sent no order for a lease.
+        Two VMs must not alternate as holders. The sender of the last known
+        order may send more; any other VM must wait until the last holder has
+        ended or sent no order for a lease.
         """
         now = clock.now()
         if self.sequence is None or now < self.paused_until:
             return False
         if self.awaits_report():
             return False
-        if self.ordered or self.sequence == 0 or self.predecessor_ended:
+        if self.ordered or self.predecessor_ended or self._is_first():
+            return True
+        return self._quiet_seconds() > self.lease_seconds + self.lag_seconds
+
+    def may_order_uncompared(self) -> bool:
+        """Return whether an order may be sent whose count may not be compared.
+
+        A load that the engine is already carrying out is accepted from any
+        VM. Of two VMs that cannot see each other, at most one is established;
+        the other one leaves it more time.
+        """
+        if self.is_holder() or self.predecessor_ended or self.is_established():
             return True
-        quiet = now - self.quiet_since
-        return quiet > self.lease_seconds + self.lag_seconds
+        seconds = self.lease_seconds + self.lag_seconds + self.unsure_seconds
+        return self._quiet_seconds() > seconds
+
+    def shows_last_order(self) -> bool:
+        """Return whether reports show the last order of an ended predecessor."""
+        shown_at = self.began_at + 2 * self.lag_seconds
+        return not self.predecessor_ended or clock.now() > shown_at
+
+    def _is_first(self) -> bool:
+        """Return whether no VM is likely to have ordered this engine."""
+        return self.sequence == 0 and self.is_established()
+
+    def _quiet_seconds(self) -> float:
+        return clock.now() - self.quiet_since
 
     def awaits_report(self) -> bool:
         """Return whether only a report shows the engine's count."""
         return self.unanswered or self.is_refuted
 
+    def record_sent(self) -> None:
+        """Record that an order of this VM is about to be sent."""
+        self.sent_at = clock.now()
+        self.was_holder = (
+            self.is_holder() or self.predecessor_ended or self._is_first()
+        )
+
     def record_accepted(self, named: int | None = None) -> None:
         """Record an accepted order of this VM, which raised the count.
 
@@ -167,8 +232,8 @@
         if self.sequence is not None:
             counted = self.sequence if named is None else named
             self.sequence = max(self.sequence, counted + 1)
-        self.ordered = True
         self.accepted_at = clock.now()
+        self._record_counted()
 
     def record_acknowledged(self) -> None:
         """Record an order of this VM that the engine may not have counted.
@@ -214,8 +279,12 @@
         return self._record_foreign(report.sequence)
 
     def _may_be_counted(self) -> int:
-        """Return the own orders that the engine may have counted unnoticed."""
-        return int(self.in_flight or self.unanswered)
+        """Return the own orders that the engine may have counted unnoticed.
+
+        Unless this VM was the holder when it sent one, another VM may have
+        sent one with the same count, which was accepted in its place.
+        """
+        return int(self.was_holder and (self.in_flight or self.unanswered))
 
     def _settle(self, report: EngineReport, known: int) -> bool:
         """Take over the count of a report that shows how the last order ended.
@@ -228,8 +297,16 @@
         if report.sequence > known + own:
             return self._record_foreign(report.sequence)
         self.sequence = report.sequence
+        if report.sequence > known:
+            self._record_counted()
         return False
 
+    def _record_counted(self) -> None:
+        """Record that the engine has counted the last order of this VM."""
+        self.ordered = True
+        self.predecessor_ended = False
+        self.counted_at = min(self.sent_at, clock.now())
+
     def _has_overcounted(self, report: EngineReport) -> bool:
         """Return whether the local count includes an order without effect.
 
@@ -250,6 +327,8 @@
         """Reset the chain after the engine restarted and lost its count."""
         self.sequence = None
         self.ordered = False
+        self.predecessor_ended = False
+        self.counted_at = float('-inf')
         self.unanswered = False
         self.is_refuted = False
         self.starts += 1
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 import curio
 
 from flamingovalve.gateway.engine import OwnerCounts
-from flamingovalve.gateway.fencing import Fences
+from flamingovalve.gateway.fencing import ClaimStatus
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger, note
@@ -18,7 +19,6 @@
 
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.engine import EngineLink
-    from flamingovalve.gateway.fencing import FreshRevision
     from flamingovalve.gateway.model import (
         EngineTraits,
         Upstream,
@@ -36,8 +36,6 @@
 logger = get_logger(__name__)
 
 _TICK_SECONDS: Final = 0.25
-# Several times the response time of a healthy store.
-_SHORT_STORE_TIMEOUT_SECONDS: Final = 0.1
 
 
 class OwnedGroups:
@@ -50,14 +48,12 @@
         claims: GroupClaims,
         catalogue: Catalogue,
         shards: Shards,
-        fresh_revision: FreshRevision,
         probe: Callable[[VmId | None], Awaitable[None]],
         link_to: Callable[[Upstream], EngineLink],
         started_at: float,
     ) -> None:
         """Create a manager that owns no group.
 
-        :param fresh_revision: reads the current revision from the store
         :param probe: checks immediately whether a VM still responds
         :param link_to: creates the connection to an engine
         :param started_at: start of this process, on the monotonic clock
@@ -67,10 +63,8 @@
         self._claims = claims
         self._catalogue = catalogue
         self._shards = shards
-        self._fresh_revision = fresh_revision
         self._link_to = link_to
         self._owners: dict[GroupId, GroupOwner] = {}
-        self._is_epoch_highest_by_group: dict[GroupId, bool] = {}
         self._released_counts = OwnerCounts()
         self._reconciling = curio.Lock()
         self._probe = probe
@@ -94,6 +88,7 @@
     async def reconcile(self, announce: Announce) -> None:
         """Claim, acquire and release groups to match claims and services."""
         async with self._reconciling:
+            self._claims.watch_quorum()
             wanted: set[GroupId] = set()
             services = self._catalogue.configuration.services_by_name
             for service in services.values():
@@ -104,7 +99,6 @@
                     )
             for group in set(self._owners) - wanted:
                 await self._release(group)
-            await self.announce_raised_epochs(announce)
 
     async def _reconcile_service(
         self,
@@ -136,7 +130,7 @@
             'this VM releases a group',
             group=group,
             next_owner=self._claims.owner(group) or '',
-            **dataclasses.asdict(owner.fences.origin()),
+            **dataclasses.asdict(owner.claim_status()),
         )
         await owner.close()
         self._released_counts.add(owner.counts)
@@ -185,7 +179,7 @@
         ended = self._claims.predecessor_ended(group)
         claim: OwnerRumour | None = None
         if self._claims.should_claim(group):
-            claim = await self._claim(group, predecessor_ended=ended)
+            claim = self._claim(group)
         owner_vm = self._claims.owner(group)
         if owner_vm is None:
             # Several VMs may have ended together; probe the next candidate
@@ -204,63 +198,21 @@
             await announce(claim)
         return owner
 
-    async def announce_raised_epochs(self, announce: Announce) -> None:
-        """Announce epochs that were raised since their group was claimed."""
-        for group, owner in list(self._owners.items()):
-            raised = self._claims.raise_epoch(group, owner.fences.epoch)
-            if raised is None:
-                continue
-            note(
-                logger,
-                'this VM raises the epoch of a group',
-                group=group,
-                **dataclasses.asdict(owner.fences.origin()),
-            )
-            await announce(raised)
-
-    async def _read_revision(self, *, has_short_timeout: bool) -> int | None:
-        """Read the store's revision, optionally with a short timeout.
-
-        Otherwise a store that does not respond would leave the group without
-        an owner until the request to it times out.
-
-        :returns: the revision, or None without a response in time
-        """
-        if not has_short_timeout:
-            return await self._fresh_revision()
-        async with curio.ignore_after(_SHORT_STORE_TIMEOUT_SECONDS):
-            return await self._fresh_revision()
-        return None
-
-    async def _claim(
-        self,
-        group: GroupId,
-        *,
-        predecessor_ended: bool,
-    ) -> OwnerRumour | None:
-        known = group in self._claims.by_group
-        is_epoch_announced = known and predecessor_ended
-        revision = await self._read_revision(
-            has_short_timeout=is_epoch_announced
+    def _claim(self, group: GroupId) -> OwnerRumour:
+        # One more than the store's revision exceeds the epochs of claims that
+        # no VM remembers, as after a loss of all VMs.
+        return self._claims.claim(group, self._catalogue.revision + 1)
+
+    def _claim_status(self, group: GroupId) -> ClaimStatus:
+        claim = self._claims.by_group.get(group)
+        is_own = claim is not None and claim.vm == self._members.own_id
+        other = self._claims.highest_of_others
+        return ClaimStatus(
+            self._claims.is_established(group),
+            claim.epoch if claim is not None and is_own else 0,
+            other.epoch if other else 0,
+            other.vm if other else '',
         )
-        if not self._claims.should_claim(group):
-            # Another VM claimed while the store was queried. Outbidding it
-            # would change the owner again and block loads for a lease.
-            return None
-        # One more than the store's revision: the previous owner may have
-        # used that revision as its epoch without announcing it.
-        newest = (revision or self._catalogue.revision) + 1
-        claim = self._claims.claim(group, newest)
-        # An owner that ended has announced its epoch, including one that was
-        # raised after its claim.
-        is_epoch_highest = (
-            is_epoch_announced or revision is not None
-        ) and not claim.provisional
-        self._is_epoch_highest_by_group[group] = is_epoch_highest
-        owner = self._owners.get(group)
-        if owner is not None and is_epoch_highest:
-            owner.fences.renew(claim.epoch)
-        return claim
 
     async def _acquire(
         self,
@@ -268,21 +220,11 @@
         *,
         predecessor_ended: bool,
     ) -> GroupOwner:
-        claim = self._claims.by_group[group]
-        # A claim made without the store may have a lower epoch than one that
-        # the previous owner read from the store.
-        epoch = claim.epoch if self._is_epoch_highest_by_group.get(group) else 0
-        vm = self._members.own_id
         owner = GroupOwner(
             self._settings,
             group,
-            vm,
-            Fences(
-                vm,
-                self._fresh_revision,
-                epoch,
-                lambda: self._claims.highest_of_others,
-            ),
+            self._members.own_id,
+            partial(self._claim_status, group),
             self._catalogue,
             self._link_to,
         )
@@ -295,7 +237,7 @@
             group=group,
             predecessor_ended=predecessor_ended,
             orders_after=round(max(0, self._orders_after - clock.now()), 3),
-            **dataclasses.asdict(owner.fences.origin()),
+            **dataclasses.asdict(owner.claim_status()),
         )
         await owner.start()
         return owner
--- a/flamingovalve/gateway/owner.py
+++ b/flamingovalve/gateway/owner.py
@@ -29,7 +29,7 @@
 
     from flamingovalve.gateway.catalogue import Catalogue
     from flamingovalve.gateway.engine import EngineLink, OwnedEngine
-    from flamingovalve.gateway.fencing import Fences
+    from flamingovalve.gateway.fencing import ClaimStatus
     from flamingovalve.gateway.ledger import EngineLedger, Place
     from flamingovalve.gateway.model import EngineTraits, Upstream
     from flamingovalve.generated.ids import GroupId, VmId
@@ -55,25 +55,25 @@
         settings: GatewaySettings,
         group: GroupId,
         vm: VmId,
-        fences: Fences,
+        claim_status: Callable[[], ClaimStatus],
         catalogue: Catalogue,
         link_to: Callable[[Upstream], EngineLink],
     ) -> None:
         """Create an owner without engines.
 
-        :param fences: provides the fencing numbers of orders
+        :param claim_status: returns what is known of the group's ownership
         :param link_to: creates the connection to an engine
         """
         self._tasks = TaskSet()
         self._is_closed = False
         self.group = group
-        self.fences = fences
+        self.claim_status = claim_status
         shares = FairShares.from_settings(settings)
         admission = Admission(Returns() if shares.is_enabled else None)
         self.engines = EngineGroup(
             settings,
             vm,
-            fences,
+            claim_status,
             catalogue,
             link_to,
             self._tasks,
@@ -109,7 +109,7 @@
         """Return counts, learnt durations and ledgers as JSON values."""
         return {
             'counts': asdict(self.counts),
-            'fence': self.fences.claimed,
+            'claim': asdict(self.claim_status()),
             'waiting': len(self._queue),
             **self._queue.state_dump(),
             'learnt': {
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING, Final
 
 from flamingovalve.generated.ids import VmId
@@ -59,6 +58,7 @@
         self._is_replaceable = is_replaceable
         self.by_group: dict[GroupId, OwnerRumour] = {}
         self._received_at: dict[GroupId, float] = {}
+        self._quorum_since = float('inf')
         self.highest_of_others: OwnerRumour | None = None
 
     def owner(self, group: GroupId) -> VmId | None:
@@ -111,11 +111,9 @@
     def claim(self, group: GroupId, revision: int) -> OwnerRumour:
         """Claim ``group``.
 
-        The epoch exceeds every known one, including those of other groups:
-        an engine that moved here from another group must not see a lower
-        fencing number after a higher one. The store's revision only grows,
-        so the epoch also exceeds those that were lost when all VMs ended
-        together.
+        The epoch exceeds every known one, so that other VMs give the claim
+        precedence. The store's revision only grows, so the epoch also exceeds
+        those that were lost when all VMs ended together.
         """
         known = self.by_group.get(group)
         provisional = not self.members.has_quorum()
@@ -174,22 +172,26 @@
         if highest is None or rumour.epoch >= highest.epoch:
             self.highest_of_others = rumour
 
-    def raise_epoch(self, group: GroupId, epoch: int) -> OwnerRumour | None:
-        """Raise the epoch of this VM's claim to one that its owner now uses.
+    def is_established(self, group: GroupId) -> bool:
+        """Return whether this VM can be the only one that owns ``group``.
 
-        Otherwise the next owner could choose a lower epoch, and an engine
-        would see a lower fencing number after a higher one.
-
-        :returns: the rumour to announce, or None if the epoch is not higher
+        Its claim is confirmed, and it has seen most VMs for longer than
+        gossip of another claim takes.
         """
         claim = self.by_group.get(group)
         if claim is None or claim.vm != self.members.own_id:
-            return None
-        if claim.epoch >= epoch:
-            return None
-        raised = dataclasses.replace(claim, epoch=epoch)
-        self.by_group[group] = raised
-        return raised
+            return False
+        if claim.provisional:
+            return False
+        latest = clock.now() - _ESTABLISHED_SECONDS
+        return max(self._quorum_since, self._received_at[group]) <= latest
+
+    def watch_quorum(self) -> None:
+        """Record since when this VM sees most VMs that may be alive."""
+        if self.members.has_quorum():
+            self._quorum_since = min(self._quorum_since, clock.now())
+        else:
+            self._quorum_since = float('inf')
 
     def _all_just_started(self) -> bool:
         """Return whether all known VMs have just started.
--- a/flamingovalve/platform/store.py
+++ b/flamingovalve/platform/store.py
@@ -33,10 +33,6 @@
 _READ_SECONDS: Final = 0.8
 # Added to the duration of a watch.
 _WATCH_MARGIN_SECONDS: Final = 0.5
-# The claim of a group waits for this read.
-_REVISION_SECONDS: Final = 0.4
-# Matches no key, so that the response holds only the revision.
-_NO_ITEMS: Final = '!'
 # A page holds some 500 items, and a large deployment has 100,000 adapters.
 _MAX_PAGES: Final = 1000
 
@@ -80,16 +76,6 @@
             query['after'] = page[-1].key
         raise StoreUnavailable(f'a list has over {_MAX_PAGES} pages')
 
-    async def revision(self) -> CompleteRevision:
-        """Return the current revision of the store.
-
-        :raises StoreUnavailable: when the store sends no valid response
-        """
-        query = {'PathPrefix': _NO_ITEMS}
-        return _parse_revision(
-            await self._get('/kv-range', query, _REVISION_SECONDS),
-        )
-
     async def watch(
         self, prefix: str, after: CompleteRevision, seconds: float
     ) -> Reading:
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -25,6 +25,7 @@
 _EVENT_COUNT = 4
 _DOWN_SECONDS = 3.0
 _MOST_LOADS = 4
+_MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +41,10 @@
     fence: int
 
 
+def _milliseconds() -> int:
+    return int(clock.wall() * _MS_PER_SECOND)
+
+
 class PlatformRunnerStandIn(StandIn):
     """A plain upstream that counts the runs of each request.
 
@@ -178,7 +183,8 @@
     :ivar most_active: requests that it has room for; 0 for no limit
     :ivar break_after: number of events after which the next run is broken
         off; 0 for never
-    :ivar starts: number of its start, which it reports
+    :ivar starts: number of its start
+    :ivar born: time of its start in milliseconds, which it reports
     :ivar misses: number of next requests for an adapter that are refused, as
         it is not ready yet
     :ivar event_count: number of events of a stream
@@ -200,6 +206,7 @@
         super().__init__(network, address, name)
         self.slots = slots
         self.starts = 1
+        self.born = _milliseconds()
         self.models = ['base']
         self.resident: dict[str, int] = {}
         self.loading: dict[str, int] = {}
@@ -273,6 +280,7 @@
     def restart(self) -> None:
         """Forget what was loaded and ordered, as after a crash."""
         self.starts += 1
+        self.born = max(_milliseconds(), self.born + 1)
         self.models.clear()
         self.resident.clear()
         self.loading.clear()
@@ -297,7 +305,7 @@
                 f'base/{name}@{version}'
                 for name, version in self.loading.items()
             ],
-            'born': self.starts,
+            'born': self.born,
         }
 
     def occupying(self) -> set[str]:
--- a/tests/rig/direct_engine.py
+++ b/tests/rig/direct_engine.py
@@ -8,7 +8,7 @@
 import curio
 
 from flamingovalve.gateway.catalogue import Catalogue
-from flamingovalve.gateway.fencing import Fences
+from flamingovalve.gateway.fencing import ClaimStatus
 from flamingovalve.gateway.model import EngineTraits, ModelTraits
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.upstream_status import UpstreamStatus
@@ -77,10 +77,6 @@
     """Change nothing."""
 
 
-async def _no_revision() -> None:
-    """Return None, as a store that does not answer."""
-
-
 class DirectOwner:
     """An owner of one engine in a process of its own.
 
@@ -104,7 +100,7 @@
             GatewaySettings(),
             _GROUP,
             _VM,
-            Fences(_VM, _no_revision, 1),
+            ClaimStatus,
             self.catalogue,
             lambda _upstream: self.link,
         )
--- a/tests/rig/engines.py
+++ b/tests/rig/engines.py
@@ -49,7 +49,7 @@
     settings = GatewaySettings()
     chain = OrderChain(settings.lease_seconds, settings.report_lag_seconds, 0)
     chain.sequence = 0
-    made = EngineLedger(upstream(name), TRAITS, settings, chain, fence=1)
+    made = EngineLedger(upstream(name), TRAITS, settings, chain, born=1)
     made.models.add(MODEL)
     for adapter in resident:
         hold(made, adapter)
--- a/tests/rig/queue_play.py
+++ b/tests/rig/queue_play.py
@@ -19,7 +19,7 @@
 
 from flamingovalve.errors import ServingError
 from flamingovalve.gateway.catalogue import Catalogue
-from flamingovalve.gateway.fencing import Fences
+from flamingovalve.gateway.fencing import ClaimStatus
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.residency.held import AdapterState, HeldAdapter
 from flamingovalve.gateway.upstream_status import UpstreamStatus
@@ -284,7 +284,7 @@
             self.settings,
             GROUP,
             VM,
-            Fences(VM, _no_revision, 1),
+            ClaimStatus,
             catalogue,
             lambda _upstream: PlayedLink(),
         )
@@ -295,7 +295,7 @@
         for engine in owner.engines.ledgers():
             engine.models.add(MODEL)
             engine.chain.sequence = 0
-            engine.fence = 1
+            engine.born = 1
         return owner
 
     async def _sweep(self) -> None:
@@ -365,7 +365,3 @@
         end = PlaceEnd(PlaceOutcome.FINISHED, first_at - self.now)
         end_at = first_at + arrival.output_tokens / TOKENS_PER_SECOND
         self._at(end_at, self.owner.end, place, end)
-
-
-async def _no_revision() -> None:
-    """Return no revision, as a store that does not answer."""
--- a/tests/rig/version_play.py
+++ b/tests/rig/version_play.py
@@ -51,11 +51,6 @@
 
     play: VersionSite
     software = ''
-    born = 1
-
-    def report(self) -> dict[str, Any]:
-        """Return the load report of the engine."""
-        return {**super().report(), 'born': self.born}
 
     async def run_request(self, request: Request, responder: Responder) -> None:
         """Run one request, if its model is present."""
--- a/tests/test_group_claims.py
+++ b/tests/test_group_claims.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from flamingovalve.gateway.fencing import fence_of
 from flamingovalve.gateway.ownership import GroupClaims
 from flamingovalve.generated.ids import (
     DomainId,
@@ -91,12 +90,7 @@
         self.assertEqual(other.claim(GROUP, 90).epoch, 90)
 
     def test_next_claim_exceeds_the_epochs_of_other_groups(self):
-        """An engine moves to a group with an older claim than its last one.
-
-        With the fencing number of that claim, orders would have a lower
-        number than earlier ones, and an engine that checks it would refuse
-        them all.
-        """
+        """Guards against claims that are older than one of another group."""
         other = self.others[0]
         other.apply_rumour(self.claimer.claim(GroupId('engines/1'), 90))
         self.assertGreater(other.claim(GROUP, 7).epoch, 90)
@@ -196,15 +190,3 @@
         )
         self.assertTrue(other.predecessor_ended(GROUP))
         self.assertIsNone(other.owner(GROUP))
-
-
-class TestFences(TimedTestCase):
-    """Fencing numbers of claims."""
-
-    def test_two_vms_never_share_one(self):
-        fences = {fence_of(vm, 7) for vm in VMS}
-        self.assertEqual(len(fences), len(VMS))
-
-    def test_later_epoch_is_higher(self):
-        lowest, highest = VmId('10.0.0.1:1'), VmId('10.255.255.255:1')
-        self.assertGreater(fence_of(lowest, 8), fence_of(highest, 7))
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -57,7 +57,8 @@
         self.assertEqual(orders[0]['free'], 1)
         self.assertEqual(orders[0]['reported'], orders[0]['sequence'])
         self.assertLess(orders[0]['report_age'], 1)
-        self.assertIn(orders[0]['source'], {'claim', 'store', 'raised'})
+        self.assertEqual(orders[0]['source'], 'count')
+        self.assertTrue(orders[0]['is_established'])
         self.site.kill(self.site.owner())
         self.site.world.advance(8)
         adopted = [
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -124,6 +124,7 @@
         """
         self.chain.record_report(report(0))
         self.chain.record_accepted()
+        self.chain.record_sent()
         self.chain.record_unanswered()
         self.assertFalse(self.chain.may_order())
         self.advance(2 * LAG + 0.1)
@@ -152,3 +153,46 @@
         self.chain.restart()
         self.chain.record_report(report(0))
         self.assertTrue(self.chain.may_order())
+
+    def test_unanswered_order_of_a_vm_that_was_not_the_holder(self):
+        """Guards against another VM's order that is taken for the own one."""
+        self.chain.record_report(report(7))
+        self.advance(LEASE + LAG + 0.1)
+        self.chain.record_sent()
+        self.chain.record_unanswered()
+        self.advance(2 * LAG + 0.1)
+        self.chain.record_report(report(8))
+        self.assertFalse(self.chain.may_order())
+        self.advance(LEASE + LAG + 0.1)
+        self.assertTrue(self.chain.may_order())
+
+    def test_holder_for_a_lease(self):
+        """Guards against a holder of long ago that takes itself for one."""
+        self.chain.record_report(report(0))
+        self.chain.record_sent()
+        self.chain.record_accepted()
+        self.advance(LEASE - LAG - 0.1)
+        self.assertTrue(self.chain.is_holder())
+        self.advance(0.2)
+        self.assertFalse(self.chain.is_holder())
+        self.assertTrue(self.chain.may_order())
+
+    def test_first_order_of_one_of_several_owners(self):
+        """Guards against two VMs that both begin with a count of zero."""
+        self.chain.is_established = bool
+        self.chain.unsure_seconds = LEASE
+        self.chain.record_report(report(0))
+        self.assertFalse(self.chain.may_order())
+        self.advance(LEASE + LAG + 0.1)
+        self.assertTrue(self.chain.may_order())
+        self.assertFalse(self.chain.may_order_uncompared())
+        self.advance(LEASE)
+        self.assertTrue(self.chain.may_order_uncompared())
+
+    def test_ended_predecessor_of_an_earlier_start(self):
+        """Guards against orders without a wait after an engine's restart."""
+        self.chain.predecessor_ended = True
+        self.chain.record_report(report(5))
+        self.chain.restart()
+        self.chain.record_report(report(1))
+        self.assertFalse(self.chain.may_order())
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -38,13 +38,28 @@
         return report(7)
 
 
+class StartlessEngine(OrderedEngine):
+    """An engine that does not say when it started."""
+
+    async def report(self, patience):
+        """Return a report without a start time."""
+        return report(7, born=0)
+
+
+class RestartedEngine(OrderedEngine):
+    """An engine that has just started and accepted no order."""
+
+    async def report(self, patience):
+        """Return a report of a new start."""
+        return report(0, born=2)
+
+
 class TestAcquisition(TimedTestCase):
     """Tests of a VM that claims, loses or reacquires a group."""
 
     def setUp(self) -> None:
         """Create the VM that should claim the group."""
         super().setUp()
-        self.revision = 7
         self.catalogue = Catalogue(lambda document: document)
         service = UpstreamService(ServiceId('engines'), TRAITS)
         self.catalogue.configuration = Configuration(
@@ -58,16 +73,11 @@
             self.claims,
             self.catalogue,
             Shards(self.catalogue),
-            self._revision,
             self._probe,
             lambda _upstream: OrderedEngine(),
             self.current_time,
         )
 
-    async def _revision(self):
-        """Return the revision of the store, or None without an answer."""
-        return self.revision
-
     async def _probe(self, _vm):
         """Do nothing."""
 
@@ -114,143 +124,70 @@
 
         curio.run(scenario)
 
-    def test_engine_added_later_sees_a_higher_fence(self):
-        """An engine moves here from a group with a newer claim.
-
-        With the number of the local claim it would see a lower fencing
-        number after a higher one.
-        """
-
-        async def scenario():
-            self.advance(10)
-            await self.reconcile()
-            claimed = self.owned.find(GROUP).fences.claimed
-            self.catalogue._apply_upstream(upstream('engine-1'))
-            self.revision = 90
-            await self.reconcile()
-            await curio.sleep(0)
-            engine = self.owned.find(GROUP).engines.engines_by_id['engine-1']
-            await engine._poll_report()
-            self.assertGreater(engine.ledger.fence, claimed)
-            self.assertEqual(engine.ledger.fence >> 24, 90)
-            await self.owned.close()
-
-        curio.run(scenario)
-
-    def test_no_orders_after_a_claim_without_the_store(self):
-        """A VM takes over a group while the store is unavailable.
-
-        The previous owner may have read a higher epoch from the store without
-        announcing it, so the number of the new claim could be too low.
-        """
+    def test_orders_need_no_store(self):
+        """Guards against owners that can't order while the store is away."""
 
         async def scenario():
-            self.revision = None
             self.advance(10)
             await self.reconcile()
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
             await engine._poll_report()
             self.advance(10)
             await engine._poll_report()
-            self.assertFalse(engine.ledger.may_order())
+            self.assertTrue(engine.ledger.may_order())
             await self.owned.close()
 
         curio.run(scenario)
 
-    def test_planned_handover_while_the_store_is_unavailable(self):
-        """The owner leaves for a new release while the store does not answer.
-
-        The owner has announced its epoch, so its successor must not wait for
-        the store to rule out a higher one. If it did, each request for an
-        adapter that is not loaded would be refused until the store returns.
-        """
+    def test_planned_handover(self):
+        """Guards against a successor that waits though the owner has left."""
 
         async def scenario():
             other = next(v for v in VMS if v != self.claims.members.own_id)
             self.claims.apply_rumour(OwnerRumour(GROUP, other, 1, 99))
             self.claims.members.apply(rumour_of(other, MemberState.LEAVING))
-            self.revision = None
             self.advance(10)
             await self.reconcile()
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
             await engine._poll_report()
             self.assertTrue(engine.ledger.may_order())
-            self.assertGreater(engine.ledger.fence >> 24, 99)
-            await self.owned.close()
-
-        curio.run(scenario)
-
-    def test_epoch_raised_after_the_claim_is_announced(self):
-        """An owner reads an epoch from the store after its claim and leaves.
-
-        If it did not announce the epoch, its successor could not learn it
-        while the store is unavailable, and an engine would see a lower number.
-        """
-
-        async def scenario():
-            announced = []
-
-            async def announce(rumour):
-                announced.append(rumour.epoch)
-
-            self.advance(10)
-            await self.owned.reconcile(announce)
-            self.revision = 300
-            self.advance(1)
-            await self.owned.find(GROUP).fences.found_after(
-                self.current_time - 1
-            )
-            await self.owned.announce_raised_epochs(announce)
-            self.assertEqual(announced[-1], 300)
-            self.assertEqual(self.claims.by_group[GROUP].epoch, 300)
             await self.owned.close()
 
         curio.run(scenario)
 
-    def test_claim_received_during_a_store_query_holds(self):
-        """Two VMs find a group without an owner within milliseconds.
-
-        Both query the store for its revision. If the second then outbid the
-        first, the group would change its owner again.
-        """
+    def test_no_orders_to_an_engine_without_a_start_time(self):
+        """Guards against numbers that a restart of the engine would lower."""
 
         async def scenario():
-            other = next(v for v in VMS if v != self.claims.members.own_id)
-
-            async def receive_claim():
-                self.claims.apply_rumour(OwnerRumour(GROUP, other, 1, 50))
-                return 60
-
-            self.owned._fresh_revision = receive_claim
             self.advance(10)
             await self.reconcile()
-            self.assertEqual(self.claims.owner(GROUP), other)
-            self.assertIsNone(self.owned.find(GROUP))
+            engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
+            engine._link = StartlessEngine()
+            await engine._poll_report()
+            self.advance(10)
+            await engine._poll_report()
+            self.assertFalse(engine.ledger.may_order())
+            await self.owned.close()
 
         curio.run(scenario)
 
-    def test_no_orders_while_the_fence_is_unknown(self):
-        """A VM partitioned from all others and the store claims the engines.
-
-        It may not know of an owner with a higher fencing number.
-        """
+    def test_owner_without_a_majority_leaves_an_empty_engine_to_others(self):
+        """Guards against two VMs that load one model into a restarted engine."""
 
         async def scenario():
             members = self.claims.members
             for vm in VMS:
                 if vm != members.own_id:
                     members.apply(rumour_of(vm, MemberState.DEAD))
-            self.revision = None
             self.advance(10)
             await self.reconcile()
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
-            await engine._poll_report()
-            self.advance(10)
+            engine._link = RestartedEngine()
             await engine._poll_report()
             self.assertFalse(engine.ledger.may_order())
-            self.revision = 90
-            self.advance(1)
-            await engine._poll_report()
+            self.advance(2 * LEASE)
+            self.assertFalse(engine.ledger.may_order())
+            self.advance(2 * LEASE)
             self.assertTrue(engine.ledger.may_order())
             await self.owned.close()
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -6,7 +6,7 @@
 
 from flamingovalve.gateway import dispatch
 from flamingovalve.gateway.catalogue import Catalogue
-from flamingovalve.gateway.fencing import Fences
+from flamingovalve.gateway.fencing import ClaimStatus
 from flamingovalve.gateway.owner import GroupOwner
 from flamingovalve.gateway.places import PlaceServer
 from flamingovalve.gateway.residency.held import AdapterState
@@ -36,10 +36,6 @@
         await curio.sleep(LONG)
 
 
-async def no_revision():
-    """Return None, as a store that does not answer."""
-
-
 class OwnerTestCase(TimedTestCase):
     """Provides an owner of two engines with eight slots each."""
 
@@ -52,7 +48,7 @@
             GatewaySettings(),
             GROUP,
             VM,
-            Fences(VM, no_revision, 1),
+            ClaimStatus,
             catalogue,
             lambda _upstream: SilentEngine(),
         )
@@ -63,7 +59,7 @@
         for engine in owner.engines.ledgers():
             engine.models.add(MODEL)
             engine.chain.sequence = 0
-            engine.fence = 1
+            engine.born = 1
         return owner
 
     async def fill(self, owner):
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -6,9 +6,8 @@
 import unittest
 from unittest import mock
 
-from flamingovalve.gateway.fencing import Fences
+from flamingovalve.gateway.fencing import OrderNumbers
 from flamingovalve.gateway.orders import OrderChain
-from flamingovalve.gateway.ownership import GroupClaims
 from standins.platform_runner import PlatformEngineStandIn
 from tests.rig.holder_faults import HolderFaults
 from tests.rig.site_faults import FaultySite
@@ -28,6 +27,18 @@
 HOLDER_SEEDS = (5, 12, 14, 26, 28, 37, 47, 74, 92, 93, 118)
 
 
+class RestartingSite(FaultySite):
+    """A site whose engines restart and forget what they counted."""
+
+    def faults(self):
+        """Return the faults, restarts among them."""
+        return [*super().faults(), self.restart_engine]
+
+    def restart_engine(self) -> None:
+        """Restart an engine, which comes back empty."""
+        self.rng.choice(self.site.engines).restart()
+
+
 def play(seed: int, kind: type[FaultySite] = FaultySite) -> list[str]:
     """Run the faults of one seed and return the violations."""
     faulty = kind(seed)
@@ -65,12 +76,12 @@
 class TestMutations(unittest.TestCase):
     """Tests that the checks detect each removed safeguard."""
 
-    def find(self, mutation, word=''):
+    def find(self, mutation, word='', kind=FaultySite):
         """Return the violations of the first seed with one that has ``word``."""
         mutation.start()
         self.addCleanup(mutation.stop)
         for seed in range(1, 61):
-            violations = play(seed)
+            violations = play(seed, kind)
             if any(word in violation for violation in violations):
                 return violations
         return []
@@ -84,16 +95,28 @@
         found = self.find(mock.patch.object(OrderChain, 'may_order', at_once))
         self.assertTrue(any('turns' in one for one in found), found)
 
-    def test_fence_of_the_claim_alone(self):
-        """No new number is read after another VM has sent an order."""
+    def test_number_without_the_count(self):
+        """The number of an order is made from the engine's start alone."""
 
-        async def claimed(fences, _since):
-            return fences.claimed
+        def of_start(numbers, start, _count):
+            return true_number(numbers, start, 0)
 
-        mutation = mock.patch.object(Fences, 'found_after', claimed)
+        true_number = OrderNumbers.number
+        mutation = mock.patch.object(OrderNumbers, 'number', of_start)
         found = self.find(mutation, 'fence')
         self.assertTrue(any('fence' in one for one in found), found)
 
+    def test_number_without_the_start(self):
+        """The number of an order is made from the count alone."""
+
+        def of_count(numbers, _start, count):
+            return true_number(numbers, 0, count)
+
+        true_number = OrderNumbers.number
+        mutation = mock.patch.object(OrderNumbers, 'number', of_count)
+        found = self.find(mutation, 'fence', RestartingSite)
+        self.assertTrue(any('fence' in one for one in found), found)
+
     def test_engine_that_is_ordered_without_its_count(self):
         """An engine accepts any order, whatever count it names."""
 
@@ -110,18 +133,6 @@
         )
         self.assertNotEqual(found, [])
 
-    def test_claim_with_an_old_epoch(self):
-        """The epoch of a claim does not exceed the known ones."""
-        true_claim = GroupClaims.claim
-
-        def old_claim(claims, group, _revision):
-            rumour = true_claim(claims, group, 1)
-            rumour.epoch = 1
-            return rumour
-
-        found = self.find(mock.patch.object(GroupClaims, 'claim', old_claim))
-        self.assertNotEqual(found, [])
-
 
 def main() -> int:
     """Run the seeds of a range; ``holder`` adds faults of the last holder."""
