Order a load without an answer elsewhere, and no model that may be loading

Cause: an engine accepts a load that it is carrying out already, whatever count that names.

Now such a load goes to another engine for a lease, if there is one, and a successor loads no model while the engine is busy, nor before reports show the last order of its predecessor.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -324,6 +324,9 @@
             held.ready_at = clock.now()
             ledger.chain.record_acknowledged()
         else:
+            if answer.outcome is OrderOutcome.UNKNOWN:
+                lease = ledger.settings.lease_seconds
+                ledger.late_loads.record(held.name, lease)
             self._record_refusal(answer.outcome)
         return answer.outcome
 
@@ -494,7 +497,8 @@
             )
         self._adopt(report)
         await self._settle_loaded()
-        if not ledger.models and not ledger.is_loading_model():
+        is_idle = not ledger.is_busy and not ledger.is_loading_model()
+        if not ledger.models and is_idle:
             await self.load_model()
         await self._context.listener.serve_waiting()
 
@@ -546,6 +550,9 @@
         An engine that was added or restarted holds no model. Without this,
         replacing one of five engines leaves a fifth of their capacity idle.
         """
+        if not self.ledger.chain.shows_last_order():
+            # The predecessor may have ordered it already.
+            return
         model = self._context.choose_model(self.ledger)
         if not model or not self.ledger.may_order():
             return
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -7,6 +7,7 @@
 
 from flamingovalve.gateway.brittleness import Brittleness
 from flamingovalve.gateway.fencing import UNKNOWN_START
+from flamingovalve.gateway.late_loads import LateLoads
 from flamingovalve.gateway.learning import KeptAdapters, LoadTimes
 from flamingovalve.gateway.prefill import PrefillBacklog, must_yield
 from flamingovalve.gateway.prefill_model import (
@@ -127,6 +128,7 @@
     :ivar tokens: tokens of its places
     :ivar prefill_model: prefill times of the group's engines at pace 1
     :ivar streams: its running streams and the prompts that they meet
+    :ivar late_loads: loads without an answer, which may still arrive
     :ivar rejections: what it rejected from all VMs, if it is brittle
     """
 
@@ -160,6 +162,7 @@
     prefill_model: PrefillModel = field(default_factory=default_model)
     streams: EngineStreams = field(default_factory=_untaught_streams)
     rejections: Brittleness = field(default_factory=Brittleness)
+    late_loads: LateLoads = field(default_factory=LateLoads)
     _cached_victim: HeldAdapter | None = None
 
     @property
@@ -416,6 +419,7 @@
         self.model_ready_at = 0
         self.unanswered_model_order = NO_ORDER
         self.is_busy = False
+        self.late_loads.clear()
         self.parts.clear()
         self.kept.clear()
         self.prefill.clear()
