Repeat no unanswered unload, and take no VM for just started on hearsay

Now orders without an answer, loads and unloads, are not repeated there for a lease if there is another choice; all have just started only if the incarnations of others say so, and somebody else is seen.

--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -324,9 +324,6 @@
             held.ready_at = clock.now()
             ledger.chain.record_acknowledged()
         else:
-            if answer.outcome is OrderOutcome.UNKNOWN:
-                lease = ledger.settings.lease_seconds
-                ledger.late_loads.record(held.name, lease)
             self._record_refusal(answer.outcome)
         return answer.outcome
 
@@ -433,6 +430,9 @@
         finally:
             chain.in_flight = False
         sent.log(outcome)
+        if outcome is OrderOutcome.UNKNOWN:
+            lease = self.ledger.settings.lease_seconds
+            self.ledger.late_orders.record(adapter, lease)
         if chain.starts != starts:
             # The answer concerns an earlier start of the engine.
             return _NOT_SENT
--- a/flamingovalve/gateway/late_loads.py
+++ b/flamingovalve/gateway/late_orders.py
@@ -1,4 +1,4 @@
-"""Orders to load adapters that had no answer and may still arrive."""
+"""Orders that had no answer and may still arrive."""
 
 from __future__ import annotations
 
@@ -10,20 +10,20 @@
     from flamingovalve.generated.ids import AdapterId
 
 
-class LateLoads:
-    """The loads without an answer of one engine.
+class LateOrders:
+    """The orders without an answer of one engine.
 
-    An engine that is loading an adapter accepts another order to load it,
-    whatever count that names. A late order would then come after orders with
-    higher numbers.
+    An engine that is loading an adapter, or waits to unload it, accepts
+    another such order, whatever count that names. A late order would then come
+    after orders with higher numbers.
     """
 
     def __init__(self) -> None:
-        """Start without loads."""
+        """Start without orders."""
         self._until_by_adapter: dict[AdapterId, float] = {}
 
     def record(self, name: AdapterId, seconds: float) -> None:
-        """Record a load that may arrive for some seconds."""
+        """Record an order for an adapter that may arrive for some seconds."""
         now = clock.now()
         self._until_by_adapter = {
             other: until
@@ -33,9 +33,9 @@
         self._until_by_adapter[name] = now + seconds
 
     def may_come(self, name: AdapterId) -> bool:
-        """Return whether a load of an adapter may still arrive."""
+        """Return whether an order for an adapter may still arrive."""
         return clock.now() < self._until_by_adapter.get(name, 0)
 
     def clear(self) -> None:
-        """Forget all loads, as after a restart of the engine."""
+        """Forget all orders, as after a restart of the engine."""
         self._until_by_adapter.clear()
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -7,7 +7,7 @@
 
 from flamingovalve.gateway.brittleness import Brittleness
 from flamingovalve.gateway.fencing import UNKNOWN_START
-from flamingovalve.gateway.late_loads import LateLoads
+from flamingovalve.gateway.late_orders import LateOrders
 from flamingovalve.gateway.learning import KeptAdapters, LoadTimes
 from flamingovalve.gateway.prefill import PrefillBacklog, must_yield
 from flamingovalve.gateway.prefill_model import (
@@ -128,7 +128,7 @@
     :ivar tokens: tokens of its places
     :ivar prefill_model: prefill times of the group's engines at pace 1
     :ivar streams: its running streams and the prompts that they meet
-    :ivar late_loads: loads without an answer, which may still arrive
+    :ivar late_orders: orders without an answer, which may still arrive
     :ivar rejections: what it rejected from all VMs, if it is brittle
     """
 
@@ -162,7 +162,7 @@
     prefill_model: PrefillModel = field(default_factory=default_model)
     streams: EngineStreams = field(default_factory=_untaught_streams)
     rejections: Brittleness = field(default_factory=Brittleness)
-    late_loads: LateLoads = field(default_factory=LateLoads)
+    late_orders: LateOrders = field(default_factory=LateOrders)
     _cached_victim: HeldAdapter | None = None
 
     @property
@@ -295,16 +295,23 @@
     def least_valuable(self, popularity: Popularity) -> HeldAdapter | None:
         """Return the idle adapter with the lowest request rate.
 
+        One whose last order had no answer comes last.
+
         Every choice of an engine needs it, so the result is cached until
         another adapter becomes idle.
         """
         known = self._cached_victim
         if known is not None and self._is_evictable(known):
             return known
+        late = self.late_orders
         idle = [held for held in self.held.values() if held.is_idle()]
         self._cached_victim = min(
             idle,
-            key=lambda held: (popularity.rank(held.name), held.used_at),
+            key=lambda held: (
+                late.may_come(held.name),
+                popularity.rank(held.name),
+                held.used_at,
+            ),
             default=None,
         )
         return self._cached_victim
@@ -316,7 +323,9 @@
         return self.tokens.is_full(self.traits.kv_tokens)
 
     def _is_evictable(self, held: HeldAdapter) -> bool:
-        return held.is_idle() and self.held.get(held.name) is held
+        is_known = self.held.get(held.name) is held
+        is_late = self.late_orders.may_come(held.name)
+        return is_known and held.is_idle() and not is_late
 
     def can_load_adapter(self, popularity: Popularity) -> bool:
         """Return whether another adapter could be loaded now."""
@@ -419,7 +428,7 @@
         self.model_ready_at = 0
         self.unanswered_model_order = NO_ORDER
         self.is_busy = False
-        self.late_loads.clear()
+        self.late_orders.clear()
         self.parts.clear()
         self.kept.clear()
         self.prefill.clear()
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -28,6 +28,8 @@
 _CLAIM_HOLD_SECONDS: Final = 4.0
 # A lease plus the time that gossip of a process start takes to spread.
 _ESTABLISHED_SECONDS: Final = 4.0
+# An incarnation is the start of its process in microseconds.
+_ESTABLISHED_INCARNATIONS: Final = 4_000_000
 
 
 class GroupClaims:
@@ -198,11 +200,17 @@
 
         If all VMs ended together, no previous owner can still send orders.
         Without this check the engines would get no loads for another lease.
+        A VM that has just started learns of all others now, whenever these
+        started, and of none while it is cut off.
         """
+        present = self.members.present()
+        if len(present) < 2 or not self.members.has_quorum():
+            return False
         latest_start = clock.now() - _ESTABLISHED_SECONDS
-        return self.members.has_quorum() and all(
-            member.process_since > latest_start
-            for member in self.members.present()
+        oldest = self.members.own_incarnation - _ESTABLISHED_INCARNATIONS
+        return all(
+            member.process_since > latest_start and member.incarnation >= oldest
+            for member in present
         )
 
     def _may_confirm(self, group: GroupId) -> bool:
--- a/tests/test_group_claims.py
+++ b/tests/test_group_claims.py
@@ -190,3 +190,18 @@
         )
         self.assertTrue(other.predecessor_ended(GROUP))
         self.assertIsNone(other.owner(GROUP))
+
+    def test_restarted_vm_takes_no_other_for_just_started(self):
+        """Guards against a new process that orders beside the owner."""
+        restarted = GroupClaims(table_of(VMS[0]), self.current_time, never)
+        self.assertTrue(restarted.predecessor_ended(GROUP))
+        restarted.members.own_incarnation = Incarnation(60_000_000)
+        self.assertFalse(restarted.predecessor_ended(GROUP))
+
+    def test_vm_that_sees_no_other_may_be_cut_off(self):
+        """Guards against a new process that takes itself for the fleet."""
+        members = MemberTable(VMS[0], Incarnation(1))
+        vm = PublishedVm(VMS[0], DomainId('east'), VMS[0], VMS[0])
+        members.open(vm, [])
+        alone = GroupClaims(members, self.current_time, never)
+        self.assertFalse(alone.predecessor_ended(GROUP))
