Keep one number of orders for a tenure, and tell all VMs apart in it

What callers saw: nothing yet.

Causes: 12 bits of the address are the same in several failure domains. With a number for each order, an order that the engine does not count falls below the counted ones of its own sender, and a successor that reads a lagging count below its predecessor's. A replacement was not compared although something idle was there, a load accepted from a VM that was not the holder counted as proof, and an unload that was about to be sent hid that it would be compared. An owner that sees all VMs evicted an adapter after each pause.

Now a VM keeps the number of its first order while no other VM orders; the next one's first order names a higher count, so late and uncounted orders of a tenure fall under nothing. 24 bits tell VMs apart, spread so that a parser of doubles does, too. Late orders need no care of their own any more.

Tests: test_fencing, the number in a planned handover, an engine that moves from another group.

--- a/flamingovalve/gateway/dispatch.py
+++ b/flamingovalve/gateway/dispatch.py
@@ -100,9 +100,7 @@
     :returns: the choice, or ``None`` if no engine can take the request now
         or if it should wait for an engine that has the adapter
     """
-    choices = _without_late_orders(
-        ask, list(_possible(ask, engines, popularity, wanted_version))
-    )
+    choices = list(_possible(ask, engines, popularity, wanted_version))
     fetch_cost = _FETCH_COST
     if budget is not None and any(one.is_fetch(ask) for one in choices):
         fetch_cost = budget.price(ask.adapter, engines)
@@ -126,20 +124,6 @@
     return None
 
 
-def _without_late_orders(ask: PlaceAsk, choices: list[Choice]) -> list[Choice]:
-    """Leave out engines that may still receive an earlier order to load the adapter.
-
-    Without another choice, the load is ordered there again.
-    """
-    certain = [
-        choice
-        for choice in choices
-        if not choice.load
-        or not choice.engine.late_orders.may_come(ask.adapter)
-    ]
-    return certain or choices
-
-
 def _possible(
     ask: PlaceAsk,
     engines: Sequence[EngineLedger],
--- a/flamingovalve/gateway/engine.py
+++ b/flamingovalve/gateway/engine.py
@@ -225,23 +225,31 @@
                 await self._poll_report()
             except HeldBack as held:
                 logger.debug('no report: {}', held)
-            chain = self.ledger.chain
-            uncertain = chain.sequence is None or chain.awaits_report()
-            uncertain = (
-                uncertain or self.ledger.silent or not self.ledger.models
-            )
-            uncertain = uncertain or self.ledger.born == UNKNOWN_START
-            uncertain = uncertain or self._has_foreign_load()
-            uncertain = uncertain or self.ledger.residency.has_waiting_unload()
-            delay = _EAGER_REPORT_SECONDS if uncertain else _REPORT_SECONDS
-            delay = max(delay, self._limited_interval(is_uncertain=uncertain))
-            pause = chain.paused_until - clock.now()
-            if 0 < pause < delay:
-                delay = pause
+            delay = self._report_delay()
             async with curio.ignore_after(delay):
                 await self.report_now.wait()
             self.report_now.clear()
 
+    def _report_delay(self) -> float:
+        """Return the seconds until the next report is read."""
+        chain = self.ledger.chain
+        ledger = self.ledger
+        is_uncertain = any(
+            (
+                chain.sequence is None,
+                chain.awaits_report(),
+                ledger.silent,
+                not ledger.models,
+                ledger.born == UNKNOWN_START,
+                self._has_foreign_load(),
+                ledger.residency.has_waiting_unload(),
+            )
+        )
+        delay = _EAGER_REPORT_SECONDS if is_uncertain else _REPORT_SECONDS
+        delay = max(delay, self._limited_interval(is_uncertain=is_uncertain))
+        pause = chain.paused_until - clock.now()
+        return min(delay, pause) if pause > 0 else delay
+
     def _has_foreign_load(self) -> bool:
         """Return whether a load of a former owner is in progress.
 
@@ -345,11 +353,14 @@
     def _record_accepted_load(self, held: HeldAdapter, named: int) -> None:
         replaced = held.replaces
         self.ledger.record_load_accepted(held)
-        if replaced is not None and replaced.may_be_in_progress():
-            # The engine does not count a load that is in progress again.
-            self.ledger.chain.record_acknowledged()
+        chain = self.ledger.chain
+        is_repeated = replaced is not None and replaced.may_be_in_progress()
+        if is_repeated or not chain.was_holder:
+            # The engine does not count a load that is in progress, be it by
+            # an earlier order or by one of another VM.
+            chain.record_acknowledged()
         else:
-            self.ledger.chain.record_accepted(named)
+            chain.record_accepted(named)
 
     def _victim_of_first_order(self, held: HeldAdapter) -> HeldAdapter | None:
         """Return an adapter to unload before the first load of a new owner.
@@ -360,8 +371,7 @@
         adapter. Of two unloads the engine accepts only the first. The same
         holds for an owner that has sent no order for a lease.
         """
-        chain = self.ledger.chain
-        if chain.is_holder() or not chain.sequence or held.replaces is not None:
+        if not self._needs_compared_order():
             return None
         popularity = self._context.popularity
         victim = self.ledger.least_valuable(popularity)
@@ -369,6 +379,18 @@
             self.ledger.residency.begin_unload(victim)
         return victim
 
+    def _needs_compared_order(self) -> bool:
+        """Return whether the engine has to compare the count of the next order.
+
+        A VM that has ordered last and misses no other VM need not evict an
+        adapter for that while slots are free.
+        """
+        chain = self.ledger.chain
+        if chain.is_holder():
+            return False
+        is_alone = chain.ordered and chain.sees_all()
+        return not (is_alone and self.ledger.free_slots() >= 0)
+
     async def _unload(self, victim: HeldAdapter) -> bool:
         """Unload an adapter; return whether its slot is free."""
         residency = self.ledger.residency
@@ -416,7 +438,9 @@
             adapter,
             count,
             self._context.vm,
-            self._numbers.number(self.ledger.born, count),
+            self._numbers.number(
+                self.ledger.born, count, is_tenant=chain.ordered
+            ),
             version,
         )
         self.ledger.sends.add()
@@ -430,9 +454,6 @@
         finally:
             chain.in_flight = False
         sent.log(outcome)
-        if outcome is OrderOutcome.UNKNOWN:
-            lease = self.ledger.settings.lease_seconds
-            self.ledger.late_orders.record(adapter, lease)
         if chain.starts != starts:
             # The answer concerns an earlier start of the engine.
             return _NOT_SENT
--- a/flamingovalve/gateway/group.py
+++ b/flamingovalve/gateway/group.py
@@ -216,6 +216,7 @@
             self.orders_after,
             predecessor_ended=self.predecessor_ended,
             is_established=self._is_established,
+            sees_all=self._sees_all,
             unsure_seconds=self._unsure_seconds(upstream.id),
         )
         link = self._link_to(upstream)
@@ -229,6 +230,7 @@
             tokens=TokenMemory(self.outputs),
             prefill_model=self.prefill_model,
             streams=EngineStreams(self.gaps),
+            sender=self._vm,
         )
         context = EngineContext(
             self._vm,
@@ -246,6 +248,10 @@
     def _is_established(self) -> bool:
         return self._claim_status().is_established
 
+    def _sees_all(self) -> bool:
+        status = self._claim_status()
+        return status.is_established and status.sees_all
+
     def _unsure_seconds(self, engine: UpstreamId) -> float:
         """Return how long an owner that may not be the only one waits more.
 
--- a/flamingovalve/gateway/ledger.py
+++ b/flamingovalve/gateway/ledger.py
@@ -7,7 +7,6 @@
 
 from flamingovalve.gateway.brittleness import Brittleness
 from flamingovalve.gateway.fencing import UNKNOWN_START
-from flamingovalve.gateway.late_orders import LateOrders
 from flamingovalve.gateway.learning import KeptAdapters, LoadTimes
 from flamingovalve.gateway.prefill import PrefillBacklog, must_yield
 from flamingovalve.gateway.prefill_model import (
@@ -22,7 +21,7 @@
 from flamingovalve.gateway.send_plan import SendPlan
 from flamingovalve.gateway.stream_gaps import EngineStreams, StreamGaps
 from flamingovalve.gateway.token_memory import TokenMemory
-from flamingovalve.util import clock
+from flamingovalve.util import clock, hashing
 from flamingovalve.util.pauses import doubled
 
 if TYPE_CHECKING:
@@ -128,7 +127,7 @@
     :ivar tokens: tokens of its places
     :ivar prefill_model: prefill times of the group's engines at pace 1
     :ivar streams: its running streams and the prompts that they meet
-    :ivar late_orders: orders without an answer, which may still arrive
+    :ivar sender: this VM; empty if there is no other one
     :ivar rejections: what it rejected from all VMs, if it is brittle
     """
 
@@ -162,7 +161,7 @@
     prefill_model: PrefillModel = field(default_factory=default_model)
     streams: EngineStreams = field(default_factory=_untaught_streams)
     rejections: Brittleness = field(default_factory=Brittleness)
-    late_orders: LateOrders = field(default_factory=LateOrders)
+    sender: str = ''
     _cached_victim: HeldAdapter | None = None
 
     @property
@@ -203,7 +202,10 @@
 
         It does for the unload of an adapter that it holds.
         """
-        return any(held.is_idle() for held in self.held.values())
+        return any(
+            held.is_idle() or held.awaits_unload()
+            for held in self.held.values()
+        )
 
     def slots(self) -> int:
         """Return the number of adapters that fit beside the models."""
@@ -295,20 +297,20 @@
     def least_valuable(self, popularity: Popularity) -> HeldAdapter | None:
         """Return the idle adapter with the lowest request rate.
 
-        One whose last order had no answer comes last.
-
         Every choice of an engine needs it, so the result is cached until
         another adapter becomes idle.
         """
         known = self._cached_victim
         if known is not None and self._is_evictable(known):
             return known
-        late = self.late_orders
+        # An engine accepts an unload that waits for requests from any sender,
+        # so two VMs should not begin with the unload of one adapter.
+        is_holder = self.chain.is_holder() or not self.sender
         idle = [held for held in self.held.values() if held.is_idle()]
         self._cached_victim = min(
             idle,
             key=lambda held: (
-                late.may_come(held.name),
+                0 if is_holder else hashing.uniform(self.sender, held.name),
                 popularity.rank(held.name),
                 held.used_at,
             ),
@@ -323,9 +325,7 @@
         return self.tokens.is_full(self.traits.kv_tokens)
 
     def _is_evictable(self, held: HeldAdapter) -> bool:
-        is_known = self.held.get(held.name) is held
-        is_late = self.late_orders.may_come(held.name)
-        return is_known and held.is_idle() and not is_late
+        return held.is_idle() and self.held.get(held.name) is held
 
     def can_load_adapter(self, popularity: Popularity) -> bool:
         """Return whether another adapter could be loaded now."""
@@ -428,7 +428,6 @@
         self.model_ready_at = 0
         self.unanswered_model_order = NO_ORDER
         self.is_busy = False
-        self.late_orders.clear()
         self.parts.clear()
         self.kept.clear()
         self.prefill.clear()
--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -138,6 +138,8 @@
     :ivar counted_at: when the last order was sent that the engine has counted
     :ivar is_established: returns whether this VM sees most VMs that may be
         alive and knows their claims, so that at most one VM can say so
+    :ivar sees_all: returns whether it is established and sees all VMs that may
+        be alive
     :ivar unsure_seconds: how much longer than a lease this VM waits otherwise
         before an order whose count the engine may not compare
     """
@@ -161,6 +163,7 @@
     was_holder: bool = False
     counted_at: float = float('-inf')
     is_established: Callable[[], bool] = _is_true
+    sees_all: Callable[[], bool] = _is_true
     unsure_seconds: float = 0
 
     def is_holder(self) -> bool:
@@ -241,7 +244,7 @@
         An engine also acknowledges orders that hold already or are being
         carried out, and does not count these.
         """
-        self.ordered = True
+        self.ordered = self.ordered or self.was_holder
         self.accepted_at = clock.now()
         self.record_unanswered()
 
--- a/flamingovalve/gateway/owned.py
+++ b/flamingovalve/gateway/owned.py
@@ -209,6 +209,7 @@
         other = self._claims.highest_of_others
         return ClaimStatus(
             self._claims.is_established(group),
+            self._claims.sees_all,
             claim.epoch if claim is not None and is_own else 0,
             other.epoch if other else 0,
             other.vm if other else '',
--- a/flamingovalve/gateway/ownership.py
+++ b/flamingovalve/gateway/ownership.py
@@ -39,6 +39,7 @@
     does not move a working group. A group without a valid claim is claimed
     by the live VM that ranks first in rendezvous hashing.
 
+    :ivar sees_all: whether this VM sees all VMs that may be alive
     :ivar highest_of_others: the claim of another VM with the highest epoch
         that was announced to this VM, in force or not
     """
@@ -61,6 +62,7 @@
         self.by_group: dict[GroupId, OwnerRumour] = {}
         self._received_at: dict[GroupId, float] = {}
         self._quorum_since = float('inf')
+        self.sees_all = False
         self.highest_of_others: OwnerRumour | None = None
 
     def owner(self, group: GroupId) -> VmId | None:
@@ -189,7 +191,8 @@
         return max(self._quorum_since, self._received_at[group]) <= latest
 
     def watch_quorum(self) -> None:
-        """Record since when this VM sees most VMs that may be alive."""
+        """Record since when this VM sees most VMs, and whether all."""
+        self.sees_all = self.members.visible_share() >= 1
         if self.members.has_quorum():
             self._quorum_since = min(self._quorum_since, clock.now())
         else:
--- a/flamingovalve/gateway/residency/held.py
+++ b/flamingovalve/gateway/residency/held.py
@@ -62,6 +62,10 @@
             return False
         return not self.uses
 
+    def awaits_unload(self) -> bool:
+        """Return whether an order to unload it is about to be sent."""
+        return self.state is AdapterState.UNLOADING and not self.is_ordered
+
     def may_occupy(self) -> bool:
         """Return whether the engine may hold it, in whatever version.
 
--- a/tests/test_owned_groups.py
+++ b/tests/test_owned_groups.py
@@ -7,15 +7,17 @@
 import curio
 
 from flamingovalve.gateway.catalogue import Catalogue
+from flamingovalve.gateway.fencing import OrderNumbers
 from flamingovalve.gateway.model import Configuration, UpstreamService
+from flamingovalve.gateway.orders import Action, OrderOutcome
 from flamingovalve.gateway.owned import OwnedGroups
 from flamingovalve.gateway.ownership import GroupClaims
 from flamingovalve.gateway.shards import Shards
 from flamingovalve.gateway.upstream_status import UpstreamStatus
-from flamingovalve.generated.ids import GroupId, ServiceId
+from flamingovalve.generated.ids import AdapterId, GroupId, ServiceId
 from flamingovalve.generated.messages import MemberState, OwnerRumour
 from flamingovalve.generated.settings import GatewaySettings
-from tests.rig.engines import TRAITS, report, upstream
+from tests.rig.engines import MODEL, TRAITS, report, upstream
 from tests.rig.timeline import TimedTestCase
 from tests.test_group_claims import VMS, rumour_of, table_of
 
@@ -33,6 +35,15 @@
 
     status = UpstreamStatus()
 
+    def __init__(self):
+        """Start without orders of this VM."""
+        self.orders = []
+
+    async def order(self, order):
+        """Accept an order."""
+        self.orders.append(order)
+        return OrderOutcome.ACCEPTED
+
     async def report(self, patience):
         """Return a report with seven accepted orders."""
         return report(7)
@@ -151,6 +162,29 @@
             engine = self.owned.find(GROUP).engines.engines_by_id['engine-0']
             await engine._poll_report()
             self.assertTrue(engine.ledger.may_order())
+            before = OrderNumbers(other).number(1, 6, is_tenant=False)
+            await engine._send(Action.LOAD, MODEL, AdapterId('a1'), 0)
+            self.assertGreater(engine._link.orders[0].fence, before)
+            await self.owned.close()
+
+        curio.run(scenario)
+
+    def test_engine_of_another_group_sees_a_higher_number(self):
+        """Guards against an engine that moves here after newer orders."""
+
+        async def scenario():
+            other = next(v for v in VMS if v != self.claims.members.own_id)
+            self.advance(10)
+            await self.reconcile()
+            self.catalogue._apply_upstream(upstream('engine-1'))
+            await self.reconcile()
+            engine = self.owned.find(GROUP).engines.engines_by_id['engine-1']
+            await engine._poll_report()
+            self.assertFalse(engine.ledger.may_order())
+            self.advance(2 * LEASE)
+            before = OrderNumbers(other).number(1, 6, is_tenant=False)
+            await engine._send(Action.LOAD, MODEL, AdapterId('a1'), 0)
+            self.assertGreater(engine._link.orders[0].fence, before)
             await self.owned.close()
 
         curio.run(scenario)
