Read each field of others' documents within bounds

Operators saw VMs end again and again, or stop following the list of upstreams, after another writer had left one odd entry there.

Cause: a field was bounded by its type alone, and Python's integers and texts have no bounds. One that fits no float, no message between VMs or no encoding fails far from where it was decoded, in a task that each VM runs.

An entry of a plain service with 10^4000 Slots (call_keeper, OverflowError); keys with a lone surrogate, also under a prefix that nobody uses (messages between VMs and hashes, UnicodeEncodeError); announcements of an adapter at version 10^4000, 10^30 and -1 (the width of the version in messages between VMs).

platform/fields reads numbers and texts within named ranges, or refuses the document with the field and its bound. Configuration, entries, announcements, reports and the lists of the store are decoded by it and nothing else, so their types hold what arithmetic and messages can carry. Start times and counts of reports keep fencing numbers below 2**53. An item of the store that cannot be read costs itself and no longer the whole list.

Stricter than before: `born` and `Version` of an entry, if present, must have their type, and Slots must not be negative.

--- a/flamingovalve/platform/store.py
+++ b/flamingovalve/platform/store.py
@@ -20,11 +20,14 @@
 from flamingovalve.generated.messages import Document
 from flamingovalve.http.bodies import BodyKind
 from flamingovalve.http.client import UpstreamCall
-from flamingovalve.platform import decode
+from flamingovalve.platform.fields import MAX_EXACT, Fields, Range, Text
+from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
     from flamingovalve.http.client import ConnectionPool
 
+logger = get_logger(__name__)
+
 _STATUS_OK: Final = 200
 _STATUS_GONE: Final = 410
 _MS_PER_SECOND: Final = 1000
@@ -35,6 +38,12 @@
 _WATCH_MARGIN_SECONDS: Final = 0.5
 # A page holds some 500 items, and a large deployment has 100,000 adapters.
 _MAX_PAGES: Final = 1000
+_REVISIONS: Final = Range(0, MAX_EXACT)
+# Several times what the store accepts.
+_MAX_KEY_BYTES: Final = 1024
+_MAX_ENCODED_BYTES: Final = 64_000_000
+_KEY: Final = Text(_MAX_KEY_BYTES)
+_ENCODED: Final = Text(_MAX_ENCODED_BYTES)
 
 
 @dataclass(slots=True)
@@ -66,10 +75,10 @@
         first_revision, documents = NOTHING_KNOWN, []
         for _page in range(_MAX_PAGES):
             raw = await self._get('/kv-range', query, _READ_SECONDS)
-            page = _parse_documents(raw.get('items', []))
+            page = _parse_documents(raw, 'items')
             documents += page
             first_revision = first_revision or _parse_revision(raw)
-            if not raw.get('MorePages'):
+            if not raw.has('MorePages'):
                 return Reading(documents, first_revision)
             if not page:
                 raise StoreUnavailable('a page that is not the last is empty')
@@ -95,16 +104,14 @@
             query,
             seconds + _WATCH_MARGIN_SECONDS,
         )
-        return Reading(
-            _parse_documents(raw.get('events', [])), _parse_revision(raw)
-        )
+        return Reading(_parse_documents(raw, 'events'), _parse_revision(raw))
 
     async def _get(
         self,
         path: str,
         query: dict[str, str],
         seconds: float,
-    ) -> dict[str, Any]:
+    ) -> Fields:
         self.calls += 1
         call = UpstreamCall(
             'GET', f'{path}?{urlencode(query)}', [], expected=BodyKind.JSON
@@ -120,27 +127,52 @@
         if response.status != _STATUS_OK:
             raise StoreUnavailable(f'{path}: status {response.status}')
         try:
-            return decode.json_object(response.body)
+            return Fields.of(response.body)
         except Undecodable as bad:
             raise StoreUnavailable(f'{path}: {bad}') from bad
 
 
-def _parse_revision(raw: dict[str, Any]) -> CompleteRevision:
-    revision = raw.get('StoreRevision')
-    if not isinstance(revision, int):
-        raise StoreUnavailable('the response lacks the revision of the store')
-    return CompleteRevision(revision)
+def _parse_revision(raw: Fields) -> CompleteRevision:
+    try:
+        return CompleteRevision(raw.integer('StoreRevision', _REVISIONS))
+    except Undecodable as bad:
+        raise StoreUnavailable(f'the response lacks {bad}') from bad
 
 
-def _parse_documents(entries: Any) -> list[Document]:
+def _parse_documents(raw: Fields, name: str) -> list[Document]:
+    """Return the documents of a list, without items that cannot be read."""
+    if not raw.contains(name):
+        return []
     try:
-        return [_parse_document(entry) for entry in entries]
-    except decode.SHAPE_ERRORS as bad:
-        raise StoreUnavailable(f'cannot decode an item: {bad!r}') from bad
+        return [
+            document
+            for entry, place in raw.entries(name)
+            if (document := _parse_document(entry, place)) is not None
+        ]
+    except Undecodable as bad:
+        raise StoreUnavailable(str(bad)) from bad
 
 
-def _parse_document(entry: dict[str, Any]) -> Document:
-    key, revision = str(entry['Key']), int(entry['Revision'])
-    if entry.get('Tombstone'):
+def _parse_document(entry: Any, place: str) -> Document | None:
+    """Return the document of an item; None if it has no usable key."""
+    try:
+        fields = Fields(entry, place)
+        key = fields.text('Key', _KEY)
+        revision = fields.integer('Revision', _REVISIONS)
+    except Undecodable as bad:
+        logger.warning('ignoring an item of the store: {}', bad)
+        return None
+    if fields.has('Tombstone'):
         return Document(key, revision, b'', True)
-    return Document(key, revision, base64.b64decode(entry['Value']))
+    return Document(key, revision, _content(fields))
+
+
+def _content(fields: Fields) -> bytes:
+    """Return the content of an item; empty if it cannot be read.
+
+    No empty document can be decoded, so it does not count as deleted.
+    """
+    try:
+        return base64.b64decode(fields.text('Value', _ENCODED, ''))
+    except (ValueError, Undecodable):
+        return b''
--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -8,22 +8,20 @@
 
 from flamingovalve.errors import ConnectionLost, HeldBack, Undecodable
 from flamingovalve.gateway.announcements import Announcement, Purpose
-from flamingovalve.gateway.orders import EngineReport, OrderOutcome
+from flamingovalve.gateway.orders import OrderOutcome
 from flamingovalve.gateway.relay import Verdict
-from flamingovalve.generated.ids import AdapterId, ModelId
 from flamingovalve.http.bodies import BodyKind
 from flamingovalve.http.client import UpstreamCall
-from flamingovalve.platform import decode
+from flamingovalve.platform import reports
+from flamingovalve.platform.fields import Fields
 from flamingovalve.util import clock
 from flamingovalve.util.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from flamingovalve.gateway.announcements import SentRequest
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
-    from flamingovalve.gateway.orders import Order
+    from flamingovalve.gateway.orders import EngineReport, Order
     from flamingovalve.gateway.relay import SendOptions
     from flamingovalve.gateway.upstream_client import UpstreamClient
     from flamingovalve.http.client import ResponseHead
@@ -173,7 +171,7 @@
         if response.status != _STATUS_OK:
             return None
         try:
-            return _report(response.body, asked_at)
+            return reports.report(Fields.of(response.body), asked_at)
         except Undecodable as bad:
             logger.warning(
                 'cannot decode the report of {}: {}', self._upstream.id, bad
@@ -260,47 +258,3 @@
     if order.version:
         body['Version'] = order.version
     return body
-
-
-def _report(content: bytes, asked_at: float) -> EngineReport:
-    raw = decode.json_object(content)
-    try:
-        return _decoded_report(raw, asked_at)
-    except decode.SHAPE_ERRORS as bad:
-        raise Undecodable(f'unexpected shape: {bad!r}') from bad
-
-
-def _decoded_report(raw: dict[str, Any], asked_at: float) -> EngineReport:
-    resident: dict[AdapterId, int] = {}
-    models = []
-    for model in raw['Models']:
-        models.append(ModelId(model['Name']))
-        for entry in model.get('Adapters', []):
-            name, version = _split_version(entry)
-            resident[name] = version
-    coming = [
-        _split_version(entry.partition('/')[2])[0]
-        for entry in raw.get('Coming', [])
-    ]
-    return EngineReport(
-        sequence=int(raw['Seq']),
-        born=int(raw.get('born', 0)),
-        models=models,
-        resident=resident,
-        coming=coming,
-        at_hand=frozenset(_at_hand(raw.get('AtHand', {}))),
-        is_busy=bool(raw.get('Busy', False)),
-        asked_at=asked_at,
-    )
-
-
-def _at_hand(raw: dict[str, list[str]]) -> Iterator[ModelId]:
-    for location in ('InMemory', 'OnDisk'):
-        for name in raw.get(location) or ():
-            yield ModelId(name)
-
-
-def _split_version(entry: str) -> tuple[AdapterId, int]:
-    """Split ``NAME@VERSION``; the version defaults to 1."""
-    name, _at, version = entry.partition('@')
-    return AdapterId(name), int(version or 1)
--- a/tests/rig/direct_engine.py
+++ b/tests/rig/direct_engine.py
@@ -15,7 +15,8 @@
 from flamingovalve.generated.ids import GroupId, VmId
 from flamingovalve.generated.settings import GatewaySettings
 from flamingovalve.http.messages import Response
-from flamingovalve.platform import upstreams
+from flamingovalve.platform import reports, upstreams
+from flamingovalve.platform.fields import Fields
 from flamingovalve.util import clock
 from standins.platform_runner import PlatformEngineStandIn
 from tests.rig.engines import MODEL, upstream
@@ -59,7 +60,7 @@
         asked_at = clock.now()
         shown = self._engine.report()
         await curio.sleep(self.report_seconds)
-        return upstreams._decoded_report(shown, asked_at)
+        return reports.report(Fields(shown), asked_at)
 
     async def order(self, order: Order) -> OrderOutcome:
         """Let the engine execute an order."""
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 
 from flamingovalve.errors import Undecodable
@@ -220,7 +221,7 @@
 
     def configuration(self, workspaces):
         """Decode a configuration with ``workspaces``."""
-        text = decode.json.dumps(
+        text = json.dumps(
             {'Version': 1, 'Routes': [], 'Services': [], 'Tenants': workspaces},
         )
         return decode.configuration(text.encode())
--- a/tests/test_token_memory.py
+++ b/tests/test_token_memory.py
@@ -13,6 +13,7 @@
 from flamingovalve.gateway.token_memory import OutputShare, TokenMemory
 from flamingovalve.generated.messages import PromptPart
 from flamingovalve.platform import decode
+from flamingovalve.platform.fields import Fields
 from tests.rig.engines import ask, ledger
 from tests.rig.site import Site
 from tests.rig.timeline import TimedTestCase
@@ -121,9 +122,9 @@
 
     def test_capacity_is_decoded_and_absent_means_no_bound(self):
         raw = {'Slots': 8, 'WeightsMb': 10, 'Models': []}
-        decoded = decode._engine({**raw, 'KvCapacity': 182795})
+        decoded = decode._engine(Fields({**raw, 'KvCapacity': 182795}))
         self.assertEqual(decoded.kv_tokens, 182_795)
-        self.assertEqual(decode._engine(raw).kv_tokens, 0)
+        self.assertEqual(decode._engine(Fields(raw)).kv_tokens, 0)
 
 
 class TestOrdinaryLoad(TimedTestCase):
