Remove an upstream only with the document that describes it

A document of another writer under any prefix, such as notes/ID, removed the upstream ID from the list of each VM when it was deleted, and one under servers/notes/ID replaced it. The upstream stayed away until its own entry changed.

Cause: the catalogue took what follows the last slash of any key for an id.

test_key_of_another_prefix_removes_no_upstream and test_log_says_once_what_is_ignored failed before.

--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -67,7 +67,13 @@
 
 @dataclass(slots=True)
 class _KnownUpstream:
+    """A registered upstream.
+
+    :ivar key: key of the document that describes it
+    """
+
     upstream: Upstream
+    key: str
     lapses_at: float = float('inf')
 
 
@@ -83,6 +89,13 @@
     changed_at: SeenRevision
 
 
+@dataclass(frozen=True, slots=True)
+class _Unusable:
+    """Stands for the content of a document that cannot be decoded."""
+
+    reason: str
+
+
 class Catalogue:
     """The newest published configuration, upstreams and adapter versions.
 
@@ -153,7 +166,8 @@
             return False
         revision = SeenRevision(document.revision)
         self.revision = max(self.revision, revision)
-        decoded = None if document.deleted else self._decode_or_none(document)
+        decoded = None if document.deleted else self._decode_or_mark(document)
+        self._note_unusable(known, document, decoded)
         if (
             known
             and in_sequence
@@ -169,7 +183,7 @@
         if document.deleted:
             self._delete(document.key, lapsed=document.lapsed)
         else:
-            self._apply_decoded(decoded)
+            self._apply_decoded(document.key, decoded)
         return True
 
     def replace_all(
@@ -289,24 +303,32 @@
             return False
         return clock.now() < known.lapses_at
 
-    def _decode_or_none(self, document: Document) -> Any:
+    def _decode_or_mark(self, document: Document) -> Any:
         try:
             return self._decode(document)
         except Undecodable as error:
             self.counts.undecodable += 1
+            return _Unusable(str(error))
+
+    def _note_unusable(
+        self, known: _KnownDocument | None, document: Document, decoded: Any
+    ) -> None:
+        """Log why a document is ignored, unless the log says so already."""
+        if not isinstance(decoded, _Unusable):
+            return
+        if known is None or known.decoded != decoded:
             logger.warning(
                 'ignoring document {} of revision {}: {}',
                 document.key,
                 document.revision,
-                error,
+                decoded.reason,
             )
-            return None
 
-    def _apply_decoded(self, decoded: Any) -> None:
+    def _apply_decoded(self, key: str, decoded: Any) -> None:
         if isinstance(decoded, Configuration):
             self._apply_configuration(decoded)
         elif isinstance(decoded, Upstream):
-            self._apply_upstream(decoded)
+            self._apply_upstream(key, decoded)
         elif isinstance(decoded, AdapterVersion):
             name = (decoded.model, decoded.adapter)
             self._versions[name] = decoded.version
@@ -327,13 +349,13 @@
             len(configuration.services_by_name),
         )
 
-    def _apply_upstream(self, upstream: Upstream) -> None:
+    def _apply_upstream(self, key: str, upstream: Upstream) -> None:
         self._lists_valid_until = float('-inf')
         known = self._upstreams_by_id.get(upstream.id)
         self.software.add(upstream)
         if known is not None:
             self.software.remove(known.upstream)
-        self._upstreams_by_id[upstream.id] = _KnownUpstream(upstream)
+        self._upstreams_by_id[upstream.id] = _KnownUpstream(upstream, key)
         if known is None or known.upstream.state is not upstream.state:
             logger.info(
                 'upstream {} of {} is {}',
@@ -345,7 +367,7 @@
     def _delete(self, key: str, *, lapsed: bool) -> None:
         name = UpstreamId(key.rpartition('/')[2])
         known = self._upstreams_by_id.get(name)
-        if known is None:
+        if known is None or known.key != key:
             return
         self._lists_valid_until = float('-inf')
         if not lapsed:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,6 +5,8 @@
 import json
 import unittest
 
+import logbook
+
 from tests.rig.site import Site
 from tests.test_unusable_addresses import entry
 
@@ -116,3 +118,30 @@
                 for number, content in enumerate(odd)
             }
         )
+
+    def test_log_says_once_what_is_ignored(self):
+        """Each heartbeat of the writer would be logged at each VM."""
+        odd = {**entry('127.0.0.1:9'), 'Slots': HUGE}
+        with logbook.TestHandler().applicationbound() as log:
+            for _heartbeat in range(3):
+                self.site.store.put('servers/odd', odd)
+                self.site.world.advance(2)
+        lines = [one for one in log.formatted_records if 'ignoring' in one]
+        self.assertEqual(len(lines), len(self.site.vms_by_id))
+        for line in lines:
+            self.assertIn('servers/odd of revision', line)
+            self.assertIn('Slots is not an integer from 0 to 1000000', line)
+
+    def test_key_of_another_prefix_removes_no_upstream(self):
+        """The end of a key names an upstream, whatever stands before it."""
+        foreign = ('notes/app-0', 'servers/notes/app-1')
+        for key in foreign:
+            self.site.store.put(key, entry('127.0.0.1:9'))
+        self.site.world.advance(2)
+        for key in foreign:
+            self.site.store.delete(key)
+        self.site.world.advance(2)
+        for vm in self.site.vms_by_id.values():
+            for app in self.site.apps:
+                found = vm.daemon.catalogue.find_upstream(app.name)
+                self.assertEqual(found.address, app.address)
