Read the time of Keep-Alive and write log lines whatever they hold

Two more values of others ended a task. 'Keep-Alive: timeout=²' of an upstream raised ValueError after the answer had arrived, as the digit passes isdigit and is no number. A log line with a lone surrogate raised UnicodeEncodeError in the task that logged it, if lines are text.

The time is read as the other numbers in headers are, and a character without an encoding is escaped.

--- a/flamingovalve/platform/upstreams.py
+++ b/flamingovalve/platform/upstreams.py
@@ -136,8 +136,8 @@
         text = head.headers.get('keep-alive', '')
         for part in text.split(','):
             name, _equals, seconds = part.strip().partition('=')
-            if name == 'timeout' and seconds.isdigit():
-                return float(seconds)
+            if name == 'timeout':
+                return _decimal(seconds)
         return None
 
 
--- a/flamingovalve/util/lines.py
+++ b/flamingovalve/util/lines.py
@@ -25,7 +25,7 @@
 
     def write(self, text: str) -> int:
         """Write one line, truncated to the size of an atomic write."""
-        encoded = text.encode()
+        encoded = text.encode(errors='backslashreplace')
         if len(encoded) > _MAX_LINE_BYTES:
             encoded = b''.join((encoded[: _MAX_LINE_BYTES - 1], b'\n'))
         if self.dropped and self._try_write(self._dropped_line()):
