Keep the ends of upstreams untold after the first ones are all gone

Callers saw: after a loss of all VMs, beside VMs that reach no other, requests were sent on although two upstreams had ended under them at this very VM and all upstreams of the service had been replaced meanwhile.

Cause: starts of upstreams that nobody can explain are counted from the oldest upstream that is registered. Once the last of the first upstreams had ended, the oldest one was a replacement itself, the count fell to 0, and each call was again allowed three ends.

A VM now remembers the first start that it has seen, and looks at each request, at most four times a second. The new test failed before (the call with one end beside two untold ones was sent).

--- a/flamingovalve/gateway/quarantine/quarantine.py
+++ b/flamingovalve/gateway/quarantine/quarantine.py
@@ -122,6 +122,7 @@
 
         :raises ServingError: if it is convicted for one of its causes
         """
+        self._untold.look()
         if not self._suspects:
             return
         request.lost_before = self._suspicion(causes_of(request))
--- a/flamingovalve/gateway/quarantine/untold_ends.py
+++ b/flamingovalve/gateway/quarantine/untold_ends.py
@@ -23,10 +23,14 @@
 # An upstream that ended before a time has started again this long after it.
 _RETURN_SECONDS: Final = 3.0
 _MS_PER_SECOND: Final = 1000
+_LOOK_SECONDS: Final = 0.25
 
 
 class UntoldEnds:
-    """Ends that nobody in touch can have told this VM."""
+    """Ends that nobody in touch can have told this VM.
+
+    The first start is remembered, as all of the first upstreams may have ended.
+    """
 
     def __init__(
         self,
@@ -41,6 +45,17 @@
         self._upstreams = upstreams
         self._knowledge = knowledge
         self._seconds = seconds
+        self._first_born = float('inf')
+        self._looked_at = float('-inf')
+
+    def look(self) -> None:
+        """Remember the first start of an upstream that is registered."""
+        now = clock.now()
+        if now < self._looked_at + _LOOK_SECONDS:
+            return
+        self._looked_at = now
+        births = (one.born for one in self._upstreams() if one.born)
+        self._first_born = min(self._first_born, *births, float('inf'))
 
     def count(self, service: ServiceId) -> int:
         """Return how many upstreams may have ended under one request.
@@ -49,17 +64,20 @@
         """
         if self._knowledge.covered() >= self._seconds:
             return 0
-        started = [one for one in self._upstreams() if one.born]
-        ages = list(map(_age_of, started))
+        self.look()
         youngest = self._knowledge.covered() - _RETURN_SECONDS
-        oldest = max(ages, default=0) - _FIRST_STARTS_SECONDS
+        oldest = _age(self._first_born) - _FIRST_STARTS_SECONDS
         oldest = min(oldest, self._seconds)
         return sum(
-            youngest <= age < oldest and one.service == service
-            for one, age in zip(started, ages, strict=True)
+            youngest <= _age(one.born) < oldest
+            for one in self._upstreams()
+            if one.born and one.service == service
         )
 
 
-def _age_of(upstream: Upstream) -> float:
-    """Return the seconds since an upstream started, by its own clock."""
-    return clock.wall() - upstream.born / _MS_PER_SECOND
+def _age(born: float) -> float:
+    """Return the seconds since an upstream started, by its own clock.
+
+    :param born: when it started, in milliseconds
+    """
+    return clock.wall() - born / _MS_PER_SECOND
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -280,6 +280,27 @@
             seconds = vm.refusal_seconds(request())
             self.assertEqual(seconds, 60 if is_refused else 0)
 
+    def test_first_upstreams_that_have_all_ended(self):
+        """Guards against ends forgotten with the last of the first upstreams."""
+        now = int(clock.wall() * 1000)
+        service = request().service
+        registered = [
+            dataclasses.replace(upstream(f'app-{at}'), born=at, service=service)
+            for at in (now - 100_000, now - 9_000, now - 8_000)
+        ]
+        vm = CrashQuarantine(
+            SECONDS,
+            self._find_end,
+            lambda _name: self.heard_at,
+            lambda _cause: True,
+            upstreams=lambda: registered,
+        )
+        vm.admit(request())
+        self.advance(1)
+        registered.pop(0)
+        self.record(vm, request(), Outcome.LOST)
+        self.assertGreater(vm.refusal_seconds(request()), 0)
+
     def test_suspect_call_runs_once_at_a_time(self):
         """Guards against several runs of a call before the first one ends."""
         for _crash in range(2):
