Let no VM that reaches no other take its own ends for all there are

Callers saw: a deadly request was sent on by a VM that reached no other one, with an end that it knew of itself, in a fleet that had lost most of its upstreams to it.

Cause: starts of upstreams that nobody can explain count for a VM that may miss ends. A VM took itself for informed while it had a quorum. Of two VMs the one with the lowest id has it alone, which decides who owns something and says nothing about what it hears; VMs that have ended don't count for a quorum, but may be back, unseen.

That VMs which ended may be back is by reading.

A VM now has to see more than half of all VMs that it knows. The new test failed before (10 s covered, not 0).

--- a/flamingovalve/gateway/quarantine/access.py
+++ b/flamingovalve/gateway/quarantine/access.py
@@ -8,7 +8,7 @@
 from flamingovalve.gateway.quarantine.handover import Handover
 from flamingovalve.gateway.quarantine.quarantine import CrashQuarantine
 from flamingovalve.generated.messages import EndsAsk
-from flamingovalve.membership.members import heard_count
+from flamingovalve.membership.members import heard_count, sees_majority
 
 if TYPE_CHECKING:
     import random
@@ -56,7 +56,7 @@
                 members.has_quorum() and members.ranks_first(f'probe {cause}')
             ),
             functools.partial(heard_count, members),
-            members.has_quorum,
+            functools.partial(sees_majority, members),
             functools.partial(_all_upstreams, catalogue),
         )
         return cls(quarantine, Handover(quarantine, peers, rng))
--- a/flamingovalve/gateway/quarantine/knowledge.py
+++ b/flamingovalve/gateway/quarantine/knowledge.py
@@ -26,18 +26,18 @@
         self,
         suspects: Suspects,
         heard_from: Callable[[], int],
-        has_quorum: Callable[[], bool],
+        sees_majority: Callable[[], bool],
     ) -> None:
         """Start without any report.
 
         :param suspects: the ends that this VM holds
-        :param has_quorum: returns whether this VM sees most others
+        :param sees_majority: returns whether this VM sees most others
         :param heard_from: returns the number of VMs that a datagram has
             arrived from
         """
         self._suspects = suspects
         self._heard_from = heard_from
-        self._has_quorum = has_quorum
+        self._sees_majority = sees_majority
         self._started_at = clock.now()
         self.since = self._started_at
         self._checked_at = float('-inf')
@@ -47,18 +47,18 @@
     def covered(self) -> float:
         """Return for how many seconds this VM has known all ends.
 
-        Without a quorum it may miss any of them.
+        Without a majority it may miss any of them.
         """
         now = clock.now()
         if now >= self._checked_at + _CHECK_SECONDS:
             self._checked_at = now
-            if not self._has_quorum():
+            if not self._sees_majority():
                 self.since = now
         return now - self.since
 
     def record_cover(self, seconds: float) -> None:
         """Record that ends of the last ``seconds`` were taken over."""
-        if self._has_quorum():
+        if self._sees_majority():
             self.since = min(self.since, clock.now() - seconds)
 
     def record_report(self, known: int) -> None:
--- a/flamingovalve/gateway/quarantine/quarantine.py
+++ b/flamingovalve/gateway/quarantine/quarantine.py
@@ -85,7 +85,7 @@
         heard_at: Callable[[UpstreamId], float],
         is_prober: Callable[[Fingerprint], bool],
         heard_from: Callable[[], int] = int,
-        has_quorum: Callable[[], bool] = _sees_all,
+        sees_majority: Callable[[], bool] = _sees_all,
         upstreams: Callable[[], list[Upstream]] = list,
     ) -> None:
         """Keep ends and successes for ``seconds``.
@@ -97,7 +97,7 @@
         :param is_prober: returns whether this VM sends the probes of a cause
         :param heard_from: returns the number of VMs that a datagram has
             arrived from
-        :param has_quorum: returns whether this VM sees most others
+        :param sees_majority: returns whether this VM sees most others
         :param upstreams: returns the upstreams of all services
         """
         self.counts = CrashCounts()
@@ -108,7 +108,7 @@
         self._heard_at = heard_at
         self._suspects = Suspects(seconds)
         self.reports = EndReports(self._suspects)
-        self.knowledge = Knowledge(self._suspects, heard_from, has_quorum)
+        self.knowledge = Knowledge(self._suspects, heard_from, sees_majority)
         self._untold = UntoldEnds(upstreams, self.knowledge, seconds)
         self._trials = Trials()
         self.verdicts = Verdicts(
--- a/flamingovalve/membership/members.py
+++ b/flamingovalve/membership/members.py
@@ -454,6 +454,14 @@
     return _SEVERITY[rumour.state] > _SEVERITY[member.state]
 
 
+def sees_majority(members: MemberTable) -> bool:
+    """Return whether this VM sees a majority of all VMs.
+
+    VMs that have ended count too, as they may run again unseen.
+    """
+    return 2 * len(members.present()) > len(members.by_id)
+
+
 def heard_count(members: MemberTable) -> int:
     """Return the number of VMs that a datagram has arrived from."""
     return sum(member.heard_at >= 0 for member in members.others())
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,6 +11,7 @@
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway.inbound import Completion, InboundRequest
 from flamingovalve.gateway.model import RepeatPolicy, Route
+from flamingovalve.gateway.quarantine.access import QuarantineAccess
 from flamingovalve.gateway.quarantine.causes import causes_of
 from flamingovalve.gateway.quarantine.ends import End, Instance
 from flamingovalve.gateway.quarantine.handover import Handover
@@ -18,10 +19,17 @@
 from flamingovalve.gateway.quarantine.suspects import Suspects
 from flamingovalve.gateway.quarantine.upstream_ends import EndSign
 from flamingovalve.gateway.relay import Outcome, SendResult
-from flamingovalve.generated.ids import RequestId
-from flamingovalve.generated.messages import EndsAsk, PromptPart, TrialRumour
+from flamingovalve.generated.ids import Incarnation, RequestId, VmId
+from flamingovalve.generated.messages import (
+    EndsAsk,
+    MemberState,
+    PromptPart,
+    TrialRumour,
+)
+from flamingovalve.generated.settings import PublishedVm, Settings, VmList
 from flamingovalve.http.bodies import BodyEnd, BodyKind, Framing, ReceivedBody
 from flamingovalve.membership.gossip import Dissemination
+from flamingovalve.membership.members import MemberTable
 from flamingovalve.util import clock
 from tests.rig.engines import upstream
 from tests.rig.timeline import TimedTestCase
@@ -301,6 +309,26 @@
         self.record(vm, request(), Outcome.LOST)
         self.assertGreater(vm.refusal_seconds(request()), 0)
 
+    def test_vm_that_reaches_no_other(self):
+        """Guards against a VM alone that takes what it knows for all ends."""
+        for count, has_ended in ((2, False), (4, True)):
+            names = [VmId(f'vm-{number}') for number in range(count)]
+            members = MemberTable(names[0], Incarnation(1))
+            members.replace_list(VmList(1, list(map(PublishedVm, names))))
+            access = QuarantineAccess.from_config(
+                Settings(), members, Mock(), Mock(), Mock(), random.Random(1)
+            )
+            knowledge = access.quarantine.knowledge
+            self.advance(5)
+            self.assertGreaterEqual(knowledge.covered(), 5)
+            for member in members.others():
+                member.incarnation = Incarnation(1)
+                if has_ended:
+                    member.record_end(member.incarnation)
+                members.change(member, MemberState.DEAD)
+            self.advance(5)
+            self.assertEqual(knowledge.covered(), 0)
+
     def test_suspect_call_runs_once_at_a_time(self):
         """Guards against several runs of a call before the first one ends."""
         for _crash in range(2):
