--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,6 +11,7 @@
 from flamingovalve.errors import ErrorKind, ServingError
 from flamingovalve.gateway.inbound import Completion, InboundRequest
 from flamingovalve.gateway.model import RepeatPolicy, Route
+from flamingovalve.gateway.quarantine.access import QuarantineAccess
 from flamingovalve.gateway.quarantine.causes import causes_of
 from flamingovalve.gateway.quarantine.ends import End, Instance
 from flamingovalve.gateway.quarantine.handover import Handover
@@ -18,10 +19,17 @@
 from flamingovalve.gateway.quarantine.suspects import Suspects
 from flamingovalve.gateway.quarantine.upstream_ends import EndSign
 from flamingovalve.gateway.relay import Outcome, SendResult
-from flamingovalve.generated.ids import RequestId
-from flamingovalve.generated.messages import EndsAsk, PromptPart, TrialRumour
+from flamingovalve.generated.ids import Incarnation, RequestId, VmId
+from flamingovalve.generated.messages import (
+    EndsAsk,
+    MemberState,
+    PromptPart,
+    TrialRumour,
+)
+from flamingovalve.generated.settings import PublishedVm, Settings, VmList
 from flamingovalve.http.bodies import BodyEnd, BodyKind, Framing, ReceivedBody
 from flamingovalve.membership.gossip import Dissemination
+from flamingovalve.membership.members import MemberTable
 from flamingovalve.util import clock
 from tests.rig.engines import upstream
 from tests.rig.timeline import TimedTestCase
@@ -280,6 +288,47 @@
             seconds = vm.refusal_seconds(request())
             self.assertEqual(seconds, 60 if is_refused else 0)
 
+    def test_first_upstreams_that_have_all_ended(self):
+        """Guards against ends forgotten with the last of the first upstreams."""
+        now = int(clock.wall() * 1000)
+        service = request().service
+        registered = [
+            dataclasses.replace(upstream(f'app-{at}'), born=at, service=service)
+            for at in (now - 100_000, now - 9_000, now - 8_000)
+        ]
+        vm = CrashQuarantine(
+            SECONDS,
+            self._find_end,
+            lambda _name: self.heard_at,
+            lambda _cause: True,
+            upstreams=lambda: registered,
+        )
+        vm.admit(request())
+        self.advance(1)
+        registered.pop(0)
+        self.record(vm, request(), Outcome.LOST)
+        self.assertGreater(vm.refusal_seconds(request()), 0)
+
+    def test_vm_that_reaches_no_other(self):
+        """Guards against a VM alone that takes what it knows for all ends."""
+        for count, has_ended in ((2, False), (4, True)):
+            names = [VmId(f'vm-{number}') for number in range(count)]
+            members = MemberTable(names[0], Incarnation(1))
+            members.replace_list(VmList(1, list(map(PublishedVm, names))))
+            access = QuarantineAccess.from_config(
+                Settings(), members, Mock(), Mock(), Mock(), random.Random(1)
+            )
+            knowledge = access.quarantine.knowledge
+            self.advance(5)
+            self.assertGreaterEqual(knowledge.covered(), 5)
+            for member in members.others():
+                member.incarnation = Incarnation(1)
+                if has_ended:
+                    member.record_end(member.incarnation)
+                members.change(member, MemberState.DEAD)
+            self.advance(5)
+            self.assertEqual(knowledge.covered(), 0)
+
     def test_suspect_call_runs_once_at_a_time(self):
         """Guards against several runs of a call before the first one ends."""
         for _crash in range(2):
