--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -328,7 +328,7 @@
         if isinstance(decoded, Configuration):
             self._apply_configuration(decoded)
         elif isinstance(decoded, Upstream):
-            self._apply_upstream(key, decoded)
+            self._apply_upstream(decoded, key)
         elif isinstance(decoded, AdapterVersion):
             name = (decoded.model, decoded.adapter)
             self._versions[name] = decoded.version
@@ -349,7 +349,7 @@
             len(configuration.services_by_name),
         )
 
-    def _apply_upstream(self, key: str, upstream: Upstream) -> None:
+    def _apply_upstream(self, upstream: Upstream, key: str = '') -> None:
         self._lists_valid_until = float('-inf')
         known = self._upstreams_by_id.get(upstream.id)
         self.software.add(upstream)
