Take the only version for a stream's only if the store listed it at the return

What callers saw: during a release, a stream that had begun on an upstream of the new version broke off, was resumed at a VM that was cut off from the other VMs and the store, and went on at an upstream of the old version.

Cause: a VM that lists one version took it for the version of the stream if its documents had been confirmed within the last 1.5 s and all VMs that answered agreed, also if none answered. A version can register, begin a stream and lose it within that time.

Evidence: tests/rig/out_of_step.py, 6 VMs, 12 s of one version, one VM falls out of step up to 0.6 s before two engines of a new version register; streams begin there through other VMs, break after one event and are resumed at that VM.

The rule now: the VM reads the store's changes after the stream has returned. A version that began the stream had registered before that, so the store lists it. Returns at the same time share a call. Without the store, every other VM that may run has to answer and agree, and the documents have to be confirmed as before; else the stream is refused as not resumable.

--- a/flamingovalve/gateway/confirmation.py
+++ b/flamingovalve/gateway/confirmation.py
@@ -28,3 +28,10 @@
     def age(self) -> float:
         """Return the seconds since the last confirmation; infinite if none."""
         return clock.boot() - self._as_of
+
+    def is_later_than(self, instant: float) -> bool:
+        """Return whether the configuration was current at an instant.
+
+        :param instant: time on the boot clock
+        """
+        return self._as_of >= instant
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -236,8 +236,7 @@
             self.members,
             self.peers,
             self.catalogue,
-            self.follower.confirmation,
-            self.follower.renew_confirmation,
+            self.follower,
             self.background,
         )
         self.completions = CompletionServer(
--- a/flamingovalve/gateway/follower.py
+++ b/flamingovalve/gateway/follower.py
@@ -111,6 +111,7 @@
         self._rng = rng
         self._coverage = catalogue.coverage
         self._fetches = FetchPlan(self._coverage, self._other_watchers)
+        self._confirming = curio.Lock()
         self._must_read = True
         self._is_watching = False
         self._loss_published_at = float('-inf')
@@ -231,8 +232,23 @@
             has_replied |= await self._fetch_from(vm, _CONFIRM_TIMEOUT_SECONDS)
             if self.confirmation.age() <= target_age + _CONFIRM_TIMEOUT_SECONDS:
                 return
-        if has_replied:
-            return
+        if not has_replied:
+            await self._catch_up()
+
+    async def confirm_at_store(self, instant: float) -> bool:
+        """Read the changes that the store held at an instant.
+
+        Callers at the same time share one call to the store.
+
+        :param instant: time on the boot clock
+        :returns: whether the configuration is known to have been current then
+        """
+        async with self._confirming:
+            if not self.confirmation.is_later_than(instant):
+                await self._catch_up()
+        return self.confirmation.is_later_than(instant)
+
+    async def _catch_up(self) -> None:
         try:
             await self._follow(_CATCH_UP_SECONDS)
         except (HistoryGone, StoreUnavailable) as failed:
--- a/flamingovalve/gateway/origin_keepers.py
+++ b/flamingovalve/gateway/origin_keepers.py
@@ -98,6 +98,10 @@
             and member.vm.id != self._members.own_id
         ]
 
+    def count_others(self) -> int:
+        """Return the number of other VMs that may run."""
+        return len(self._members.present()) - 1
+
     def nearest(self, name: str) -> list[Member]:
         """Return the other VMs that keep the origin of an attempt."""
         by_id = {member.vm.id: member for member in self.reachable()}
--- a/flamingovalve/gateway/stream_versions.py
+++ b/flamingovalve/gateway/stream_versions.py
@@ -28,10 +28,8 @@
 from flamingovalve.util.rates import TokenBucket
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from flamingovalve.gateway.catalogue import Catalogue
-    from flamingovalve.gateway.confirmation import Confirmation
+    from flamingovalve.gateway.follower import CatalogueFollower
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.model import Upstream
     from flamingovalve.gateway.stream_origins import KnownOrigin
@@ -90,23 +88,19 @@
         members: MemberTable,
         peers: PeerPool,
         catalogue: Catalogue,
-        confirmation: Confirmation,
-        renew_confirmation: Callable[[float], Awaitable[None]],
+        follower: CatalogueFollower,
         background: TaskSet,
     ) -> None:
         """Tell and ask ``members`` through ``peers``.
 
-        :param confirmation: when ``catalogue`` was last known to be current
-        :param renew_confirmation: finds out whether it is, given an age in
-            seconds to reach
+        :param follower: keeps ``catalogue`` current
         :param background: runs the messages that nobody waits for
         """
         self.origins = StreamOrigins()
         self._keepers = OriginKeepers(members, peers, self.origins, background)
         self.counts = self._keepers.counts
         self._catalogue = catalogue
-        self._confirmation = confirmation
-        self._renew_confirmation = renew_confirmation
+        self._follower = follower
         self._wide_asks = TokenBucket(_WIDE_ASKS_PER_SECOND, _WIDE_ASKS_BURST)
         self._memory = StreamMemory(catalogue)
         self._sole: set[ServiceId] = set()
@@ -209,8 +203,11 @@
             request.origin = known.to_message()
             return _Finding('own')
         finding = _Finding()
+        returned_at = clock.boot()
         nearest = self._keepers.nearest(request.resumed_id)
         await self._ask_members(request, nearest, finding)
+        if request.origin is None:
+            await self._settle_at_store(request, finding, returned_at)
         if request.origin is not None:
             return finding
         if self._wide_asks.take():
@@ -220,6 +217,8 @@
         reachable = self._keepers.reachable()
         others = [one for one in reachable if one not in nearest]
         await self._ask_members(request, others, finding)
+        if request.origin is None:
+            await self._settle_by_all(request, finding)
         return finding
 
     async def _ask_members(
@@ -230,7 +229,7 @@
     ) -> None:
         """Ask VMs at once, until one of them knows the origin.
 
-        Sets ``request.origin`` if they settle it.
+        Sets ``request.origin`` if one does.
         """
         ask = StreamOriginAsk(request.resumed_id, _services(request)[0])
         finding.asked += len(members)
@@ -245,7 +244,6 @@
                 if task.result.origin.known:
                     self._learn(request, task.result, finding)
                     return
-        await self._settle(request, finding)
 
     def _learn(
         self,
@@ -258,38 +256,55 @@
         finding.source = 'vm'
         finding.vm = reply.vm
 
-    async def _settle(self, request: InboundRequest, finding: _Finding) -> None:
+    async def _settle_at_store(
+        self, request: InboundRequest, finding: _Finding, returned_at: float
+    ) -> None:
         """Take the only version of a service for the origin, if that is sure.
 
-        It is, if the documents of this VM are current, and all VMs that answer
-        agree.
+        A version that began a stream had registered before the stream returned,
+        so the store lists it.
+
+        :param returned_at: when the stream was resumed, on the boot clock
         """
-        services = _services(request)
-        software = self._agreed(services[0], finding.replies)
-        if software is None or len(services) > 1:
+        if self._agreed(request, finding) is None:
+            return
+        if await self._follower.confirm_at_store(returned_at):
+            self._settle(request, finding)
+
+    async def _settle_by_all(
+        self, request: InboundRequest, finding: _Finding
+    ) -> None:
+        """Do so without the store, if every VM that may have begun it agrees."""
+        if len(finding.replies) < max(self._keepers.count_others(), 1):
             return
-        if self._confirmation.age() > _FRESH_SECONDS:
-            await self._renew_confirmation(_FRESH_SECONDS)
-        if self._confirmation.age() > _MAX_AGE_SECONDS:
+        if self._agreed(request, finding) is None:
             return
-        if self._agreed(services[0], finding.replies) == software:
-            request.origin = StreamOrigin(
-                request.resumed_id, services[0], software
-            )
-            finding.source = 'sole'
+        confirmation = self._follower.confirmation
+        if confirmation.age() > _FRESH_SECONDS:
+            await self._follower.renew_confirmation(_FRESH_SECONDS)
+        if confirmation.age() <= _MAX_AGE_SECONDS:
+            self._settle(request, finding)
+
+    def _settle(self, request: InboundRequest, finding: _Finding) -> None:
+        software = self._agreed(request, finding)
+        if software is None:
+            return
+        service = _services(request)[0]
+        request.origin = StreamOrigin(request.resumed_id, service, software)
+        finding.source = 'sole'
 
-    def _agreed(
-        self, service: ServiceId, replies: list[StreamOriginReply]
-    ) -> str | None:
+    def _agreed(self, request: InboundRequest, finding: _Finding) -> str | None:
         """Return the only version that this VM and others list; None for none.
 
         One of them must have listed it alone for longer than a stream can be
         resumed.
         """
+        services = _services(request)
+        service, replies = services[0], finding.replies
         own = self._catalogue.software.sole(service)
-        if own is None or not all(reply.is_sole for reply in replies):
+        if own is None or len(services) > 1:
             return None
-        if any(reply.sole_software != own.software for reply in replies):
+        if any(_differs(reply, own.software) for reply in replies):
             return None
         seconds = [own.seconds, *(reply.sole_seconds for reply in replies)]
         is_long = max(seconds) >= self._memory.seconds(service)
@@ -365,6 +380,10 @@
     return bool(request.resumed_id) or request.resumed_after not in {'', '0'}
 
 
+def _differs(reply: StreamOriginReply, software: str) -> bool:
+    return not reply.is_sole or reply.sole_software != software
+
+
 def _services(request: InboundRequest) -> list[ServiceId]:
     """Return the services that a route may send a request to."""
     shares = request.route.services
--- a/tests/rig/version_play.py
+++ b/tests/rig/version_play.py
@@ -275,6 +275,10 @@
         self.caller.node.spawn(self._run_client, stream)
         return stream
 
+    def choose_vm(self, _stream: Stream) -> str:
+        """Return the VM to which a client sends its next attempt."""
+        return self.rng.choice(list(self.vms_by_id))
+
     async def _run_client(self, stream: Stream) -> None:
         ends_at = self.world.monotonic() + _CLIENT_SECONDS
         for _try in range(_MAX_TRIES):
@@ -285,7 +289,7 @@
 
     async def _try(self, stream: Stream, left: float) -> bool:
         """Make one attempt; return whether the client is done."""
-        vm_id = self.rng.choice(list(self.vms_by_id))
+        vm_id = self.choose_vm(stream)
         headers = {}
         if stream.began:
             headers['Resumes'] = stream.began
