Count silent VMs among those that have to agree without the store

VMs that it had come to miss did not count, though one of them may have begun the stream at a new version.

--- a/flamingovalve/gateway/origin_keepers.py
+++ b/flamingovalve/gateway/origin_keepers.py
@@ -99,8 +99,8 @@
         ]
 
     def count_others(self) -> int:
-        """Return the number of other VMs that may run."""
-        return len(self._members.present()) - 1
+        """Return the number of other VMs that may run, silent or not."""
+        return self._members.possible_count() - 1
 
     def nearest(self, name: str) -> list[Member]:
         """Return the other VMs that keep the origin of an attempt."""
