--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import re
 import unittest
-from pathlib import Path
 
 from flamingovalve.config.settings import parse_settings
-
-TEMPLATE = Path(__file__).parent.parent / 'deploy' / 'settings.ini'
+from tests.rig.settings_template import render
 
 # Fields that the platform fills in, under their documented names.
 FIELDS = {
@@ -29,21 +26,6 @@
 }
 
 
-SECTION = re.compile(r'\{\{#([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n', re.DOTALL)
-INVERTED_SECTION = re.compile(
-    r'\{\{\^([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n', re.DOTALL
-)
-VARIABLE = re.compile(r'\{\{([\w.]+)\}\}')
-
-
-def render(fields: dict[str, str]) -> str:
-    """Render the template as the platform does."""
-    text = TEMPLATE.read_text('utf-8')
-    text = SECTION.sub(lambda f: f[2] if f[1] in fields else '', text)
-    text = INVERTED_SECTION.sub(lambda f: '' if f[1] in fields else f[2], text)
-    return VARIABLE.sub(lambda f: fields.get(f[1], ''), text)
-
-
 class TestTemplate(unittest.TestCase):
     """Settings rendered from the deployment template."""
 
