--- a/tests/test_order_processes.py
+++ b/tests/test_order_processes.py
@@ -15,6 +15,7 @@
 
 SECONDS = 40
 CI_SECONDS = 25
+# A seed that finds fencing numbers made from one revision of the store.
 CI_SEED = 1
 FEWEST_ORDERS = 50
 
