Take the count that an established owner's order has raised for its own

The load of an owner that was not the holder is acknowledged only, and the report that shows it counted was taken for another VM's order, after which a VM waits for a lease.

An established owner may be the only one that orders, so the count that its order named plus one is its own. test_loads_after_a_pause failed before.

--- a/flamingovalve/gateway/orders.py
+++ b/flamingovalve/gateway/orders.py
@@ -132,9 +132,9 @@
     :ivar began_at: when this VM began to monitor the engine
     :ivar accepted_at: when the engine accepted the last order of this VM
     :ivar sent_at: when the last order of this VM was sent
-    :ivar was_holder: whether no other VM could send one when it was sent, as
-        this one was the holder, succeeded one that has ended, or was the
-        first
+    :ivar was_holder: whether no other VM was to send one when it was sent, as
+        this one was the holder, succeeded one that has ended, or was
+        established
     :ivar counted_at: when the last order was sent that the engine has counted
     :ivar is_established: returns whether this VM sees most VMs that may be
         alive and knows their claims, so that at most one VM can say so
@@ -223,7 +223,7 @@
         """Record that an order of this VM is about to be sent."""
         self.sent_at = clock.now()
         self.was_holder = (
-            self.is_holder() or self.predecessor_ended or self._is_first()
+            self.is_holder() or self.predecessor_ended or self.is_established()
         )
 
     def record_accepted(self, named: int | None = None) -> None:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -156,6 +156,7 @@
 
     def test_unanswered_order_of_a_vm_that_was_not_the_holder(self):
         """Guards against another VM's order that is taken for the own one."""
+        self.chain.is_established = bool
         self.chain.record_report(report(7))
         self.advance(LEASE + LAG + 0.1)
         self.chain.record_sent()
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -183,6 +183,16 @@
         self.rig.world.advance(1.2)
         self.assertTrue(waiter.terminated)
 
+    def test_loads_after_a_pause(self):
+        """Guards against an owner that takes its order for another VM's."""
+        self.rig.run(self.begin('a0').join)
+        self.rig.world.advance(10)
+        self.begin('a1')
+        self.rig.world.advance(1)
+        self.begin('a2')
+        self.rig.world.advance(1)
+        self.assertLessEqual({'a1', 'a2'}, self.engine.occupying())
+
     def test_late_load_at_a_count_that_the_engine_reaches_later(self):
         """Guards against an unload that holds and is counted nevertheless."""
         self.fill(*NAMES)
