--- a/flamingovalve/gateway/catalogue.py
+++ b/flamingovalve/gateway/catalogue.py
@@ -69,7 +69,7 @@
 class _KnownUpstream:
     """A registered upstream.
 
-    :ivar key: key of the document that describes it
+    :ivar key: key of the document that describes it; empty for none
     """
 
     upstream: Upstream
@@ -367,7 +367,7 @@
     def _delete(self, key: str, *, lapsed: bool) -> None:
         name = UpstreamId(key.rpartition('/')[2])
         known = self._upstreams_by_id.get(name)
-        if known is None or known.key != key:
+        if known is None or known.key not in {'', key}:
             return
         self._lists_valid_until = float('-inf')
         if not lapsed:
