--- a/review/rig-2/stand_ins.py
+++ b/review/rig-2/stand_ins.py
@@ -401,9 +401,12 @@
             tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
         ) = None
 
-    async def order(self, number: int, seconds: float = 3.0) -> tuple[str, Any]:
+    async def order(
+        self, number: int, seconds: float = 3.0, prefix: str = '/order/'
+    ) -> tuple[str, Any]:
         """Send one order.
 
+        :param prefix: what its path begins with
         :returns: its id, and the status or why there is none
         """
         request_id = f'{random.getrandbits(64):016x}'
@@ -412,8 +415,8 @@
             ('Attempt-Id', request_id),
             ('Time-Budget-Ms', str(int(seconds * 1000))),
         ]
-        message = encoded(f'POST /order/{number} HTTP/1.1', headers, b'ring')
-        self._record.add('sent', id=request_id, order=number)
+        message = encoded(f'POST {prefix}{number} HTTP/1.1', headers, b'ring')
+        self._record.add('sent', id=request_id, path=f'{prefix}{number}')
         outcome: Any = 'no answer until its deadline'
         try:
             async with asyncio.timeout(seconds):
