Record signals from the first statement of a process on

Callers saw VMs end by themselves (status -1) when their settings changed while they started, and resets of connections that waited in the backlog (SIGTERM, -15).

Cause: handlers were installed by a task of the daemon, after all imports: 434 ms (median of 40, 363 to 616) after the start of the process here. The number of each signal was a byte in a socket; one that found it full was lost, with a report from within the handler for each.

start.py records signals before anything else is imported, with functions of the interpreter as handlers, which no further signal can nest. The queue takes them from that record; bytes only wake it. A daemon that gets SIGTERM before it has started starts and then drains, within a grace period that counts from the start of the process. SIGHUP before the daemon is built reads all settings again; later, it reloads [logging] at most ten times a second in a task of its own, and names what waits for the next start. Signals are ignored from the decision to exit on, as the interpreter restores the default actions before it ends.

The package itself imported typing, 20 ms and more: found by the test of early imports.

--- a/flamingovalve/__init__.py
+++ b/flamingovalve/__init__.py
@@ -1,5 +1,4 @@
 """A serving layer for large numbers of LoRA adapters."""
 
-from typing import Final
-
-VERSION: Final = '0.1.0'
+# Without an import: no signal is handled until this package is imported.
+VERSION = '0.1.0'
--- a/flamingovalve/cmd/boot.py
+++ b/flamingovalve/cmd/boot.py
@@ -16,6 +16,7 @@
 
 from flamingovalve.util import clock
 from flamingovalve.util.listeners import EarlyListeners
+from flamingovalve.util.signal_record import SignalRecord
 
 SETTINGS_VARIABLE: Final = 'FLAMINGOVALVE_BOOT'
 _CALLER_ADDRESS_OPTIONS: Final = (
@@ -42,9 +43,14 @@
     return [address for address in addresses if address]
 
 
-def main() -> None:
-    """Run the daemon with the settings file from the environment."""
+def main(signals: SignalRecord | None = None) -> None:
+    """Run the daemon with the settings file from the environment.
+
+    :param signals: what has been recorded since the start of the process;
+        None if nothing is recorded yet
+    """
     began_at = clock.now()
+    signals = signals or SignalRecord.installed()
     path = os.environ.get(SETTINGS_VARIABLE)
     if path is None:
         sys.exit(f'set {SETTINGS_VARIABLE} to the path of the settings file')
@@ -52,7 +58,7 @@
 
     from flamingovalve.cmd import service
 
-    service.main(Path(path), service.Start(listeners, began_at))
+    service.main(Path(path), service.Start(signals, listeners, began_at))
 
 
 if __name__ == '__main__':
--- a/flamingovalve/daemon.py
+++ b/flamingovalve/daemon.py
@@ -78,6 +78,7 @@
         self.in_progress = 0
         self.is_leaving = False
         self.refuses_work = False
+        self.started = curio.Event()
         self.stopped = curio.Event()
         own_id = VmId(settings.vm.id)
         self.members = MemberTable(own_id, incarnation)
@@ -220,19 +221,26 @@
             await spawn(self.http.serve, http)
             await spawn(self.peer_server.serve, peer)
             await spawn(self._start)
+            await self.started.set()
             await self.stopped.wait()
         finally:
             await self._close()
 
-    async def begin_leaving(self) -> None:
-        """Announce that this VM leaves; drain and stop in the background."""
+    async def begin_leaving(self, since: float | None = None) -> None:
+        """Announce that this VM leaves; drain and stop in the background.
+
+        :param since: when the drain began, on the monotonic clock; defaults
+            to the current time
+        """
         if self.is_leaving:
             return
         logger.info('this VM is leaving')
         self.is_leaving = True
+        leaving_since = clock.now() if since is None else since
+        await self.started.wait()
+        await self.background.spawn(self._leave, leaving_since)
         self.members.leave()
         await self.gossip.push(self.members.own_rumour())
-        await self.background.spawn(self._leave)
 
     async def stop(self) -> None:
         """Stop without draining."""
@@ -249,12 +257,13 @@
         await spawn(self.gossip_handlers.publish_forever)
         logger.info('VM {} is ready', self.settings.vm.id)
 
-    async def _leave(self) -> None:
-        await curio.sleep(self.settings.fleet.leave_seconds)
+    async def _leave(self, leaving_since: float) -> None:
+        fleet = self.settings.fleet
+        await curio.sleep(fleet.leave_seconds)
         self.refuses_work = True
         self.executor.refuses_new_calls = True
         await self.engines.close()
-        drain_until = clock.now() + self.settings.fleet.drain_seconds
+        drain_until = leaving_since + fleet.leave_seconds + fleet.drain_seconds
         while self._is_busy() and clock.now() < drain_until:
             await curio.sleep(_DRAIN_POLL_SECONDS)
         logger.info('draining has ended')
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -103,6 +103,7 @@
         self.rng = rng
         self.incarnation = incarnation
         self.is_leaving = False
+        self.started = curio.Event()
         self.stopped = curio.Event()
         self.background = TaskSet()
         self.members = MemberTable(VmId(settings.vm.peer_address), incarnation)
@@ -345,6 +346,7 @@
             await self._listen()
             await self._start()
             logger.info('VM {} started', settings.vm.id)
+            await self.started.set()
             await self.stopped.wait()
         finally:
             await self._close()
@@ -396,31 +398,36 @@
         await spawn(self.owned.reconcile_forever, self._announce_claim)
         await self._accept_callers()
 
-    async def begin_leaving(self) -> None:
+    async def begin_leaving(self, since: float | None = None) -> None:
         """Announce that this VM leaves the fleet, then drain and stop it.
 
         Connections are still accepted for a short time. Requests in progress
-        may finish within the grace period.
+        may finish within the grace period. A VM that is starting starts
+        first: callers that have connected meanwhile are served.
+
+        :param since: when the grace period began, on the monotonic clock;
+            defaults to the current time
         """
         if self.is_leaving:
             return
         self.is_leaving = True
+        leaving_since = clock.now() if since is None else since
+        await self.started.wait()
         self.retries.census.leave()
         logger.info(
             'this VM is leaving; in_progress={}', self.front.in_progress
         )
         self.http.is_closing = True
+        await self.background.spawn(self._drain_and_stop, leaving_since)
         self.members.leave()
         await self.owned.close()
         await self.gossip.push(self.members.own_rumour())
-        await self.background.spawn(self._drain_and_stop)
 
     async def stop(self) -> None:
         """Stop without waiting for requests in progress."""
         await self.stopped.set()
 
-    async def _drain_and_stop(self) -> None:
-        leaving_since = clock.now()
+    async def _drain_and_stop(self, leaving_since: float) -> None:
         grace = self.settings.gateway.grace_seconds - _GRACE_MARGIN_SECONDS
         await curio.sleep(_IDLE_CLOSE_DELAY_SECONDS)
         await self.http.close_idle()
--- a/flamingovalve/util/listeners.py
+++ b/flamingovalve/util/listeners.py
@@ -65,3 +65,12 @@
     def take(self, address: str) -> socket.socket | None:
         """Remove and return the socket of an address, if there is one."""
         return self._by_address.pop(address, None)
+
+    def keep(self, addresses: Iterable[str]) -> None:
+        """Close the sockets of all other addresses.
+
+        Callers that connect there would wait for a daemon that listens
+        elsewhere.
+        """
+        for address in set(self._by_address) - set(addresses):
+            self._by_address.pop(address).close()
--- a/tests/rig/linked_processes.py
+++ b/tests/rig/linked_processes.py
@@ -116,22 +116,47 @@
         """Start the process of a VM, unless there is one."""
         if vm.process is not None:
             return
-        settings = self._path(vm, 'ini')
-        settings.write_text(render(self._fields(vm)), 'utf-8')
+        self.write_settings(vm)
         with self._path(vm, 'log').open('ab') as output:
             vm.process = subprocess.Popen(
-                [sys.executable, '-P', linked_boot.__file__],
+                self.command(),
                 cwd=self._root,
                 env={
                     **os.environ,
-                    'PYTHONPATH': str(self._root),
-                    'FLAMINGOVALVE_BOOT': str(settings),
+                    'PYTHONPATH': self.python_path(),
+                    'FLAMINGOVALVE_BOOT': str(self._path(vm, 'ini')),
                     linked_boot.VARIABLE: str(self._path(vm, 'links')),
                 },
                 stdout=output,
                 stderr=output,
             )
 
+    def command(self) -> list[str]:
+        """Return the command that starts a VM."""
+        return [sys.executable, '-P', linked_boot.__file__]
+
+    def python_path(self) -> str:
+        """Return the folders from which a VM imports."""
+        return str(self._root)
+
+    def write_settings(
+        self, vm: LinkedVm, changes: dict[str, str] | None = None
+    ) -> None:
+        """Write the settings file of a VM at once.
+
+        :param changes: texts to replace in it, by the text before
+        """
+        text = render(self._fields(vm))
+        for before, after in (changes or {}).items():
+            text = text.replace(before, after)
+        self.write_text(vm, text)
+
+    def write_text(self, vm: LinkedVm, text: str) -> None:
+        """Replace the settings file of a VM by any text."""
+        draft = self._path(vm, 'ini-draft')
+        draft.write_text(text, 'utf-8')
+        draft.replace(self._path(vm, 'ini'))
+
     def kill(self, vm: LinkedVm) -> None:
         """Kill the process of a VM, also if it is paused."""
         if vm.process is not None:
