Refuse requests that would outlast the grace period of a leaving VM

Cause: nothing compared a send with the end of the grace period; a request that was read in the last moment, or half read when the VM stopped, was closed unanswered.

Now one rule, asked on admission, by the one function through which each send passes (first sends, repeats, hedges, direct or through another VM, streams), and every 0.05 s for all that wait (queue, place, limit, keeper): a run may begin if the request's deadline comes before the VM stops, or if runs of its route took no longer lately: the longest one for what may run once, the mean otherwise, times 1.5. Other requests get 503, which is true, as none of them was sent; 502 if an earlier send may have run. Requests that have not arrived when the VM stops are refused, too. The plain daemon refuses deadlines after the end of its drain.

--- a/flamingovalve/api.py
+++ b/flamingovalve/api.py
@@ -39,6 +39,15 @@
 _MAX_HEADER_SECONDS: Final = 1_000_000_000_000
 
 
+def leaving_error() -> ServingError:
+    """Return the error for work that a leaving VM does not take."""
+    return ServingError(
+        ErrorKind.LEAVING,
+        'this VM is leaving; request /v1/entry from another VM',
+        retry_after=1,
+    )
+
+
 class Api:
     """Dispatches the requests of one daemon by path."""
 
@@ -82,7 +91,8 @@
         request: Request,
         responder: Responder,
     ) -> None:
-        self._check_accepts_work()
+        deadline = self._deadline(request)
+        self._check_accepts_work(deadline)
         content = request.json_object()
         application = self._application(request)
         model = requested_model(content)
@@ -93,7 +103,7 @@
             content,
             application,
             target,
-            self._deadline(request),
+            deadline,
         )
         async with responder.watch_caller():
             await self._daemon.serve(work, responder)
@@ -123,8 +133,9 @@
         application = self._application(request)
         service, call = self._find_call(service_id, call_id, application)
         self._check_rate_limit(application)
+        deadline = self._deadline(request)
         if call.idempotent:
-            self._check_accepts_work()
+            self._check_accepts_work(deadline)
         service_request = ServiceRequest(
             self._daemon.new_request_id(),
             application.id,
@@ -132,7 +143,7 @@
             call.id,
             request.headers.get('content-type', ''),
             request.body,
-            self._deadline(request),
+            deadline,
             _idempotency_key(request),
             _idempotency_time(request),
         )
@@ -222,13 +233,13 @@
     def _inventory(self) -> Inventory:
         return self._daemon.inventory()
 
-    def _check_accepts_work(self) -> None:
-        if self._daemon.refuses_work:
-            raise ServingError(
-                ErrorKind.LEAVING,
-                'this VM is leaving; request /v1/entry from another VM',
-                retry_after=1,
-            )
+    def _check_accepts_work(self, deadline: float) -> None:
+        """Check that this VM may serve a request until its deadline.
+
+        :raises ServingError: if it refuses work, or stops before
+        """
+        if self._daemon.refuses_work or deadline > self._daemon.drains_until:
+            raise leaving_error()
 
     def _application(self, request: Request) -> Application:
         return _unwrap(self._inventory.authenticate(_credential(request)))
--- a/flamingovalve/claims/executor.py
+++ b/flamingovalve/claims/executor.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any, Final
 
 import curio
@@ -59,6 +60,8 @@
 
     :ivar refuses_new_calls: whether new calls are refused and their keys
         sealed, because this VM leaves
+    :ivar drains_until: new calls with a later deadline are refused as well, on
+        the monotonic clock; infinite unless this VM leaves
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         )
         self.counts = self.runner.counts
         self.refuses_new_calls = False
+        self.drains_until = math.inf
         self._settings = settings.claims
         self._own_id = VmId(settings.vm.id)
         self._incarnation = incarnation
@@ -305,7 +309,7 @@
         return self._response_of(reply_of(record, claim.body_digest))
 
     async def _start(self, claim: Claim) -> ClaimRecord:
-        if self.refuses_new_calls:
+        if self.refuses_new_calls or claim.request.deadline > self.drains_until:
             # While this VM leaves, it still serves resends. New calls are
             # sealed, so that "not run" stays true after this process ended.
             raise await self._refuse_to_start(claim, refusals.leaving())
--- a/flamingovalve/daemon.py
+++ b/flamingovalve/daemon.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 import secrets
 from typing import TYPE_CHECKING, Any, Final, Self
 
 import curio
 
-from flamingovalve.api import Api
+from flamingovalve.api import Api, leaving_error
 from flamingovalve.claims.executor import CallExecutor
 from flamingovalve.claims.holders import Holders
 from flamingovalve.config.inventory import MANIFEST_KEY, VM_LIST_KEY, Target
@@ -78,6 +79,7 @@
         self.in_progress = 0
         self.is_leaving = False
         self.refuses_work = False
+        self.drains_until = math.inf
         self.started = curio.Event()
         self.stopped = curio.Event()
         own_id = VmId(settings.vm.id)
@@ -237,8 +239,13 @@
         logger.info('this VM is leaving')
         self.is_leaving = True
         leaving_since = clock.now() if since is None else since
+        fleet = self.settings.fleet
+        self.drains_until = (
+            leaving_since + fleet.leave_seconds + fleet.drain_seconds
+        )
+        self.executor.drains_until = self.drains_until
         await self.started.wait()
-        await self.background.spawn(self._leave, leaving_since)
+        await self.background.spawn(self._leave)
         self.members.leave()
         await self.gossip.push(self.members.own_rumour())
 
@@ -257,15 +264,14 @@
         await spawn(self.gossip_handlers.publish_forever)
         logger.info('VM {} is ready', self.settings.vm.id)
 
-    async def _leave(self, leaving_since: float) -> None:
-        fleet = self.settings.fleet
-        await curio.sleep(fleet.leave_seconds)
+    async def _leave(self) -> None:
+        await curio.sleep(self.settings.fleet.leave_seconds)
         self.refuses_work = True
         self.executor.refuses_new_calls = True
         await self.engines.close()
-        drain_until = leaving_since + fleet.leave_seconds + fleet.drain_seconds
-        while self._is_busy() and clock.now() < drain_until:
+        while self._is_busy() and clock.now() < self.drains_until:
             await curio.sleep(_DRAIN_POLL_SECONDS)
+        await self.http.refuse_incomplete()
         logger.info('draining has ended')
         await self.stop()
 
@@ -336,6 +342,8 @@
     ) -> None:
         target = Target(message.adapter, message.version, message.model)
         work = CompletionWork.from_forward(message, target)
+        if work.deadline > self.drains_until:
+            raise leaving_error()
         self.in_progress += 1
         try:
             await self.router.serve_forwarded(work, message.engine, sink)
--- a/flamingovalve/gateway/attempts.py
+++ b/flamingovalve/gateway/attempts.py
@@ -14,6 +14,7 @@
 from flamingovalve.gateway.quarantine.quarantine import quarantined
 from flamingovalve.gateway.relay import (
     NOT_RUN_OUTCOMES,
+    WITHHELD_OUTCOMES,
     Outcome,
     error_for_outcome,
     may_send_again,
@@ -161,6 +162,7 @@
         if not self.permit.is_spent:
             self._budget.counts.exempt += 1
             _log_retry(request, last.outcome, self.permit, None)
+            request.awaits_send = True
             return True
         has_run = last.outcome not in NOT_RUN_OUTCOMES
         if has_run and not self._quarantine.may_retry(request):
@@ -170,6 +172,7 @@
         if permit is None:
             return False
         self.permit = permit
+        request.awaits_send = True
         return True
 
     def _may_run_elsewhere(self, last: SendResult) -> bool:
@@ -182,8 +185,8 @@
 
 
 def last_sent(previous: SendResult, latest: SendResult) -> SendResult:
-    """Return the result of the last send that the retry budget allowed."""
-    is_sent = latest.outcome is not Outcome.OVER_BUDGET
+    """Return the result of the last send that this VM did not withhold."""
+    is_sent = latest.outcome not in WITHHELD_OUTCOMES
     return latest if is_sent else previous
 
 
--- a/flamingovalve/gateway/call_client.py
+++ b/flamingovalve/gateway/call_client.py
@@ -53,6 +53,7 @@
     Outcome.HELD_BACK: CallOutcome.ABANDONED,
     Outcome.QUARANTINED: CallOutcome.ABANDONED,
     Outcome.OVER_BUDGET: CallOutcome.ABANDONED,
+    Outcome.LEAVING: CallOutcome.ABANDONED,
     Outcome.UNREACHABLE: CallOutcome.TIMED_OUT,
     Outcome.TIMED_OUT: CallOutcome.TIMED_OUT,
 }
--- a/flamingovalve/gateway/calls.py
+++ b/flamingovalve/gateway/calls.py
@@ -34,6 +34,7 @@
         Outcome.REJECTED,
         Outcome.QUARANTINED,
         Outcome.OVER_BUDGET,
+        Outcome.LEAVING,
     ),
 )
 
--- a/flamingovalve/gateway/completions.py
+++ b/flamingovalve/gateway/completions.py
@@ -41,6 +41,7 @@
     Outcome.REJECTED: PlaceOutcome.REJECTED,
     Outcome.QUARANTINED: PlaceOutcome.ABANDONED,
     Outcome.OVER_BUDGET: PlaceOutcome.ABANDONED,
+    Outcome.LEAVING: PlaceOutcome.ABANDONED,
 }
 
 
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -225,6 +225,7 @@
             self.quarantine,
             self.upstreams.answer_bounds,
         )
+        self.grace = relay.grace
         self.calls = CallAccess(
             settings,
             self.rng,
@@ -289,6 +290,7 @@
             self.server,
             self.metrics,
             self.follower.seconds_until_configured,
+            self.grace,
         )
         self.http = HttpServer.from_config(
             self.network, self.front.answer, settings
@@ -412,13 +414,19 @@
             return
         self.is_leaving = True
         leaving_since = clock.now() if since is None else since
+        self.grace.ends_at = (
+            leaving_since
+            + self.settings.gateway.grace_seconds
+            - _GRACE_MARGIN_SECONDS
+        )
         await self.started.wait()
         self.retries.census.leave()
         logger.info(
             'this VM is leaving; in_progress={}', self.front.in_progress
         )
         self.http.is_closing = True
-        await self.background.spawn(self._drain_and_stop, leaving_since)
+        await self.background.spawn(self.grace.refuse_late_forever)
+        await self.background.spawn(self._drain_and_stop)
         self.members.leave()
         await self.owned.close()
         await self.gossip.push(self.members.own_rumour())
@@ -427,17 +435,18 @@
         """Stop without waiting for requests in progress."""
         await self.stopped.set()
 
-    async def _drain_and_stop(self, leaving_since: float) -> None:
-        grace = self.settings.gateway.grace_seconds - _GRACE_MARGIN_SECONDS
+    async def _drain_and_stop(self) -> None:
         await curio.sleep(_IDLE_CLOSE_DELAY_SECONDS)
         await self.http.close_idle()
         await curio.sleep(
             _ACCEPT_WHILE_LEAVING_SECONDS - _IDLE_CLOSE_DELAY_SECONDS
         )
         await self._accepting.cancel()
-        while self._has_work() and clock.now() < leaving_since + grace:
+        while self._has_work() and clock.now() < self.grace.ends_at:
             await self.http.close_idle()
             await curio.sleep(_LEAVE_POLL_SECONDS)
+        self.grace.ends_at = min(self.grace.ends_at, clock.now())
+        await self.http.refuse_incomplete()
         logger.info(
             'this VM is stopping; in_progress={}', self.front.in_progress
         )
--- a/flamingovalve/gateway/front.py
+++ b/flamingovalve/gateway/front.py
@@ -17,6 +17,7 @@
     from flamingovalve.gateway.access import AccessControl
     from flamingovalve.gateway.adapter import PlatformAdapter
     from flamingovalve.gateway.catalogue import Catalogue
+    from flamingovalve.gateway.grace import GracePeriod
     from flamingovalve.gateway.inbound import InboundRequest
     from flamingovalve.gateway.metrics import GatewayMetrics
     from flamingovalve.gateway.quotas import QuotaClient
@@ -39,13 +40,16 @@
         server: RequestServer,
         metrics: GatewayMetrics,
         seconds_until_configured: Callable[[], float],
+        grace: GracePeriod,
     ) -> None:
         """Serve the requests that ``access`` admits through ``server``.
 
+        :param grace: refuses requests that would outlast this VM
         :param seconds_until_configured: returns the estimated seconds until
             the first configuration has been read
         """
         self._until_configured = seconds_until_configured
+        self._grace = grace
         self.in_progress = 0
         self._platform = platform
         self._catalogue = catalogue
@@ -103,7 +107,7 @@
         inbound = await self._access.admit(request)
         inbound.caller = responder.remote_host()
         inbound.is_caller_disconnected = responder.is_caller_disconnected
-        async with responder.watch_caller():
+        async with responder.watch_caller(), self._grace.guard(inbound):
             await self._serve_within_quota(inbound, responder)
 
     async def _serve_within_quota(
--- a/flamingovalve/gateway/hedges.py
+++ b/flamingovalve/gateway/hedges.py
@@ -10,7 +10,7 @@
 import curio
 
 from flamingovalve.gateway.call_client import CallChoice
-from flamingovalve.gateway.relay import Outcome
+from flamingovalve.gateway.relay import WITHHELD_OUTCOMES, Outcome
 from flamingovalve.util.logs import get_logger, note
 
 if TYPE_CHECKING:
@@ -151,7 +151,7 @@
         following = await group.next_done()
         if following is None:
             break
-        if following.result.outcome is not Outcome.OVER_BUDGET:
+        if following.result.outcome not in WITHHELD_OUTCOMES:
             task = following
     return task.result, task
 
--- a/flamingovalve/gateway/inbound.py
+++ b/flamingovalve/gateway/inbound.py
@@ -87,6 +87,8 @@
     :ivar losses: upstreams that were lost in this attempt
     :ivar lost_before: upstreams that had ended under it when it arrived
     :ivar is_answered: whether an upstream has answered it with success
+    :ivar awaits_send: whether it waits until it can be sent, or sent again
+    :ivar is_refused: whether it is refused, as this VM is leaving
     :ivar is_caller_disconnected: returns whether the caller has disconnected
     """
 
@@ -114,6 +116,8 @@
     losses: int = 0
     lost_before: int = 0
     is_answered: bool = False
+    awaits_send: bool = True
+    is_refused: bool = False
     is_caller_disconnected: Callable[[], bool] = _never_disconnected
 
     def log_fields(self) -> dict[str, str]:
--- a/flamingovalve/gateway/relay.py
+++ b/flamingovalve/gateway/relay.py
@@ -25,6 +25,7 @@
     most_events,
 )
 from flamingovalve.gateway.event_pauses import EventPauses
+from flamingovalve.gateway.grace import GracePeriod
 from flamingovalve.gateway.model import RepeatPolicy
 from flamingovalve.gateway.upstream_client import SilenceWatch
 from flamingovalve.generated.settings import RelaySettings
@@ -79,6 +80,7 @@
     REJECTED = 'rejected'
     QUARANTINED = 'quarantined'
     OVER_BUDGET = 'over_budget'
+    LEAVING = 'leaving'
 
 
 NOT_RUN_OUTCOMES: Final = frozenset(
@@ -89,14 +91,18 @@
         Outcome.REJECTED,
         Outcome.QUARANTINED,
         Outcome.OVER_BUDGET,
+        Outcome.LEAVING,
     ),
 )
+# The request was not sent, for a reason that lies with this VM.
+WITHHELD_OUTCOMES: Final = frozenset((Outcome.OVER_BUDGET, Outcome.LEAVING))
 _FINAL_OUTCOMES: Final = frozenset(
     (
         Outcome.DONE,
         Outcome.TIMED_OUT,
         Outcome.QUARANTINED,
         Outcome.OVER_BUDGET,
+        Outcome.LEAVING,
     ),
 )
 _CONNECTION_UNUSABLE_AFTER: Final = frozenset(
@@ -245,7 +251,10 @@
 
 
 class UpstreamRelay:
-    """Sends requests to upstreams over pooled connections."""
+    """Sends requests to upstreams over pooled connections.
+
+    :ivar grace: when this VM stops, and what it no longer sends
+    """
 
     def __init__(
         self,
@@ -259,6 +268,7 @@
         :param quarantine: consulted before each request is sent
         :param bounds: bounds on answers; those of the default settings if None
         """
+        self.grace = GracePeriod()
         self._bounds = bounds or AnswerBounds.from_settings(RelaySettings(), 0)
         self._client = client
         self._wire = wire
@@ -350,6 +360,9 @@
             return SendResult(Outcome.OVER_BUDGET)
         if not _should_send(request):
             return SendResult(Outcome.UNREACHABLE)
+        if request.is_refused or not self.grace.fits(request):
+            return SendResult(Outcome.LEAVING)
+        request.awaits_send = False
         # Opening a connection and borrowing credit have taken some of the time.
         options = replace(options, seconds=request.remaining())
         return await self._transfer(
@@ -579,11 +592,15 @@
         options: SendOptions,
     ) -> SendResult:
         """Run a transfer; the quarantine is notified if it is cancelled."""
+        durations = self.grace.durations
+        run = durations.begin(request.route.name)
         try:
             return await transfer(connection, request, upstream, options)
         except (curio.CancelledError, CallerLost):
             await self._record_abandoned(request, upstream)
             raise
+        finally:
+            durations.end(request.route.name, run)
 
     async def _record_abandoned(
         self, request: InboundRequest, upstream: Upstream
@@ -813,6 +830,12 @@
             'the upstream did not respond in time; the request may have run',
             ran=Ran.UNKNOWN,
         )
+    if outcome is Outcome.LEAVING:
+        return ServingError(
+            ErrorKind.LEAVING,
+            'this VM is leaving; send the request to another VM',
+            retry_after=_RETRY_SECONDS,
+        )
     if outcome in NOT_RUN_OUTCOMES:
         return ServingError(
             ErrorKind.OVERLOADED,
--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -33,6 +33,8 @@
 logger = get_logger(__name__)
 
 _READ_BYTES = 65536
+_REFUSE_SECONDS = 0.2
+_REFUSE_POLL_SECONDS = 0.01
 
 
 class RequestHandler(Protocol):
@@ -76,8 +78,10 @@
         self._limits = limits
         self._tasks = TaskSet()
         self._idle: dict[ServerConnection, Socket] = {}
+        self._reading: dict[ServerConnection, Socket] = {}
         self.counts = ServerCounts()
         self.is_closing = False
+        self.is_stopping = False
         self.error_response = Response.from_error
 
     @classmethod
@@ -99,9 +103,17 @@
         """Record that a connection neither reads nor handles a request."""
         self._idle[connection] = connection_socket
 
-    def record_busy(self, connection: ServerConnection) -> None:
+    def record_reading(
+        self, connection: ServerConnection, connection_socket: Socket
+    ) -> None:
         """Record that a request has begun to arrive on a connection."""
         self._idle.pop(connection, None)
+        self._reading[connection] = connection_socket
+
+    def record_busy(self, connection: ServerConnection) -> None:
+        """Record that a connection neither waits for nor reads a request."""
+        self._idle.pop(connection, None)
+        self._reading.pop(connection, None)
 
     async def close_idle(self) -> None:
         """Shut down the connections on which no request has begun.
@@ -113,6 +125,19 @@
             with contextlib.suppress(OSError):
                 await connection_socket.shutdown(socket.SHUT_RDWR)
 
+    async def refuse_incomplete(self) -> None:
+        """Refuse the requests that have not arrived completely.
+
+        What has arrived is still read. The server reads no others.
+        """
+        self.is_stopping = True
+        for connection_socket in list(self._reading.values()):
+            with contextlib.suppress(OSError):
+                await connection_socket.shutdown(socket.SHUT_RD)
+        async with curio.ignore_after(_REFUSE_SECONDS):
+            while self._reading:
+                await curio.sleep(_REFUSE_POLL_SECONDS)
+
     async def serve(self, listening: Socket) -> None:
         """Accept connections until cancelled."""
         try:
@@ -299,9 +324,10 @@
         if not self._protocol.trailing_data[0]:
             self._server.record_idle(self, self._socket)
         head = await self._next_event()
-        self._server.record_busy(self)
         if not isinstance(head, h11.Request):
+            self._server.record_busy(self)
             return None
+        self._server.record_reading(self, self._socket)
         request = Request(
             head.method.decode('ascii'),
             head.target.decode('latin-1'),
@@ -310,6 +336,7 @@
         )
         self._check_length(request.headers.get('content-length', '0'))
         request.body = await self._read_body(request)
+        self._server.record_busy(self)
         return request
 
     async def _read_body(self, request: Request) -> bytes:
@@ -369,7 +396,7 @@
         idle_seconds = self._limits().idle_seconds
         try:
             async with curio.timeout_after(idle_seconds):
-                return await self._socket.recv(_READ_BYTES)
+                received = await self._socket.recv(_READ_BYTES)
         except curio.TaskTimeout as timeout:
             self._server.counts.slow_callers += 1
             buffered, _closed = self._protocol.trailing_data
@@ -383,6 +410,9 @@
                 f'no data of the request arrived for {idle_seconds:g} s; send '
                 'it again',
             ) from timeout
+        if not received and self._server.is_stopping:
+            raise _stopping_error()
+        return received
 
 
 def _overloaded_error(request: Request, reason: str) -> ServingError:
@@ -397,6 +427,14 @@
     )
 
 
+def _stopping_error() -> ServingError:
+    return ServingError(
+        ErrorKind.LEAVING,
+        'this VM stops before the request has arrived; send it to another VM',
+        retry_after=0,
+    )
+
+
 def _internal_error(fault: Exception) -> ServingError:
     return ServingError(
         ErrorKind.INTERNAL,
