Bound the first frame of a connection between VMs

Whatever listens at the address of a VM that has gone, or connects to a VM, could announce a frame of up to 1 GB before it showed the key; the VM kept all of it, and the time limit of 3.5 s began anew with each byte.

The first frame now has 4 KB at most and 3.5 s as a whole, later ones 64 MB (1 GB before), and reading lets other tasks run. Beside it, the rig of endless answers plays two sources at once, the store among them; its seeds with one source are the same plays as before.

--- a/flamingovalve/peer/connection.py
+++ b/flamingovalve/peer/connection.py
@@ -19,8 +19,11 @@
 from flamingovalve.generated import ids, messages
 from flamingovalve.generated.messages import Heartbeat, Hello
 from flamingovalve.util.authentication import CODE_BYTES, authentication_code
+from flamingovalve.util.turns import Turns
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from curio.io import Socket
 
     from flamingovalve.generated.ids import VmId
@@ -31,7 +34,10 @@
 SILENCE_SECONDS: Final = 3.5
 
 _READ_BYTES: Final = 262144
-_MAX_FRAME_BYTES: Final = 1024**3
+# Whatever else listens at the address of a VM that has gone sends the first
+# frame unauthenticated.
+_MAX_HELLO_BYTES: Final = 4096
+_MAX_FRAME_BYTES: Final = 67108864
 _LENGTH_BYTES: Final = 4
 _NONCE_BYTES: Final = 16
 _HEADER_BYTES: Final = _LENGTH_BYTES + CODE_BYTES
@@ -52,10 +58,14 @@
         self._received = 0
         self._is_client = False
         self._send_lock = curio.Lock()
+        self._turns = Turns()
+        self._most_bytes = _MAX_HELLO_BYTES
 
     async def open_handshake(self, keyring: Keyring, own: Hello) -> None:
         """Perform the handshake as the side that connected.
 
+        It ends within the time for which a peer may be silent.
+
         :raises ConnectionLost: if the connection broke or fell silent
         :raises WrongPeer: if the other side does not use the key of this VM
         """
@@ -63,16 +73,19 @@
         own.nonce = secrets.token_bytes(_NONCE_BYTES)
         self._key = keyring.current
         await self.send(own)
-        self.remote = _expect_hello(await self.receive(SILENCE_SECONDS))
+        received = await _in_time(self.receive(SILENCE_SECONDS))
+        self.remote = _expect_hello(received)
         self._start_session(self._key, own.nonce + self.remote.nonce)
 
     async def accept_handshake(self, keyring: Keyring, own: Hello) -> None:
         """Perform the handshake as the side that accepted.
 
+        It ends within the time for which a peer may be silent.
+
         :raises ConnectionLost: if the connection broke or fell silent
         :raises WrongPeer: if the other side uses none of the keys of this VM
         """
-        code, content = await self._read_frame(SILENCE_SECONDS)
+        code, content = await _in_time(self._read_frame(SILENCE_SECONDS))
         key = keyring.key_for(
             code, self._authenticated_part(content, received=True)
         )
@@ -138,11 +151,12 @@
 
     def _start_session(self, key: bytes, nonces: bytes) -> None:
         self._key = hashlib.blake2b(nonces, key=key).digest()
+        self._most_bytes = _MAX_FRAME_BYTES
 
     async def _read_frame(self, silence: float | None) -> tuple[bytes, bytes]:
         await self._fill_buffer(_HEADER_BYTES, silence)
         length = int.from_bytes(self._buffer[:_LENGTH_BYTES], 'big')
-        if length > _MAX_FRAME_BYTES:
+        if length > self._most_bytes:
             raise WrongPeer(f'a frame of {length} bytes exceeds the limit')
         await self._fill_buffer(_HEADER_BYTES + length, silence)
         code = bytes(self._buffer[_LENGTH_BYTES:_HEADER_BYTES])
@@ -156,6 +170,7 @@
             if not received:
                 raise ConnectionLost('the peer closed the connection')
             self._buffer += received
+            await self._turns.record(len(received))
 
     async def _read_some(self, silence: float | None) -> bytes:
         try:
@@ -171,6 +186,18 @@
             raise ConnectionLost(str(failed)) from failed
 
 
+async def _in_time(reading: Awaitable[Any]) -> Any:
+    """Wait for the first frame of a peer, however its bytes arrive.
+
+    :raises ConnectionLost: if it takes too long
+    """
+    try:
+        async with curio.timeout_after(SILENCE_SECONDS):
+            return await reading
+    except curio.TaskTimeout as timed_out:
+        raise ConnectionLost('the handshake takes too long') from timed_out
+
+
 def own_hello(vm: VmId, incarnation: ids.Incarnation) -> Hello:
     """Return the handshake message of this process."""
     return Hello(ids.VmId(vm), incarnation, b'')
--- a/tests/rig/endless_answers.py
+++ b/tests/rig/endless_answers.py
@@ -114,9 +114,14 @@
 class EndlessSite(FaultySite):
     """A site on which single upstreams answer without end for a while."""
 
-    def __init__(self, seed: int) -> None:
-        """Start the site."""
+    def __init__(self, seed: int, sources: int = 1) -> None:
+        """Start the site.
+
+        :param sources: stand-ins that answer without end at the same time;
+            above one, the store is among those that may
+        """
         super().__init__(seed)
+        self._sources = sources
         self._endless: list[Endless] = []
 
     def faults(self) -> list[Callable[[], None]]:
@@ -125,7 +130,8 @@
 
     def begin_endless(self) -> None:
         """Let an upstream answer some of its requests without end."""
-        self.end_endless()
+        if self._active() >= self._sources:
+            self.end_endless()
         endless = Endless(
             self.rng.choice(list(Place)),
             self.rng.choice((200, 200, 500, 503)),
@@ -138,12 +144,17 @@
         path = self.rng.choice(('/report', '/order', '/health', '', '', ''))
         if path:
             endless.applies = lambda request: request.path == path
-        runners = [*self.site.engines, *self.site.apps]
-        endless.install(self.rng.choice(runners))
+        stand_ins = [*self.site.engines, *self.site.apps]
+        if self._sources > 1:
+            stand_ins += [self.site.store] * 2
+        endless.install(self.rng.choice(stand_ins))
         self._endless.append(endless)
         for _request in range(4):
             self.ask()
 
+    def _active(self) -> int:
+        return sum(endless.is_on for endless in self._endless)
+
     def end_endless(self) -> None:
         """Let all upstreams answer as they should."""
         for endless in self._endless:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,11 +11,14 @@
 
 import curio
 
-from flamingovalve.errors import ConnectionLost
+from flamingovalve.errors import ConnectionLost, WrongPeer
 from flamingovalve.gateway.answers.bounds import AnswerBounds, HeldBody
-from flamingovalve.generated.settings import RelaySettings
+from flamingovalve.generated.messages import Hello
+from flamingovalve.generated.settings import FleetSettings, RelaySettings
 from flamingovalve.http.bodies import EventBuffer
 from flamingovalve.http.client import UpstreamCall, UpstreamConnection
+from flamingovalve.peer.connection import SILENCE_SECONDS, PeerConnection
+from flamingovalve.util.authentication import Keyring
 from flamingovalve.util.network import Network
 from tests.rig.endless_answers import Endless, EndlessSite, Place
 from tests.rig.site import Site
@@ -23,6 +26,7 @@
 STEPS = 18
 SEEDS = (1, 2, 3)
 MEGABYTE = 1024**2
+KEYRING = Keyring.from_settings(FleetSettings(key_current='k' * 32))
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 CHUNK = b'%x\r\n%s\r\n' % (16000, b'x' * 16000)
 
@@ -164,6 +168,59 @@
         self.assertIsInstance(raised, TimeoutError)
 
 
+class TestPeers(unittest.TestCase):
+    """Other programs at the address of another VM, or that connect to one."""
+
+    def handshake(self, sender):
+        """Begin a handshake as a client; return what was raised."""
+        self.addCleanup(sender.close)
+
+        async def play():
+            network = Network()
+            opened = await network.connect(sender.address, 1)
+            connection = PeerConnection(network, opened)
+            try:
+                await connection.open_handshake(KEYRING, Hello())
+            except (ConnectionLost, WrongPeer) as raised:
+                return raised
+            finally:
+                await connection.close()
+            return None
+
+        began_at = time.monotonic()
+        raised = curio.run(play)
+        return raised, time.monotonic() - began_at
+
+    def test_first_frame_of_half_a_gigabyte(self):
+        """Guards against a process at a VM's address that fills the memory."""
+        sender = Sender(b'\x20\0\0\0', b'x' * 16000)
+        raised, seconds = self.handshake(sender)
+        self.assertIsInstance(raised, WrongPeer)
+        self.assertLess(seconds, 1)
+
+    def test_first_frame_by_drops(self):
+        """Guards against handshakes that take as long as the peer likes."""
+        raised, seconds = self.handshake(Sender(b'\0\0\x0f\0', b'x', 0.02))
+        self.assertIsInstance(raised, ConnectionLost)
+        self.assertLess(seconds, SILENCE_SECONDS + 1)
+
+    def test_first_frame_of_a_client(self):
+        """Guards against a client that fills a VM's memory before its key."""
+
+        async def play():
+            own, other = curio.socket.socketpair()
+            connection = PeerConnection(Network(), own)
+            await other.sendall(b'\x20\0\0\0' + b'x' * 100000)
+            try:
+                await connection.accept_handshake(KEYRING, Hello())
+            finally:
+                await connection.close()
+                await other.close()
+
+        with self.assertRaises(WrongPeer):
+            curio.run(play)
+
+
 class TestBounds(unittest.TestCase):
     """Bounds on what is held of answers."""
 
@@ -343,9 +400,9 @@
         self.assertEqual(daemon.upstreams.answer_bounds.held, 0)
 
 
-def play(seed: int) -> list[str]:
+def play(seed: int, sources: int = 1) -> list[str]:
     """Run the faults of one seed and return the violations."""
-    faulty = EndlessSite(seed)
+    faulty = EndlessSite(seed, sources)
     try:
         faulty.play(STEPS)
         return faulty.find_violations()
@@ -361,13 +418,18 @@
         violations = {seed: play(seed) for seed in SEEDS}
         self.assertEqual(violations, dict.fromkeys(SEEDS, []))
 
+    def test_promises_hold_with_two_sources(self):
+        """Guards against VMs that two sources stop, the store among them."""
+        violations = {seed: play(seed, 2) for seed in SEEDS}
+        self.assertEqual(violations, dict.fromkeys(SEEDS, []))
+
 
 def main() -> int:
-    """Run the seeds of a range given on the command line."""
-    first, last = (int(text) for text in sys.argv[1:])
+    """Run the seeds of a range; a third argument: sources at a time."""
+    first, last, *sources = (int(text) for text in sys.argv[1:])
     failed = 0
     for seed in range(first, last + 1):
-        violations = play(seed)
+        violations = play(seed, *sources)
         failed += bool(violations)
         print(seed, violations or 'ok', flush=True)
     return failed
