Stop within the grace period also after a slow start

The time in which a leaving VM accepts callers now ends with the grace period, and half requests are refused before its end in place of after it. A signal that is taken by name is removed in one step: one that came between the look and the removal was lost. A daemon that fails exits with status 1 at once, without waiting for its tasks, which may never end.

Before: a VM with 0.5 s of grace left stops 2 s later (test_grace).

--- a/flamingovalve/cmd/service.py
+++ b/flamingovalve/cmd/service.py
@@ -51,6 +51,7 @@
 
 logger = get_logger(__name__)
 
+EXIT_FAILURE: Final = 1
 EXIT_SETTINGS: Final = 2
 # Times that a daemon which has not started yet is built again for settings
 # that change meanwhile.
@@ -117,7 +118,11 @@
     Tasks that wait for unreachable peers would otherwise keep the
     interpreter running until the platform kills it.
     """
-    await serve(path, settings, output, start)
+    try:
+        await serve(path, settings, output, start)
+    except Exception:
+        logger.exception('the daemon failed')
+        exit_process(EXIT_FAILURE)
     exit_process()
 
 
@@ -161,4 +166,4 @@
     output = LogOutput()
     output.apply(outcome.ok.logging)
     curio.run(serve_and_exit, path, outcome.ok, output, start)
-    exit_process()
+    raise AssertionError('a daemon exits with its process')
--- a/flamingovalve/gateway/daemon.py
+++ b/flamingovalve/gateway/daemon.py
@@ -436,22 +436,34 @@
         await self.stopped.set()
 
     async def _drain_and_stop(self) -> None:
-        await curio.sleep(_IDLE_CLOSE_DELAY_SECONDS)
+        await self._sleep_in_grace(_IDLE_CLOSE_DELAY_SECONDS)
         await self.http.close_idle()
-        await curio.sleep(
+        await self._sleep_in_grace(
             _ACCEPT_WHILE_LEAVING_SECONDS - _IDLE_CLOSE_DELAY_SECONDS
         )
         await self._accepting.cancel()
-        while self._has_work() and clock.now() < self.grace.ends_at:
-            await self.http.close_idle()
-            await curio.sleep(_LEAVE_POLL_SECONDS)
-        self.grace.ends_at = min(self.grace.ends_at, clock.now())
+        await self._complete_work(self.grace.ends_at - self.http.refuse_seconds)
         await self.http.refuse_incomplete()
+        await self._complete_work(self.grace.ends_at)
         logger.info(
             'this VM is stopping; in_progress={}', self.front.in_progress
         )
         await self.stop()
 
+    async def _sleep_in_grace(self, seconds: float) -> None:
+        """Sleep, at most until the end of the grace period.
+
+        It may have begun long before, while this process started.
+        """
+        left = self.grace.ends_at - clock.now()
+        await curio.sleep(max(min(seconds, left), 0))
+
+    async def _complete_work(self, until: float) -> None:
+        """Wait until no request is in progress, or until a time."""
+        while self._has_work() and clock.now() < until:
+            await self.http.close_idle()
+            await curio.sleep(_LEAVE_POLL_SECONDS)
+
     def _has_work(self) -> bool:
         return bool(
             self.front.in_progress or self.upstreams.forwarded.open_count
--- a/flamingovalve/gateway/front.py
+++ b/flamingovalve/gateway/front.py
@@ -107,7 +107,7 @@
         inbound = await self._access.admit(request)
         inbound.caller = responder.remote_host()
         inbound.is_caller_disconnected = responder.is_caller_disconnected
-        async with responder.watch_caller(), self._grace.guard(inbound):
+        async with responder.watch_caller():
             await self._serve_within_quota(inbound, responder)
 
     async def _serve_within_quota(
@@ -117,7 +117,8 @@
     ) -> None:
         await self._quotas.take(inbound)
         try:
-            await self._server.serve(inbound, responder)
+            async with self._grace.guard(inbound):
+                await self._server.serve(inbound, responder)
         except ServingError as error:
             if error.ran is Ran.NOT and not inbound.tried:
                 self._quotas.give_back(inbound)
--- a/flamingovalve/http/server.py
+++ b/flamingovalve/http/server.py
@@ -4,7 +4,7 @@
 
 import contextlib
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol, Self
+from typing import TYPE_CHECKING, ClassVar, Protocol, Self
 
 import curio
 import h11
@@ -59,7 +59,12 @@
 
 
 class HttpServer:
-    """Accepts connections and passes their requests to a handler."""
+    """Accepts connections and passes their requests to a handler.
+
+    :cvar refuse_seconds: time in which incomplete requests are refused
+    """
+
+    refuse_seconds: ClassVar[float] = _REFUSE_SECONDS
 
     def __init__(
         self,
@@ -134,7 +139,7 @@
         for connection_socket in list(self._reading.values()):
             with contextlib.suppress(OSError):
                 await connection_socket.shutdown(socket.SHUT_RD)
-        async with curio.ignore_after(_REFUSE_SECONDS):
+        async with curio.ignore_after(self.refuse_seconds):
             while self._reading:
                 await curio.sleep(_REFUSE_POLL_SECONDS)
 
@@ -206,6 +211,8 @@
             max_incomplete_event_size=server.limits.header_bytes,
         )
         self._body_bytes = 0
+        # An earlier send with the same key may have run through another VM.
+        self._is_keyed = False
 
     async def run(self, full: bool) -> None:
         """Serve until either side ends the connection.
@@ -334,6 +341,7 @@
             header_map(head.headers),
             header_lines=header_list(head.headers.raw_items()),
         )
+        self._is_keyed = 'idempotency-key' in request.headers
         self._check_length(request.headers.get('content-length', '0'))
         request.body = await self._read_body(request)
         self._server.record_busy(self)
@@ -411,7 +419,7 @@
                 'it again',
             ) from timeout
         if not received and self._server.is_stopping:
-            raise _stopping_error()
+            raise _stopping_error(is_keyed=self._is_keyed)
         return received
 
 
@@ -427,10 +435,11 @@
     )
 
 
-def _stopping_error() -> ServingError:
+def _stopping_error(*, is_keyed: bool) -> ServingError:
     return ServingError(
         ErrorKind.LEAVING,
         'this VM stops before the request has arrived; send it to another VM',
+        ran=Ran.UNKNOWN if is_keyed else Ran.NOT,
         retry_after=0,
     )
 
--- a/flamingovalve/util/signal_record.py
+++ b/flamingovalve/util/signal_record.py
@@ -10,6 +10,7 @@
 INTERRUPT = int(_signal.SIGINT)
 HANG_UP = int(_signal.SIGHUP)
 _RECORDED = (TERMINATE, INTERRUPT, HANG_UP)
+_ABSENT = object()
 
 
 class SignalRecord:
@@ -43,10 +44,11 @@
         return list(reversed(taken))
 
     def take_one(self, number: int) -> bool:
-        """Remove a signal; return whether it was recorded."""
-        was_recorded = number in self._arrived
-        self._arrived.pop(number, None)
-        return was_recorded
+        """Remove a signal; return whether it was recorded.
+
+        In one step, as it may arrive at any moment.
+        """
+        return self._arrived.pop(number, _ABSENT) is not _ABSENT
 
 
 def ignore_signals() -> None:
--- a/tests/rig/signal_series.py
+++ b/tests/rig/signal_series.py
@@ -32,8 +32,7 @@
 _UPTIMES_SECONDS: Final = (0, 0.02, 0.1, 0.3, 0.6, 1.5, 4.0)
 _MAX_FLOOD: Final = 3000
 _MAX_SERIES: Final = 40
-# The grace period, and time for the machine to be busy.
-_STOP_SECONDS: Final = GRACE_SECONDS
+_LOG_LINES: Final = 40
 _CHANGES: Final = (
     {},
     {'format = json': 'format = text'},
@@ -50,6 +49,7 @@
     :ivar violations: a description of each violation
     :ivar steps: how often each disturbance occurred
     :ivar answers: number of orders by status; 0 for none
+    :ivar longest_stop: seconds from the signal to the end of a process
     """
 
     def __init__(self, seed: int, vms: int, root: Path = ROOT) -> None:
@@ -61,6 +61,7 @@
         self.steps: Counter[str] = Counter()
         self.answers: Counter[int] = Counter()
         self.starts = 0
+        self.longest_stop = 0.0
         self._rng = random.Random(f'signals {seed}')
         self._fleet = SignalFleet(vms, root)
         self._order_ids: list[str] = []
@@ -133,9 +134,14 @@
         number = self._rng.choice((signal.SIGTERM, signal.SIGINT))
         for _repeat in range(self._rng.choice((1, 1, 5, 50))):
             process.send_signal(number)
-        status = await self._fleet.status(vm, _STOP_SECONDS)
+        began_at = time.monotonic()
+        status = await self._fleet.status(vm, GRACE_SECONDS)
+        self.longest_stop = max(self.longest_stop, time.monotonic() - began_at)
         if status != 0:
-            self.violations.append(f'{vm.name} was stopped: {status}')
+            log = self._fleet.processes.log(vm).splitlines()[-_LOG_LINES:]
+            self.violations.append(
+                f'{vm.name} was stopped: {status}\n' + '\n'.join(log)
+            )
             self._fleet.processes.kill(vm)
 
     async def _flood(self, vm: LinkedVm) -> None:
--- a/tests/test_grace.py
+++ b/tests/test_grace.py
@@ -233,7 +233,14 @@
         self.leave()
         self.advance_to(GRACE_SECONDS)
         self.assertEqual(raw.status(), 503)
-        self.assertIsNotNone(raw.is_closed)
+        self.assertTrue(raw.is_closed)
+
+    def test_grace_period_that_is_nearly_over(self):
+        """Guards against a VM that started slowly and is killed as it leaves."""
+        since = self.site.world.monotonic() - STOP_SECONDS + 0.5
+        self.vm.node.spawn(self.vm.daemon.begin_leaving, since)
+        self.site.world.advance(0.9)
+        self.assertTrue(self.vm.daemon.stopped.is_set())
 
     def test_wait_for_a_place(self):
         """Guards against completions that wait until the VM stops."""
--- a/tests/test_signal_series.py
+++ b/tests/test_signal_series.py
@@ -39,7 +39,8 @@
         series.play(SECONDS)
         failed += bool(series.violations)
         print(seed, 'starts', series.starts, dict(series.steps), flush=True)
-        print('  ', 'answers', dict(series.answers))
+        longest_stop = round(series.longest_stop, 2)
+        print('  ', dict(series.answers), 'longest stop', longest_stop)
         print('  ', '\n   '.join(series.violations) or 'ok', flush=True)
     return failed
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -233,6 +234,23 @@
         return self.fleet.processes.log(self.vm)
 
 
+class TestFailure(unittest.TestCase):
+    """A daemon that fails as it starts."""
+
+    def test_address_in_use(self):
+        """Guards against a failed daemon that waits for its tasks."""
+        fleet = SignalFleet(1)
+        vm = fleet.vms[0]
+
+        async def play() -> None:
+            with socket.create_server((vm.host, 8149)):
+                fleet.processes.start(vm)
+                self.assertEqual(await fleet.status(vm, 20), 1)
+            self.assertIn('the daemon failed', fleet.processes.log(vm))
+
+        fleet.run(play)
+
+
 class TestFaultySettings(unittest.TestCase):
     """The end of a process whose settings have faults."""
 
